Lay out the layers, the wire schema and the seams

Cause: nothing stands yet. The layers are transport, protocol, coordination and state; the generated messages and the clock are leaves that each layer may import. Coordination reaches the outside through the function fields of package port, so that another shape of worker, log or host list costs one package.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# The front door of the project; `make help` lists what it offers.
+BIN := $(CURDIR)/.bin
+export PATH := $(BIN):$(PATH)
+VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo unknown)
+GO_FILES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+
+.PHONY: help build test lint fmt fmt-check layers generate generate-check proofs-check bench demo tools measure
+
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 18
+
+build: ## build the three programs into .bin
+	go build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
+
+test: ## run all tests with the race detector
+	go test -race -timeout 9m ./...
+
+lint: ## run the linter
+	golangci-lint run ./...
+
+fmt: ## format all Go files
+	gofumpt -w $(GO_FILES)
+
+fmt-check: ## fail when a Go file is not formatted
+	@out=$$(gofumpt -l $(GO_FILES)); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+layers: ## check that imports point down
+	@.ci/layers
+
+generate: ## generate the wire types from the schema
+	protoc -I api --go_out=. --go_opt=module=github.com/auburncleat/auburncleat api/*.proto
+
+generate-check: ## fail when the wire types are not those of the schema
+	@.ci/generated
+
+proofs-check: ## check that docs/PROOFS.md names tests that exist
+	@.ci/proofs
+
+bench: ## run all benchmarks, ready for benchstat
+	go test -run '^$$' -bench . -benchmem -count $(or $(COUNT),1) ./...
+
+tools: ## build the pinned formatter, linter and generator
+	.ci/tools
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,37 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Clock holds the functions through which a process reads time and waits.
+type Clock struct {
+	// Now returns the current time with a monotonic reading.
+	Now func() time.Time
+	// After returns a channel that receives once d has passed.
+	After func(d time.Duration) <-chan time.Time
+}
+
+// System returns the clock of the operating system.
+func System() Clock {
+	return Clock{Now: time.Now, After: time.After}
+}
+
+// Since returns the time that has passed since t.
+func (c Clock) Since(t time.Time) time.Duration {
+	return c.Now().Sub(t)
+}
+
+// Sleep waits for d, or returns the error of ctx when that ends first.
+func (c Clock) Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-c.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/coordination/port/hosts.go
@@ -0,0 +1,28 @@
+package port
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+)
+
+// Host is an entry host as the platform lists it.
+type Host struct {
+	Name    string
+	Domain  string
+	Addr    netip.AddrPort
+	Leaving bool
+}
+
+// Listing is the platform's list of live and leaving hosts and workers; it lags.
+type Listing struct {
+	Hosts   []Host
+	Workers []fleet.Worker
+}
+
+// Hosts reaches the platform's host list.
+type Hosts struct {
+	// List returns the current list.
+	List func(ctx context.Context) (Listing, error)
+}
--- /dev/null
+++ b/internal/coordination/port/peers.go
@@ -0,0 +1,18 @@
+package port
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// ErrUnsent says that a call to a peer failed before its request was sent, so that it had no effect.
+var ErrUnsent = errors.New("request was not sent")
+
+// Peers calls other hosts of the system.
+type Peers struct {
+	// Call runs one method of a peer, such as "Peer.Heartbeat"; after an error other than ErrUnsent it may have run.
+	Call func(ctx context.Context, to netip.AddrPort, method string, request, reply proto.Message) error
+}
--- /dev/null
+++ b/internal/protocol/codec/codec.go
@@ -0,0 +1,128 @@
+package codec
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/rpc"
+
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+// MaxMessage bounds one message on the wire, in bytes.
+const MaxMessage = 8 << 20
+
+const bufferSize = 4 << 10
+
+// ErrNotMessage says that a body is not a protobuf message.
+var ErrNotMessage = errors.New("body is not a protobuf message")
+
+type stream struct {
+	conn io.ReadWriteCloser
+	in   *bufio.Reader
+	out  *bufio.Writer
+}
+
+func newStream(c io.ReadWriteCloser) stream {
+	return stream{
+		conn: c,
+		in:   bufio.NewReaderSize(c, bufferSize),
+		out:  bufio.NewWriterSize(c, bufferSize),
+	}
+}
+
+func (s *stream) read(m proto.Message) error {
+	o := protodelim.UnmarshalOptions{MaxSize: MaxMessage}
+	return o.UnmarshalFrom(s.in, m)
+}
+
+func (s *stream) readBody(body any) error {
+	if body == nil {
+		return s.read(&wire.Empty{})
+	}
+	m, ok := body.(proto.Message)
+	if !ok {
+		return fmt.Errorf("read %T: %w", body, ErrNotMessage)
+	}
+	return s.read(m)
+}
+
+func (s *stream) write(h *wire.Header, body any) error {
+	m, ok := body.(proto.Message)
+	if !ok {
+		m = &wire.Empty{}
+	}
+	if _, err := protodelim.MarshalTo(s.out, h); err != nil {
+		return fmt.Errorf("write header: %w", err)
+	}
+	if _, err := protodelim.MarshalTo(s.out, m); err != nil {
+		return fmt.Errorf("write body: %w", err)
+	}
+	return s.out.Flush()
+}
+
+type client struct {
+	stream
+}
+
+// NewClient returns the calling side of a connection.
+func NewClient(c io.ReadWriteCloser) rpc.ClientCodec {
+	return &client{stream: newStream(c)}
+}
+
+func (c *client) WriteRequest(r *rpc.Request, body any) error {
+	return c.write(&wire.Header{Method: r.ServiceMethod, Sequence: r.Seq}, body)
+}
+
+func (c *client) ReadResponseHeader(r *rpc.Response) error {
+	var h wire.Header
+	if err := c.read(&h); err != nil {
+		return err
+	}
+	r.ServiceMethod = h.GetMethod()
+	r.Seq = h.GetSequence()
+	r.Error = h.GetError()
+	return nil
+}
+
+func (c *client) ReadResponseBody(body any) error {
+	return c.readBody(body)
+}
+
+func (c *client) Close() error {
+	return c.conn.Close()
+}
+
+type server struct {
+	stream
+}
+
+// NewServer returns the serving side of a connection.
+func NewServer(c io.ReadWriteCloser) rpc.ServerCodec {
+	return &server{stream: newStream(c)}
+}
+
+func (s *server) ReadRequestHeader(r *rpc.Request) error {
+	var h wire.Header
+	if err := s.read(&h); err != nil {
+		return err
+	}
+	r.ServiceMethod = h.GetMethod()
+	r.Seq = h.GetSequence()
+	return nil
+}
+
+func (s *server) ReadRequestBody(body any) error {
+	return s.readBody(body)
+}
+
+func (s *server) WriteResponse(r *rpc.Response, body any) error {
+	return s.write(&wire.Header{Method: r.ServiceMethod, Sequence: r.Seq, Error: r.Error}, body)
+}
+
+func (s *server) Close() error {
+	return s.conn.Close()
+}
--- /dev/null
+++ b/internal/state/fleet/job.go
@@ -0,0 +1,52 @@
+package fleet
+
+import "time"
+
+// Job is one request of a caller as a failure domain schedules it.
+type Job struct {
+	ID           string
+	Organisation string
+	Profile      string
+	// Key is the idempotency key; a job with a key starts at most once.
+	Key   string
+	Shape Shape
+	// RunTime is the declared run time, which may be far from the truth.
+	RunTime   time.Duration
+	Submitted time.Time
+	// Deadline is when the caller stops waiting; zero means never.
+	Deadline time.Time
+	// Work is passed to the workers unread.
+	Work []byte
+	// Domain is the failure domain that runs the job.
+	Domain string
+	// Progress is the run time that the last checkpoint saved.
+	Progress time.Duration
+	// Attempt counts the starts of the job from 1.
+	Attempt int
+}
+
+// IsOnce reports whether the job must not run twice.
+func (j Job) IsOnce() bool {
+	return j.Key != ""
+}
+
+// Assignment places one task of a gang on a worker.
+type Assignment struct {
+	Task   int
+	Worker string
+}
+
+// OutcomeKind says what is known of a job that ended.
+type OutcomeKind string
+
+// Kinds of outcome.
+const (
+	// Done means that the job ran and its answer is whole.
+	Done OutcomeKind = "Done"
+	// Refused means that no task of the job ran or ever will.
+	Refused OutcomeKind = "Refused"
+	// Unknown means that the job may have run.
+	Unknown OutcomeKind = "Unknown"
+	// Cancelled means that the caller withdrew the job before it ended.
+	Cancelled OutcomeKind = "Cancelled"
+)
--- /dev/null
+++ b/internal/state/fleet/worker.go
@@ -0,0 +1,18 @@
+package fleet
+
+import "net/netip"
+
+// Worker is one machine that runs tasks, as the platform describes it.
+type Worker struct {
+	Name         string
+	Domain       string
+	Rack         string
+	Addr         netip.AddrPort
+	Slots        int
+	Connections  int
+	Accelerators int
+	Processors   int
+	Memory       Bytes
+	// Leaving is set once the platform or an operator has announced that the worker goes.
+	Leaving bool
+}
