Carry peer calls, route requests to owners, serve callers and status

Cause: a request has to reach the owner of its failure domain from any host. Not measured yet; no tests yet.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -35,3 +35,8 @@
 		return ctx.Err()
 	}
 }
+
+// Deadline returns the operating system's time d from now, for the deadlines of sockets.
+func Deadline(d time.Duration) time.Time {
+	return time.Now().Add(d)
+}
--- /dev/null
+++ b/internal/coordination/route/cancel.go
@@ -0,0 +1,51 @@
+package route
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+)
+
+// Cancel withdraws jobs of any failure domain; the results keep no order.
+func (r *Router) Cancel(ctx context.Context, ids []string) ([]*wire.CancelResult, error) {
+	groups, err := r.group(ids)
+	if err != nil {
+		return nil, err
+	}
+	var out []*wire.CancelResult
+	for d, g := range groups {
+		var reply wire.CancelReply
+		if err := r.call(ctx, d, "Owner.Cancel", &wire.CancelRequest{Jobs: g}, &reply); err != nil {
+			return out, fmt.Errorf("cancel in %s: %w", d, err)
+		}
+		out = append(out, reply.GetResults()...)
+	}
+	return out, nil
+}
+
+// Ack tells the owners that the caller holds the answers of jobs.
+func (r *Router) Ack(ctx context.Context, ids []string) error {
+	groups, err := r.group(ids)
+	if err != nil {
+		return err
+	}
+	for d, g := range groups {
+		if err := r.call(ctx, d, "Owner.Ack", &wire.AckRequest{Jobs: g}, &wire.Empty{}); err != nil {
+			return fmt.Errorf("acknowledge in %s: %w", d, err)
+		}
+	}
+	return nil
+}
+
+func (r *Router) group(ids []string) (map[string][]string, error) {
+	out := map[string][]string{}
+	for _, id := range ids {
+		d, err := domainOf(id, r.domains)
+		if err != nil {
+			return nil, err
+		}
+		out[d] = append(out[d], id)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/coordination/route/router.go
@@ -0,0 +1,234 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/clock"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
+)
+
+// Errors that a caller may see; all of them say that nothing ran.
+var (
+	// ErrNoOwner says that no owner of the failure domain could be reached in time.
+	ErrNoOwner = errors.New("no owner of the failure domain can be reached")
+	// ErrNotOwner says that the called host does not own its failure domain now.
+	ErrNotOwner = errors.New("host does not own the failure domain")
+	// ErrUnknownEffect says that a request may have had an effect, and that its answer was lost.
+	ErrUnknownEffect = errors.New("the request may have taken effect")
+)
+
+// submitTimeout bounds one try at one owner, so that a paused owner does not use up the whole deadline.
+const submitTimeout = 2 * time.Second
+
+// View is what is known of the load of a failure domain.
+type View struct {
+	Domain string
+	// Wait is the expected wait before new work of the urgency starts.
+	Wait map[string]time.Duration
+	// LinkCost is the one-way delay to the failure domain.
+	LinkCost time.Duration
+}
+
+// Router forwards requests to owners.
+type Router struct {
+	domain  string
+	domains []string
+	peers   port.Peers
+	clock   clock.Clock
+	random  func() float64
+	budget  *Budget
+	scope   tally.Scope
+
+	owner func(domain string) (netip.AddrPort, bool)
+	home  func(org, key string) string
+	views func() []View
+}
+
+// Option sets one property of a Router.
+type Option func(*Router)
+
+// WithClock replaces the clock of the operating system.
+func WithClock(c clock.Clock) Option {
+	return func(r *Router) { r.clock = c }
+}
+
+// WithScope counts retries and diversions.
+func WithScope(s tally.Scope) Option {
+	return func(r *Router) { r.scope = s }
+}
+
+// WithOwner sets how the owner of a failure domain is found.
+func WithOwner(f func(domain string) (netip.AddrPort, bool)) Option {
+	return func(r *Router) { r.owner = f }
+}
+
+// WithHome sets how the home failure domain of an idempotency key is found.
+func WithHome(f func(org, key string) string) Option {
+	return func(r *Router) { r.home = f }
+}
+
+// WithViews sets the source of the other failure domains' load.
+func WithViews(f func() []View) Option {
+	return func(r *Router) { r.views = f }
+}
+
+// WithRandom replaces the source of jitter, which returns numbers between 0 and 1.
+func WithRandom(f func() float64) Option {
+	return func(r *Router) { r.random = f }
+}
+
+// New returns a router for a host of domain, among all configured failure domains.
+func New(domain string, domains []string, p port.Peers, opts ...Option) *Router {
+	r := &Router{
+		domain:  domain,
+		domains: domains,
+		peers:   p,
+		clock:   clock.System(),
+		random:  rand.Float64,
+		budget:  NewBudget(),
+		scope:   tally.NoopScope,
+		owner:   func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
+		home:    func(string, string) string { return domain },
+		views:   func() []View { return nil },
+	}
+	for _, o := range opts {
+		o(r)
+	}
+	return r
+}
+
+// Submit hands a job to the owner of its failure domain, which it chooses; the reply names the job's id.
+func (r *Router) Submit(ctx context.Context, j *wire.Job, request, urgency string) (*wire.SubmitReply, error) {
+	if j.GetKey() != "" {
+		d := r.home(j.GetOrganisation(), j.GetKey())
+		j.Id = KeyID(d, j.GetOrganisation(), j.GetKey())
+		return r.submitTo(ctx, d, j)
+	}
+	var reply *wire.SubmitReply
+	var last error
+	for _, d := range r.order(urgency) {
+		c := proto.CloneOf(j)
+		c.Id = RequestID(d, j.GetOrganisation(), request)
+		var err error
+		reply, err = r.submitTo(ctx, d, c)
+		if err == nil && !isDivertible(reply) {
+			return reply, nil
+		}
+		if errors.Is(err, ErrUnknownEffect) {
+			return nil, err
+		}
+		last = err
+		r.scope.Counter("route_diverted").Inc(1)
+	}
+	if reply != nil {
+		return reply, nil
+	}
+	return nil, last
+}
+
+// isDivertible reports whether another failure domain may take work that this one refused.
+func isDivertible(r *wire.SubmitReply) bool {
+	o := r.GetOutcome()
+	return !r.GetAccepted() && o.GetKind() == string(fleet.Refused) && o.GetRetryAfterMillis() > 0
+}
+
+func (r *Router) submitTo(ctx context.Context, domain string, j *wire.Job) (*wire.SubmitReply, error) {
+	j.Domain = domain
+	reply := &wire.SubmitReply{}
+	err := r.call(ctx, domain, "Owner.Submit", &wire.SubmitRequest{Job: j}, reply)
+	if err != nil {
+		return nil, fmt.Errorf("submit %s: %w", j.GetId(), err)
+	}
+	return reply, nil
+}
+
+// Await waits up to the asked time for the end of a job, and across changes of its owner.
+func (r *Router) Await(ctx context.Context, q *wire.AwaitRequest) (*wire.AwaitReply, error) {
+	d, err := domainOf(q.GetJob(), r.domains)
+	if err != nil {
+		return nil, err
+	}
+	reply := &wire.AwaitReply{}
+	if err := r.call(ctx, d, "Owner.Await", q, reply); err != nil {
+		return nil, fmt.Errorf("await %s: %w", q.GetJob(), err)
+	}
+	return reply, nil
+}
+
+// call repeats an idempotent call, at whichever host owns the failure domain, until ctx ends.
+func (r *Router) call(ctx context.Context, domain, method string, q, reply proto.Message) error {
+	r.budget.Earn()
+	sent := false
+	last := ErrNoOwner
+	for n := 0; ; n++ {
+		a, ok := r.owner(domain)
+		if ok {
+			last = r.try(ctx, a, method, q, reply)
+		}
+		if last == nil {
+			return nil
+		}
+		sent = sent || ok && isEffectOpen(last)
+		if !r.isRetryable(last) || !r.mayRetry(ctx, n, last) {
+			return r.failure(last, sent)
+		}
+		r.scope.Counter("route_retries").Inc(1)
+	}
+}
+
+// isEffectOpen reports whether a failed call may have taken effect.
+func isEffectOpen(err error) bool {
+	return !errors.Is(err, port.ErrUnsent) && !errors.Is(err, ErrNotOwner) && !errors.Is(err, ErrNoOwner)
+}
+
+func (r *Router) failure(err error, sent bool) error {
+	if sent {
+		return fmt.Errorf("%w: %w", ErrUnknownEffect, err)
+	}
+	return err
+}
+
+func (r *Router) try(ctx context.Context, a netip.AddrPort, method string, q, reply proto.Message) error {
+	t, cancel := context.WithTimeout(ctx, submitTimeout+waitOf(q))
+	defer cancel()
+	return r.peers.Call(t, a, method, q, reply)
+}
+
+func waitOf(q proto.Message) time.Duration {
+	if a, ok := q.(*wire.AwaitRequest); ok {
+		return time.Duration(a.GetWaitMillis()) * time.Millisecond
+	}
+	return 0
+}
+
+// isRetryable reports whether another try may fare better than one that ended in err.
+func (r *Router) isRetryable(err error) bool {
+	return errors.Is(err, port.ErrUnsent) || errors.Is(err, ErrNotOwner) || errors.Is(err, ErrNoOwner) ||
+		errors.Is(err, context.DeadlineExceeded) || !isRemote(err)
+}
+
+// isRemote reports whether the handler at the owner made the error, so that repeating the call is in vain.
+func isRemote(err error) bool {
+	var e interface{ IsRemote() bool }
+	return errors.As(err, &e) && e.IsRemote()
+}
+
+// mayRetry waits for the backoff; only a call that an owner may have worked on takes from the budget.
+func (r *Router) mayRetry(ctx context.Context, n int, last error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if isEffectOpen(last) && !r.budget.Spend() {
+		return false
+	}
+	return r.clock.Sleep(ctx, backoff(n, r.random())) == nil
+}
--- /dev/null
+++ b/internal/transport/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry serves callers over HTTP and JSON.
+package entry
--- /dev/null
+++ b/internal/transport/peer/service.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+)
+
+// Handlers are the functions of one host that its peers may call; all but Ping have to be set.
+type Handlers struct {
+	Heartbeat func(context.Context, *wire.Heartbeat, *wire.HeartbeatReply) error
+	Digest    func(context.Context, *wire.Digest, *wire.DigestReply) error
+	Records   func(context.Context, *wire.RecordsRequest, *wire.RecordsReply) error
+	Snapshot  func(context.Context, *wire.Empty, *wire.SnapshotReply) error
+	Keep      func(context.Context, *wire.KeepRequest, *wire.Empty) error
+	Kept      func(context.Context, *wire.Empty, *wire.KeptReply) error
+	Claim     func(context.Context, *wire.ClaimRequest, *wire.ClaimReply) error
+	Claims    func(context.Context, *wire.ClaimsRequest, *wire.ClaimsReply) error
+	Submit    func(context.Context, *wire.SubmitRequest, *wire.SubmitReply) error
+	Await     func(context.Context, *wire.AwaitRequest, *wire.AwaitReply) error
+	Cancel    func(context.Context, *wire.CancelRequest, *wire.CancelReply) error
+	Ack       func(context.Context, *wire.AckRequest, *wire.Empty) error
+	Jobs      func(context.Context, *wire.JobsRequest, *wire.JobsReply) error
+	Workers   func(context.Context, *wire.Empty, *wire.WorkersReply) error
+}
+
+// Peer is the net/rpc service of calls among equals.
+type Peer struct {
+	ctx context.Context
+	h   Handlers
+}
+
+// Ping answers at once, so that a caller can tell a silent connection from a slow call.
+func (p *Peer) Ping(_ *wire.Empty, _ *wire.Empty) error {
+	return nil
+}
+
+// Heartbeat takes the heartbeat of another host of the failure domain.
+func (p *Peer) Heartbeat(q *wire.Heartbeat, r *wire.HeartbeatReply) error {
+	return p.h.Heartbeat(p.ctx, q, r)
+}
+
+// Digest takes the digest of another failure domain.
+func (p *Peer) Digest(q *wire.Digest, r *wire.DigestReply) error {
+	return p.h.Digest(p.ctx, q, r)
+}
+
+// Records returns log records that this host has read.
+func (p *Peer) Records(q *wire.RecordsRequest, r *wire.RecordsReply) error {
+	return p.h.Records(p.ctx, q, r)
+}
+
+// Snapshot returns the folded state of this host.
+func (p *Peer) Snapshot(q *wire.Empty, r *wire.SnapshotReply) error {
+	return p.h.Snapshot(p.ctx, q, r)
+}
+
+// Keep holds jobs and outcomes for the owner.
+func (p *Peer) Keep(q *wire.KeepRequest, r *wire.Empty) error {
+	return p.h.Keep(p.ctx, q, r)
+}
+
+// Kept returns the jobs and outcomes that this host holds.
+func (p *Peer) Kept(q *wire.Empty, r *wire.KeptReply) error {
+	return p.h.Kept(p.ctx, q, r)
+}
+
+// Claim holds claims of idempotency keys for the owner.
+func (p *Peer) Claim(q *wire.ClaimRequest, r *wire.ClaimReply) error {
+	return p.h.Claim(p.ctx, q, r)
+}
+
+// Claims returns the claims that this host holds.
+func (p *Peer) Claims(q *wire.ClaimsRequest, r *wire.ClaimsReply) error {
+	return p.h.Claims(p.ctx, q, r)
+}
+
+// Owner is the net/rpc service of calls to the owner of a failure domain.
+type Owner struct {
+	ctx context.Context
+	h   Handlers
+}
+
+// Submit queues a job.
+func (o *Owner) Submit(q *wire.SubmitRequest, r *wire.SubmitReply) error {
+	return o.h.Submit(o.ctx, q, r)
+}
+
+// Await waits for the end of a job.
+func (o *Owner) Await(q *wire.AwaitRequest, r *wire.AwaitReply) error {
+	return o.h.Await(o.ctx, q, r)
+}
+
+// Cancel withdraws jobs.
+func (o *Owner) Cancel(q *wire.CancelRequest, r *wire.CancelReply) error {
+	return o.h.Cancel(o.ctx, q, r)
+}
+
+// Ack lets the owner drop answers that the caller holds.
+func (o *Owner) Ack(q *wire.AckRequest, r *wire.Empty) error {
+	return o.h.Ack(o.ctx, q, r)
+}
+
+// Jobs lists jobs.
+func (o *Owner) Jobs(q *wire.JobsRequest, r *wire.JobsReply) error {
+	return o.h.Jobs(o.ctx, q, r)
+}
+
+// Workers lists the owner's books of its workers.
+func (o *Owner) Workers(q *wire.Empty, r *wire.WorkersReply) error {
+	return o.h.Workers(o.ctx, q, r)
+}
