--- /dev/null
+++ b/internal/transport/rest/client.go
@@ -0,0 +1,243 @@
+package rest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/clock"
+	"github.com/pkg/errors"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	defaultHedge   = 400 * time.Millisecond
+	defaultLimit   = 16 << 20
+	idleTimeout    = 90 * time.Second
+	idlePerAddr    = 2
+)
+
+// ErrTooLong says that a reply exceeds the limit of the client.
+var ErrTooLong = errors.New("reply exceeds the limit")
+
+// ErrStatus is a reply that reports a failure; Code names it when the other side did.
+type ErrStatus struct {
+	Status int
+	Code   string
+	Text   string
+	Header http.Header
+	Body   []byte
+}
+
+// Error renders status, code and text.
+func (e *ErrStatus) Error() string {
+	return fmt.Sprintf("status %d %s: %s", e.Status, e.Code, e.Text)
+}
+
+// Failure is the body of a reply that reports a failure.
+type Failure struct {
+	Code string
+	Text string
+}
+
+// Request describes one call.
+type Request struct {
+	Method string
+	Addr   netip.AddrPort
+	// Path includes the query.
+	Path   string
+	Header http.Header
+	// Body is sent as JSON unless it is nil.
+	Body any
+	// Wait is how long the other side may hold the reply back.
+	Wait time.Duration
+	// Hedge allows a second attempt over a fresh connection while the first is silent; use it for idempotent calls.
+	Hedge bool
+}
+
+// Reply is a successful reply with its whole body.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Client makes calls over kept connections and falls back to fresh ones.
+type Client struct {
+	clock   clock.Clock
+	timeout time.Duration
+	hedge   time.Duration
+	limit   int64
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
+	kept    *http.Client
+	fresh   *http.Client
+}
+
+// Option changes a client while it is built.
+type Option func(*Client)
+
+// WithClock sets the clock that times calls.
+func WithClock(c clock.Clock) Option { return func(r *Client) { r.clock = c } }
+
+// WithTimeout bounds a call beyond the wait that it grants the other side.
+func WithTimeout(d time.Duration) Option { return func(r *Client) { r.timeout = d } }
+
+// WithHedge sets after which silence an idempotent call is repeated over a fresh connection.
+func WithHedge(d time.Duration) Option { return func(r *Client) { r.hedge = d } }
+
+// WithLimit bounds the body of a reply in bytes.
+func WithLimit(n int64) Option { return func(r *Client) { r.limit = n } }
+
+// WithDial replaces the function that opens connections.
+func WithDial(f func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
+	return func(r *Client) { r.dial = f }
+}
+
+// New returns a client.
+func New(opts ...Option) *Client {
+	c := &Client{
+		clock:   clock.System(),
+		timeout: defaultTimeout,
+		hedge:   defaultHedge,
+		limit:   defaultLimit,
+		dial:    (&net.Dialer{Timeout: defaultTimeout}).DialContext,
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	c.kept = &http.Client{Transport: &http.Transport{
+		DialContext:         c.dial,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idlePerAddr,
+		IdleConnTimeout:     idleTimeout,
+	}}
+	c.fresh = &http.Client{Transport: &http.Transport{
+		DialContext:        c.dial,
+		DisableCompression: true,
+		DisableKeepAlives:  true,
+	}}
+	return c
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() {
+	c.kept.CloseIdleConnections()
+}
+
+// JSON makes a call and decodes the reply into out unless that is nil.
+func (c *Client) JSON(ctx context.Context, r Request, out any) error {
+	p, err := c.Do(ctx, r)
+	if err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(p.Body, out); err != nil {
+		return fmt.Errorf("decode reply of %s: %w", r.Path, err)
+	}
+	return nil
+}
+
+// Do makes a call and returns the whole reply, or *ErrStatus when the other side reports a failure.
+func (c *Client) Do(ctx context.Context, r Request) (Reply, error) {
+	var body []byte
+	if r.Body != nil {
+		b, err := json.Marshal(r.Body)
+		if err != nil {
+			return Reply{}, fmt.Errorf("encode body of %s: %w", r.Path, err)
+		}
+		body = b
+	}
+	x, stop := context.WithCancel(ctx)
+	defer stop()
+	return c.race(x, r, body)
+}
+
+type result struct {
+	reply Reply
+	err   error
+}
+
+func (c *Client) race(ctx context.Context, r Request, body []byte) (Reply, error) {
+	results := make(chan result, 2)
+	launch := func(h *http.Client) {
+		p, err := c.once(ctx, h, r, body)
+		results <- result{p, err}
+	}
+	go launch(c.kept)
+	var second <-chan time.Time
+	if r.Hedge {
+		second = c.clock.After(r.Wait + c.hedge)
+	}
+	expired := c.clock.After(r.Wait + c.timeout)
+	open := 1
+	for {
+		select {
+		case x := <-results:
+			open--
+			if x.err == nil || isAnswered(x.err) || open == 0 {
+				return x.reply, x.err
+			}
+		case <-second:
+			second = nil
+			open++
+			go launch(c.fresh)
+		case <-expired:
+			return Reply{}, fmt.Errorf("%s %s%s: %w", r.Method, r.Addr, r.Path, context.DeadlineExceeded)
+		case <-ctx.Done():
+			return Reply{}, fmt.Errorf("%s %s%s: %w", r.Method, r.Addr, r.Path, ctx.Err())
+		}
+	}
+}
+
+func isAnswered(err error) bool {
+	var s *ErrStatus
+	return errors.As(err, &s)
+}
+
+func (c *Client) once(ctx context.Context, h *http.Client, r Request, body []byte) (Reply, error) {
+	q, err := http.NewRequestWithContext(ctx, r.Method, "http://"+r.Addr.String()+r.Path, bytes.NewReader(body))
+	if err != nil {
+		return Reply{}, fmt.Errorf("build request: %w", err)
+	}
+	for k, v := range r.Header {
+		q.Header[k] = v
+	}
+	q.Header.Set("User-Agent", "")
+	if body != nil {
+		q.Header.Set("Content-Type", "application/json")
+	}
+	p, err := h.Do(q)
+	if err != nil {
+		return Reply{}, fmt.Errorf("send request: %w", err)
+	}
+	defer func() { _ = p.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(p.Body, c.limit+1))
+	if err != nil {
+		return Reply{}, fmt.Errorf("read reply of %s: %w", r.Path, err)
+	}
+	if int64(len(b)) > c.limit {
+		return Reply{}, fmt.Errorf("read reply of %s: %w", r.Path, ErrTooLong)
+	}
+	if p.StatusCode >= http.StatusMultipleChoices {
+		return Reply{}, failure(p, b)
+	}
+	return Reply{Status: p.StatusCode, Header: p.Header, Body: b}, nil
+}
+
+func failure(p *http.Response, body []byte) *ErrStatus {
+	e := &ErrStatus{Status: p.StatusCode, Header: p.Header, Body: body}
+	var f Failure
+	if json.Unmarshal(body, &f) == nil {
+		e.Code = f.Code
+		e.Text = f.Text
+	}
+	return e
+}
--- /dev/null
+++ b/internal/transport/worker/doc.go
@@ -0,0 +1,2 @@
+// Package worker commands workers over HTTP/JSON.
+package worker
