--- a/internal/coordination/route/order.go
+++ b/internal/coordination/route/order.go
@@ -38,7 +38,17 @@
 		}
 		out = append(out, v.Domain)
 	}
-	return out
+	return r.complete(out)
+}
+
+// complete adds the configured failure domains whose load is not known, last.
+func (r *Router) complete(ds []string) []string {
+	for _, d := range r.domains {
+		if !slices.Contains(ds, d) {
+			ds = append(ds, d)
+		}
+	}
+	return ds
 }
 
 func (v View) costFor(urgency string) time.Duration {
