Keep the claims of idempotency keys in their home failure domain

A claim is held by the live peers and read back from the log before the attempt may start. A host counts only once it holds what the owner holds, told by a digest. A worker that lost its memory since the claim proves nothing, so fleet.Report says since when it remembers.

Ruled out: the lapsed marker and one live peer alone.

--- /dev/null
+++ b/internal/coordination/once/fold.go
@@ -0,0 +1,112 @@
+package once
+
+import (
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/events"
+)
+
+// Fold takes a record of the log in offset order; at is the log's own time of it.
+func (b *Book) Fold(offset uint64, at time.Time, r *wire.Record) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch x := r.GetBody().(type) {
+	case *wire.Record_Claim:
+		if x.Claim.GetDomain() == b.domain {
+			b.foldClaim(at, x.Claim)
+		}
+	case *wire.Record_Outcome:
+		if x.Outcome.GetDomain() == b.domain {
+			b.foldOutcome(at, x.Outcome)
+		}
+	case *wire.Record_Marker:
+		if x.Marker.GetDomain() == b.domain {
+			b.foldMarker(at, x.Marker)
+		}
+	}
+	b.advance(offset)
+}
+
+// foldClaim lets the first claim of a sequence number in the log win; the caller holds the lock.
+func (b *Book) foldClaim(at time.Time, c *wire.OnceClaim) {
+	k := idOf(c.GetOrganisation(), c.GetKey())
+	e, ok := b.entries[k]
+	switch {
+	case !ok || c.GetSequence() > e.claim.GetSequence():
+		b.put(k, &entry{claim: c, claimLogged: at})
+	case isSame(e.claim, c):
+		e.claimLogged = at
+	case c.GetSequence() == e.claim.GetSequence() && e.claimLogged.IsZero():
+		b.stats.conflicts.Inc(1)
+		b.put(k, &entry{claim: c, claimLogged: at})
+	}
+}
+
+// foldOutcome notes an outcome that the log holds; the caller holds the lock.
+func (b *Book) foldOutcome(at time.Time, o *wire.OnceOutcome) {
+	e := b.acceptOutcome(o)
+	if e.claim.GetSequence() == o.GetSequence() && e.outcome.GetOutcome().GetKind() == o.GetOutcome().GetKind() {
+		e.outcomeLogged = at
+	}
+}
+
+// foldMarker notes a marker that the log holds; the caller holds the lock.
+func (b *Book) foldMarker(at time.Time, m *wire.OnceMarker) {
+	switch {
+	case m.GetCleared():
+		b.marks.vouched = true
+		b.marks.pending = nil
+		if b.memory.read {
+			b.memory.clear()
+		}
+		b.note(events.OwnerChanged, "", "", "operator cleared the missing claims of "+b.domain)
+	case m.GetFresh() && !b.marks.holds(at.Add(b.bounds.Skew)):
+		// The last marker had lapsed, so that claims may have been kept outside the log before this one.
+		return
+	case m.GetUntilUnixMillis() > 0:
+		b.marks.fold(m)
+	}
+}
+
+// ReachedEnd tells that the log has been read from offset first to its end; first is the oldest that it kept then.
+//
+// The book is whole when no claim can be missing: nothing has ever expired and no marker stands, or the last marker
+// still holds, so that no claim is kept outside the log.
+func (b *Book) ReachedEnd(first uint64) {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.memory.read = true
+	if b.memory.isWhole(now) {
+		return
+	}
+	m := &b.marks
+	switch {
+	case m.force == nil && first <= 1, m.vouched, m.holds(now.Add(b.bounds.Skew)), b.off.memory:
+		b.memory.clear()
+	case b.memory.until.IsZero():
+		b.memory.until = now.Add(b.bounds.Lifetime)
+		b.memory.why = "the log has no marker that holds, so claims may have been kept outside it"
+	}
+}
+
+// IsComplete reports whether this host has its memory of claims, from a peer or from the log.
+func (b *Book) IsComplete() bool {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.memory.fetched || b.memory.isWhole(now)
+}
+
+func (b *Book) isWhole() bool {
+	now := b.clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.memory.whole && b.memory.isWhole(now) {
+		// All that could be missing has outlived its keys, and the hosts of the old group have not come back.
+		b.marks.vouched = true
+		b.memory.clear()
+	}
+	return b.memory.whole
+}
--- /dev/null
+++ b/internal/coordination/once/home.go
@@ -0,0 +1,28 @@
+package once
+
+import "github.com/cespare/xxhash/v2"
+
+// Home returns the failure domain that keeps the claims of a key, by rendezvous hashing over the configured domains.
+//
+// It depends on the configured domains only, never on the live ones; it is empty when there are none.
+func Home(organisation, key string, domains []string) string {
+	var best string
+	var most uint64
+	for _, d := range domains {
+		n := score(organisation, key, d)
+		if best == "" || n > most || (n == most && d < best) {
+			best = d
+			most = n
+		}
+	}
+	return best
+}
+
+func score(organisation, key, domain string) uint64 {
+	h := xxhash.New()
+	for _, s := range []string{organisation, key, domain} {
+		// A separator keeps the parts from running into each other.
+		_, _ = h.WriteString(s + "\x00")
+	}
+	return h.Sum64()
+}
--- a/internal/state/fleet/task.go
+++ b/internal/state/fleet/task.go
@@ -63,4 +63,6 @@
 	Worker Worker
 	Term   Term
 	Tasks  []TaskReport
+	// Since is when the worker's memory of tasks begins; zero when it does not say.
+	Since time.Time
 }
