--- a/internal/coordination/once/outcome.go
+++ b/internal/coordination/once/outcome.go
@@ -16,11 +16,13 @@
 
 // Claimed is what is known of a key.
 type Claimed struct {
-	Job     string
-	Attempt int
-	Term    fleet.Term
-	At      time.Time
-	Workers []string
+	Organisation string
+	Key          string
+	Job          string
+	Attempt      int
+	Term         fleet.Term
+	At           time.Time
+	Workers      []string
 	// Outcome is nil until the work has ended.
 	Outcome *wire.Outcome
 	// Free is set when the claimed attempt never ran, so that the key can be claimed anew.
@@ -54,14 +56,16 @@
 
 func claimedOf(e *entry) Claimed {
 	return Claimed{
-		Job:     e.claim.GetJob(),
-		Attempt: int(e.claim.GetAttempt()),
-		Term:    fleetTerm(e.claim.GetTerm()),
-		At:      time.UnixMilli(e.claim.GetClaimedUnixMillis()),
-		Workers: e.claim.GetWorkers(),
-		Outcome: e.outcome.GetOutcome(),
-		Free:    e.isFree(),
-		claim:   e.claim,
+		Organisation: e.claim.GetOrganisation(),
+		Key:          e.claim.GetKey(),
+		Job:          e.claim.GetJob(),
+		Attempt:      int(e.claim.GetAttempt()),
+		Term:         fleetTerm(e.claim.GetTerm()),
+		At:           time.UnixMilli(e.claim.GetClaimedUnixMillis()),
+		Workers:      e.claim.GetWorkers(),
+		Outcome:      e.outcome.GetOutcome(),
+		Free:         e.isFree(),
+		claim:        e.claim,
 	}
 }
 
