--- /dev/null
+++ b/internal/setup/owner.go
@@ -0,0 +1,13 @@
+package setup
+
+import "time"
+
+// Owner times the ownership of a failure domain.
+type Owner struct {
+	// Lease is how long an owner may act without hearing from its peers.
+	Lease time.Duration
+}
+
+func loadOwner(s *section) Owner {
+	return Owner{Lease: s.duration("Lease", 1500*time.Millisecond, 50*time.Millisecond, time.Minute)}
+}
--- /dev/null
+++ b/internal/setup/platform.go
@@ -0,0 +1,13 @@
+package setup
+
+import "net/netip"
+
+// Platform says where the platform's log and host list are served.
+type Platform struct {
+	Log   netip.AddrPort
+	Hosts netip.AddrPort
+}
+
+func loadPlatform(s *section) Platform {
+	return Platform{Log: s.addr("Log"), Hosts: s.addr("Hosts")}
+}
--- /dev/null
+++ b/internal/setup/section.go
@@ -0,0 +1,192 @@
+package setup
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"gopkg.in/ini.v1"
+)
+
+// section reads typed keys of one section and notes what is wrong with them.
+type section struct {
+	name   string
+	raw    *ini.Section
+	known  []string
+	faults []Fault
+}
+
+func (s *section) fault(key, format string, args ...any) {
+	s.faults = append(s.faults, Fault{Section: s.name, Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (s *section) value(key string) (string, bool) {
+	s.known = append(s.known, key)
+	if !s.raw.HasKey(key) {
+		return "", false
+	}
+	return strings.TrimSpace(s.raw.Key(key).Value()), true
+}
+
+// unknown notes every key that no reader asked for.
+func (s *section) unknown() {
+	for _, k := range s.raw.KeyStrings() {
+		if !slices.Contains(s.known, k) {
+			s.fault(k, "is not a setting of this section; known are %s", strings.Join(s.known, ", "))
+		}
+	}
+}
+
+// repeated notes every key that is set more than once.
+func (s *section) repeated() {
+	for _, k := range s.raw.Keys() {
+		if len(k.ValueWithShadows()) > 1 {
+			s.fault(k.Name(), "is set more than once")
+		}
+	}
+}
+
+// text returns a value that may be left out.
+func (s *section) text(key, fallback string) string {
+	v, ok := s.value(key)
+	if !ok {
+		return fallback
+	}
+	return v
+}
+
+// must returns a value that has to be there.
+func (s *section) must(key string) string {
+	v, _ := s.value(key)
+	if v == "" {
+		s.fault(key, "is missing")
+	}
+	return v
+}
+
+func (s *section) list(key string) []string {
+	v, _ := s.value(key)
+	var out []string
+	for _, x := range strings.Split(v, ",") {
+		if x = strings.TrimSpace(x); x != "" {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func (s *section) oneOf(key, fallback string, allowed ...string) string {
+	v := s.text(key, fallback)
+	if !slices.Contains(allowed, v) {
+		s.fault(key, "%q is not one of %s", v, strings.Join(allowed, ", "))
+	}
+	return v
+}
+
+func (s *section) addr(key string) netip.AddrPort {
+	v := s.must(key)
+	if v == "" {
+		return netip.AddrPort{}
+	}
+	a, err := parseAddr(v)
+	if err != nil {
+		s.fault(key, "%v", err)
+	}
+	return a
+}
+
+func parseAddr(v string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("%q is not an IP number with a port", v)
+	}
+	if a.Port() == 0 || a.Addr().IsUnspecified() {
+		return netip.AddrPort{}, fmt.Errorf("%q does not name one address and port", v)
+	}
+	return a, nil
+}
+
+func (s *section) duration(key string, fallback, low, high time.Duration) time.Duration {
+	v, ok := s.value(key)
+	if !ok {
+		return fallback
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil {
+		s.fault(key, "%q is not a duration such as %s", v, fallback)
+		return fallback
+	}
+	if d < low || d > high {
+		s.fault(key, "%s is not between %s and %s", d, low, high)
+	}
+	return d
+}
+
+func (s *section) count(key string, fallback, low, high int) int {
+	return between(s, key, fallback, low, high, parseCount)
+}
+
+func (s *section) bytes(key string, fallback, low, high fleet.Bytes) fleet.Bytes {
+	return between(s, key, fallback, low, high, parseBytes)
+}
+
+func between[T int | fleet.Bytes](s *section, key string, fallback, low, high T, parse func(string) (T, error)) T {
+	v, ok := s.value(key)
+	if !ok {
+		return fallback
+	}
+	x, err := parse(v)
+	if err != nil {
+		s.fault(key, "%v", err)
+		return fallback
+	}
+	if x < low || x > high {
+		s.fault(key, "%s is not between %d and %d", v, low, high)
+	}
+	return x
+}
+
+func parseCount(v string) (int, error) {
+	n, err := strconv.Atoi(v)
+	if err != nil {
+		return 0, fmt.Errorf("%q is not a whole number", v)
+	}
+	return n, nil
+}
+
+func (s *section) fraction(key string, fallback float64) float64 {
+	v, ok := s.value(key)
+	if !ok {
+		return fallback
+	}
+	x, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(x >= 0 && x <= 1) {
+		s.fault(key, "%q is not a number between 0 and 1", v)
+		return fallback
+	}
+	return x
+}
+
+const kilobyte fleet.Bytes = 1 << 10
+
+func parseBytes(v string) (fleet.Bytes, error) {
+	units := []struct {
+		suffix string
+		size   fleet.Bytes
+	}{{"KB", kilobyte}, {"MB", fleet.Megabyte}, {"GB", fleet.Gigabyte}}
+	number, size := v, fleet.Bytes(1)
+	for _, u := range units {
+		if n, ok := strings.CutSuffix(v, u.suffix); ok {
+			number, size = strings.TrimSpace(n), u.size
+		}
+	}
+	n, err := strconv.ParseInt(number, 10, 32)
+	if err != nil {
+		return 0, fmt.Errorf("%q is not a size such as 64KB or 8MB", v)
+	}
+	return fleet.Bytes(n) * size, nil
+}
