Give callers a client that tells Refused from Unknown and takes only whole answers

Cause: a caller must not hear Refused of a job that may have run, nor keep a late or cut answer. Change: pkg/client fails over between hosts under one request name, retries within a budget of 20 and then 10 a second, checks answers by length and xxhash64, and has typed errors; rest says port.ErrUnsent when no attempt got a connection. Shape stands here and in the worker's messages: one is public, the other the wire's. Without the mechanism: no check of answers fails 3 cases of TestAnswerIsWholeOrRefused; no memory of unanswered attempts fails 2 of TestRefusedOnlyWhenNothingCanHaveRun; no budget sends 3525 requests in TestRetriesStayInBudget instead of the 420 allowed.

--- a/internal/transport/rest/client.go
+++ b/internal/transport/rest/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/clock"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/pkg/errors"
 )
 
@@ -68,6 +69,14 @@
 	Body   []byte
 }
 
+// Decode parses the body as JSON.
+func (p Reply) Decode(out any) error {
+	if err := json.Unmarshal(p.Body, out); err != nil {
+		return fmt.Errorf("decode reply: %w", err)
+	}
+	return nil
+}
+
 // Client makes calls over kept connections and falls back to fresh ones.
 type Client struct {
 	clock   clock.Clock
@@ -139,13 +148,11 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(p.Body, out); err != nil {
-		return fmt.Errorf("decode reply of %s: %w", r.Path, err)
-	}
-	return nil
+	return p.Decode(out)
 }
 
-// Do makes a call and returns the whole reply, or *ErrStatus when the other side reports a failure.
+// Do makes a call and returns the whole reply, *ErrStatus when the other side reports a failure, or port.ErrUnsent
+// when no connection could be opened; after any other error the call may have had its effect.
 func (c *Client) Do(ctx context.Context, r Request) (Reply, error) {
 	var body []byte
 	if r.Body != nil {
@@ -178,11 +185,19 @@
 	}
 	expired := c.clock.After(r.Wait + c.timeout)
 	open := 1
+	unsent := true
 	for {
 		select {
 		case x := <-results:
 			open--
-			if x.err == nil || isAnswered(x.err) || open == 0 {
+			unsent = unsent && isDial(x.err)
+			if x.err == nil || isAnswered(x.err) {
+				return x.reply, x.err
+			}
+			if open == 0 && unsent {
+				return x.reply, fmt.Errorf("%w: %w", port.ErrUnsent, x.err)
+			}
+			if open == 0 {
 				return x.reply, x.err
 			}
 		case <-second:
@@ -197,6 +212,11 @@
 	}
 }
 
+func isDial(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial"
+}
+
 func isAnswered(err error) bool {
 	var s *ErrStatus
 	return errors.As(err, &s)
--- /dev/null
+++ b/pkg/client/client_test.go
@@ -0,0 +1,215 @@
+package client
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/standin"
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	one   = netip.MustParseAddrPort("127.0.0.1:1")
+	two   = netip.MustParseAddrPort("127.0.0.2:1")
+	order = Job{Organisation: "o", Profile: "p", Shape: Shape{Tasks: 1}}
+)
+
+// script is an entry host that plays one step for each request and repeats the last.
+type script struct {
+	mu    sync.Mutex
+	steps []http.HandlerFunc
+	seen  []string
+}
+
+func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.seen = append(s.seen, r.Header.Get("Request-Id"))
+	f := s.steps[0]
+	if len(s.steps) > 1 {
+		s.steps = s.steps[1:]
+	}
+	s.mu.Unlock()
+	f(w, r)
+}
+
+func say(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+func drop(http.ResponseWriter, *http.Request) {
+	panic(http.ErrAbortHandler)
+}
+
+func answer(body string, length int, digest uint64) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		w.Header().Set("Answer-Digest", strconv.FormatUint(digest, 16))
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+func dialed(hs map[netip.AddrPort]http.Handler) Option {
+	pipes := standin.Pipes(hs)
+	return WithDial(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := pipes(ctx, network, addr)
+		if err != nil {
+			return nil, &net.OpError{Op: "dial", Err: err}
+		}
+		return c, nil
+	})
+}
+
+func done(body string) string {
+	d := strconv.FormatUint(xxhash.Sum64String(body), 10)
+	return `{"Job":"j","Outcome":{"Kind":"Done","AnswerBytes":` + strconv.Itoa(len(body)) + `,"AnswerDigest":` + d + `}}`
+}
+
+func TestAnswerIsWholeOrRefused(t *testing.T) {
+	const want = "the whole answer"
+	digest := xxhash.Sum64String(want)
+	late := answer("an older answer", 15, xxhash.Sum64String("an older answer"))
+	cut := answer(want[:7], len(want), digest)
+	short := answer(want[:7], 7, digest)
+	right := answer(want, len(want), digest)
+	tests := []struct {
+		name  string
+		steps []http.HandlerFunc
+		fails bool
+	}{
+		{"whole at once", []http.HandlerFunc{right}, false},
+		{"late answer of another attempt first", []http.HandlerFunc{late, right}, false},
+		{"cut connection first", []http.HandlerFunc{cut, right}, false},
+		{"short body with the right digest first", []http.HandlerFunc{short, right}, false},
+		{"never whole", []http.HandlerFunc{late}, true},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &script{steps: append([]http.HandlerFunc{say(200, done(want))}, x.steps...)}
+				s.steps = append(s.steps, x.steps[len(x.steps)-1])
+				c := New([]netip.AddrPort{one}, dialed(map[netip.AddrPort]http.Handler{one: s}))
+				defer c.Close()
+				r, err := c.Run(t.Context(), order)
+				if x.fails {
+					var e *ErrNotWhole
+					require.ErrorAs(t, err, &e)
+					require.Nil(t, r.Answer)
+					return
+				}
+				require.NoError(t, err)
+				require.Equal(t, want, string(r.Answer))
+			})
+		})
+	}
+}
+
+func TestRefusedOnlyWhenNothingCanHaveRun(t *testing.T) {
+	refused := say(422, `{"Outcome":{"Kind":"Refused","Reason":"no"}}`)
+	busy := say(503, `{"Outcome":{"Kind":"Refused","Reason":"no owner","RetryAfterMillis":1000}}`)
+	maybe := say(504, `{"Outcome":{"Kind":"Unknown","Reason":"no reply"}}`)
+	accepted := say(202, `{"Job":"north.r1","Status":{"State":"Queued"}}`)
+	tests := []struct {
+		name  string
+		steps []http.HandlerFunc
+		want  string
+	}{
+		{"nothing listens", nil, Refused},
+		{"refused at once", []http.HandlerFunc{refused}, Refused},
+		{"hosts without an owner until the deadline", []http.HandlerFunc{busy}, Refused},
+		{"refused after an attempt without answer", []http.HandlerFunc{drop, refused}, Unknown},
+		{"refused after an attempt of unknown effect", []http.HandlerFunc{maybe, busy, refused}, Unknown},
+		{"no answer until the deadline", []http.HandlerFunc{drop}, Unknown},
+		{"accepted after an attempt without answer", []http.HandlerFunc{drop, busy, accepted}, Done},
+		{"a body that cannot be parsed", []http.HandlerFunc{say(409, "<html>")}, Unknown},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				hs := map[netip.AddrPort]http.Handler{}
+				if x.steps != nil {
+					s := &script{steps: x.steps}
+					hs[one], hs[two] = s, s
+				}
+				c := New([]netip.AddrPort{one, two}, dialed(hs), WithTimeout(20*time.Second))
+				defer c.Close()
+				p, err := c.Submit(t.Context(), order)
+				require.Equal(t, x.want == Refused, IsRefused(err), "%v", err)
+				require.Equal(t, x.want == Unknown, IsUnknown(err), "%v", err)
+				if x.want == Done {
+					require.NoError(t, err)
+					require.Equal(t, "north.r1", p.Job)
+				}
+			})
+		})
+	}
+}
+
+func TestRepeatKeepsRequestName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{steps: []http.HandlerFunc{drop, drop, say(202, `{"Job":"j"}`)}}
+		c := New([]netip.AddrPort{one, two}, dialed(map[netip.AddrPort]http.Handler{two: s}))
+		defer c.Close()
+		_, err := c.Submit(t.Context(), order)
+		require.NoError(t, err)
+		require.Len(t, s.seen, 3)
+		require.NotEmpty(t, s.seen[0])
+		require.Equal(t, s.seen[0], s.seen[1])
+		require.Equal(t, s.seen[0], s.seen[2])
+	})
+}
+
+func TestRetriesStayInBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{steps: []http.HandlerFunc{say(503, `{"Outcome":{"Kind":"Refused"}}`)}}
+		c := New([]netip.AddrPort{one}, dialed(map[netip.AddrPort]http.Handler{one: s}), WithTimeout(20*time.Second))
+		defer c.Close()
+		const calls = 200
+		var g sync.WaitGroup
+		for range calls {
+			g.Go(func() { _, _ = c.Submit(t.Context(), order) })
+		}
+		g.Wait()
+		allowed := calls + retryBurst + int(20*time.Second/retryInterval)
+		require.LessOrEqual(t, len(s.seen), allowed, "retries exceed the budget")
+		require.Greater(t, len(s.seen), calls+retryBurst)
+	})
+}
+
+func TestWaitEndsWithTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{steps: []http.HandlerFunc{say(202, `{"Job":"j"}`), say(200, `{"Job":"j","Status":{"State":"Queued"}}`)}}
+		c := New([]netip.AddrPort{one}, dialed(map[netip.AddrPort]http.Handler{one: s}))
+		defer c.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		start := time.Now()
+		_, err := c.Run(ctx, order)
+		require.True(t, IsUnknown(err))
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.Equal(t, 3*time.Second, time.Since(start))
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(done("x")))
+	f.Add([]byte(`{"Job":"j","Status":{"State":"Queued","Workers":["a"]},"Outcome":null}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		v := decode(b)
+		_ = statusOf(v.Status)
+		o := outcomeOf(v.Job, v.Outcome)
+		require.Equal(t, o.Kind == Done, o.err() == nil)
+		require.False(t, strings.Contains(o.Kind, Done) && o.Kind != Done && IsRefused(o.err()))
+	})
+}
--- /dev/null
+++ b/pkg/client/doc.go
@@ -0,0 +1,2 @@
+// Package client submits jobs to the entry hosts of auburncleat and fetches their whole answers.
+package client
