--- /dev/null
+++ b/internal/state/events/merge.go
@@ -0,0 +1,18 @@
+package events
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Merge returns the events of several processes in one order, each once; equal stamps are ordered by host.
+func Merge(runs ...[]Event) []Event {
+	var es []Event
+	for _, r := range runs {
+		es = append(es, r...)
+	}
+	slices.SortStableFunc(es, func(a, b Event) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Host, b.Host))
+	})
+	return slices.Compact(es)
+}
--- /dev/null
+++ b/internal/state/events/render.go
@@ -0,0 +1,96 @@
+package events
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+const (
+	clockLayout = "15:04:05.000"
+	columnGap   = 2
+)
+
+// Line is one event as JSON renders it.
+type Line struct {
+	At           time.Time
+	Stamp        Stamp
+	Host         string
+	Kind         Kind
+	Job          string `json:",omitempty"`
+	Worker       string `json:",omitempty"`
+	Organisation string `json:",omitempty"`
+	Profile      string `json:",omitempty"`
+	Text         string `json:",omitempty"`
+}
+
+// WriteText renders one event on each line, in aligned columns.
+func WriteText(w io.Writer, es []Event) error {
+	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	for _, e := range es {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", e.At.Time().UTC().Format(clockLayout), e.Host, e.Kind, e.Subject())
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write time line: %w", err)
+	}
+	return nil
+}
+
+// Subject renders what the event is about.
+func (e Event) Subject() string {
+	var parts []string
+	for _, p := range []string{e.Job, e.Worker, e.Organisation, e.Profile, e.Text} {
+		if p != "" {
+			parts = append(parts, p)
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
+// WriteJSON renders one JSON object on each line.
+func WriteJSON(w io.Writer, es []Event) error {
+	j := json.NewEncoder(w)
+	for _, e := range es {
+		l := Line{
+			At:           e.At.Time().UTC(),
+			Stamp:        e.At,
+			Host:         e.Host,
+			Kind:         e.Kind,
+			Job:          e.Job,
+			Worker:       e.Worker,
+			Organisation: e.Organisation,
+			Profile:      e.Profile,
+			Text:         e.Text,
+		}
+		if err := j.Encode(l); err != nil {
+			return fmt.Errorf("write time line: %w", err)
+		}
+	}
+	return nil
+}
+
+// ReadJSON parses what WriteJSON has rendered.
+func ReadJSON(r io.Reader) ([]Event, error) {
+	var es []Event
+	d := json.NewDecoder(r)
+	for d.More() {
+		var l Line
+		if err := d.Decode(&l); err != nil {
+			return nil, fmt.Errorf("read time line: %w", err)
+		}
+		es = append(es, Event{
+			At:           l.Stamp,
+			Host:         l.Host,
+			Kind:         l.Kind,
+			Job:          l.Job,
+			Worker:       l.Worker,
+			Organisation: l.Organisation,
+			Profile:      l.Profile,
+			Text:         l.Text,
+		})
+	}
+	return es, nil
+}
