Give callers and operators a command line

Cause: jobs, time line, hosts, workers and settings have to be reached without writing code. A further command is a struct with a Run method and one field in root.

--- /dev/null
+++ b/cmd/cleatctl/exit.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/auburncleat/auburncleat/pkg/client"
+	"github.com/pkg/errors"
+)
+
+// Exit codes.
+const (
+	exitDone    = 0
+	exitRefused = 1
+	exitUsage   = 2
+	exitUnknown = 3
+)
+
+// errUsage says that a command was called with unusable arguments.
+type errUsage struct {
+	text string
+}
+
+func (e errUsage) Error() string {
+	return e.text
+}
+
+func usageError(format string, args ...any) error {
+	return errUsage{fmt.Sprintf(format, args...)}
+}
+
+func exitCode(err error) int {
+	var u errUsage
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.As(err, &u):
+		return exitUsage
+	case client.IsUnknown(err), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return exitUnknown
+	default:
+		return exitRefused
+	}
+}
--- /dev/null
+++ b/cmd/cleatctl/timeline.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"os"
+	"strconv"
+
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/events"
+)
+
+type timelineCmd struct {
+	Job          string `arg:"--job" help:"only events of this job"`
+	Worker       string `arg:"--worker" help:"only events of this worker"`
+	Organisation string `arg:"--organisation" help:"only events of this organisation"`
+	Profile      string `arg:"--profile" help:"only events of this profile"`
+	Limit        int    `arg:"--limit" default:"5000" help:"at most so many events of each host"`
+	Picture      string `arg:"--picture" help:"write one self-contained SVG picture to this file"`
+}
+
+// Examples ends the help text.
+func (*timelineCmd) Examples() string {
+	return "cleatctl timeline --job north-quay.k0123456789ab\n" +
+		"cleatctl timeline --organisation registry --json\n" +
+		"cleatctl timeline --picture timeline.svg"
+}
+
+// Run merges the events of all status addresses that answer.
+func (x *timelineCmd) Run(ctx context.Context, c *cli) error {
+	q := url.Values{}
+	q.Set("Job", x.Job)
+	q.Set("Worker", x.Worker)
+	q.Set("Organisation", x.Organisation)
+	q.Set("Profile", x.Profile)
+	q.Set("Limit", strconv.Itoa(x.Limit))
+	as, err := askAll[wire.TimelineReply](ctx, c, "/v1/timeline?"+q.Encode())
+	if err != nil {
+		return err
+	}
+	var runs [][]events.Event
+	for _, a := range as {
+		if a.Err != nil {
+			continue
+		}
+		if d := a.Reply.GetDropped(); d > 0 {
+			_, _ = fmt.Fprintf(c.Err, "%s no longer keeps %d older events\n", a.Reply.GetHost(), d)
+		}
+		runs = append(runs, eventsOf(a.Reply))
+	}
+	return x.render(c, events.Merge(runs...))
+}
+
+func eventsOf(t *wire.TimelineReply) []events.Event {
+	var es []events.Event
+	for _, e := range t.GetEvents() {
+		es = append(es, events.Event{
+			At:           events.Stamp(e.GetClock()),
+			Host:         e.GetHost(),
+			Kind:         events.Kind(e.GetKind()),
+			Job:          e.GetJob(),
+			Worker:       e.GetWorker(),
+			Organisation: e.GetOrganisation(),
+			Profile:      e.GetProfile(),
+			Text:         e.GetText(),
+		})
+	}
+	return es
+}
+
+func (x *timelineCmd) render(c *cli, es []events.Event) error {
+	switch {
+	case x.Picture != "":
+		return x.draw(c, es)
+	case c.JSON:
+		return events.WriteJSON(c.Out, es)
+	default:
+		return events.WriteText(c.Out, es)
+	}
+}
+
+func (x *timelineCmd) draw(c *cli, es []events.Event) error {
+	f, err := os.Create(x.Picture)
+	if err != nil {
+		return fmt.Errorf("create picture: %w", err)
+	}
+	if err := events.WritePicture(f, es); err != nil {
+		_ = f.Close()
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("close picture: %w", err)
+	}
+	_, err = fmt.Fprintf(c.Out, "%s: %d events\n", x.Picture, len(es))
+	return err
+}
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -209,7 +209,7 @@
 		v := decode(b)
 		_ = statusOf(v.Status)
 		o := outcomeOf(v.Job, v.Outcome)
-		require.Equal(t, o.Kind == Done, o.err() == nil)
-		require.False(t, strings.Contains(o.Kind, Done) && o.Kind != Done && IsRefused(o.err()))
+		require.Equal(t, o.Kind == Done, o.Err() == nil)
+		require.False(t, strings.Contains(o.Kind, Done) && o.Kind != Done && IsRefused(o.Err()))
 	})
 }
--- a/pkg/client/job.go
+++ b/pkg/client/job.go
@@ -107,8 +107,8 @@
 	return time.UnixMilli(millis)
 }
 
-// err returns nil for Done and the typed error of any other kind.
-func (o Outcome) err() error {
+// Err returns nil for Done and the typed error of any other kind.
+func (o Outcome) Err() error {
 	switch o.Kind {
 	case Done:
 		return nil
--- a/pkg/client/submit.go
+++ b/pkg/client/submit.go
@@ -96,7 +96,7 @@
 		reason := "an earlier attempt was not answered, and the last was refused: " + t.Outcome.Reason
 		return &ErrUnknown{Job: t.Outcome.Job, Reason: reason, err: f.err}
 	}
-	return t.Outcome.err()
+	return t.Outcome.Err()
 }
 
 // Run submits a job, waits for its end within the deadline of ctx, and returns its whole answer.
@@ -119,7 +119,7 @@
 		}
 		o = &x
 	}
-	if err := o.err(); err != nil {
+	if err := o.Err(); err != nil {
 		return Result{Outcome: *o}, err
 	}
 	a, err := c.Answer(ctx, *o)
