Plan with reservations, incremental books and an order

Cause: the first Planner forgot leaving workers, adjacency, guarantees, quotas and urgency. Ruled out: counts of guaranteed accelerators (lose the shape), fixed cells per organisation (lose sharing). Change: place keeps the books per worker and searches by adjacency; hold keeps a concrete reservation for each guaranteed gang; plan orders, claims, reclaims, backfills and explains.

--- /dev/null
+++ b/internal/state/place/room.go
@@ -0,0 +1,75 @@
+package place
+
+import (
+	"math"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+)
+
+// Room is an amount of every resource of a worker.
+type Room struct {
+	Slots        int
+	Accelerators int
+	Processors   int
+	Memory       fleet.Bytes
+}
+
+// TaskRoom returns what one task of a shape takes.
+func TaskRoom(s fleet.Shape) Room {
+	return Room{Slots: 1, Accelerators: s.Accelerators, Processors: s.Processors, Memory: s.Memory}
+}
+
+// WorkerRoom returns what an empty worker offers.
+func WorkerRoom(w fleet.Worker) Room {
+	return Room{Slots: w.Slots, Accelerators: w.Accelerators, Processors: w.Processors, Memory: w.Memory}
+}
+
+// Plus returns r and o together.
+func (r Room) Plus(o Room) Room {
+	return Room{r.Slots + o.Slots, r.Accelerators + o.Accelerators, r.Processors + o.Processors, r.Memory + o.Memory}
+}
+
+// Minus returns r without o; amounts may become negative.
+func (r Room) Minus(o Room) Room {
+	return Room{r.Slots - o.Slots, r.Accelerators - o.Accelerators, r.Processors - o.Processors, r.Memory - o.Memory}
+}
+
+// Times returns r n times.
+func (r Room) Times(n int) Room {
+	return Room{r.Slots * n, r.Accelerators * n, r.Processors * n, r.Memory * fleet.Bytes(n)}
+}
+
+// Least returns the smaller amount of each resource.
+func (r Room) Least(o Room) Room {
+	return Room{
+		min(r.Slots, o.Slots), min(r.Accelerators, o.Accelerators),
+		min(r.Processors, o.Processors), min(r.Memory, o.Memory),
+	}
+}
+
+// IsWithin reports whether o has at least as much of everything as r.
+func (r Room) IsWithin(o Room) bool {
+	return r.Slots <= o.Slots && r.Accelerators <= o.Accelerators &&
+		r.Processors <= o.Processors && r.Memory <= o.Memory
+}
+
+// Holds returns how many times n fits into r.
+func (r Room) Holds(n Room) int {
+	if !n.IsWithin(r) {
+		return 0
+	}
+	k := math.MaxInt
+	if n.Slots > 0 {
+		k = r.Slots / n.Slots
+	}
+	if n.Accelerators > 0 {
+		k = min(k, r.Accelerators/n.Accelerators)
+	}
+	if n.Processors > 0 {
+		k = min(k, r.Processors/n.Processors)
+	}
+	if n.Memory > 0 {
+		k = min(k, int(r.Memory/n.Memory))
+	}
+	return k
+}
--- /dev/null
+++ b/internal/state/plan/back.go
@@ -0,0 +1,147 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/place"
+)
+
+// stickiness is the part of the wait by which a new spot must be earlier than the former one.
+const stickiness = 0.1
+
+// holdBack plans the start of a blocked gang and holds its sites back from work that would still run then.
+func (p *Planner) holdBack(e *entry) {
+	if p.pass.heads >= maxHeads {
+		return
+	}
+	sites, at := p.earliest(e)
+	if sites == nil {
+		return
+	}
+	p.pass.heads++
+	e.expected = at
+	e.spot = sites[0].Rack()
+	for _, s := range sites {
+		if s.HeldFrom.IsZero() || at.Before(s.HeldFrom) {
+			s.HeldFrom = at
+		}
+	}
+	racks := map[*place.Rack]bool{}
+	for _, s := range sites {
+		racks[s.Rack()] = true
+	}
+	e.why = why{code: whyHeld, a: len(racks), text: e.spot.Name}
+}
+
+// release is room that running work is expected to give back.
+type release struct {
+	at   time.Time
+	site *place.Site
+	room place.Room
+}
+
+// earliest finds when and where a gang could start if running work ends as expected.
+func (p *Planner) earliest(e *entry) ([]*place.Site, time.Time) {
+	n := e.need
+	room := map[*place.Site]place.Room{}
+	view := func(s *place.Site) place.Room { return room[s] }
+	var all []release
+	var best []*place.Site
+	var bestAt time.Time
+	for _, r := range p.books.Racks() {
+		rs := p.releases(e, r, room)
+		if e.job.Shape.Adjacent == fleet.LevelDomain {
+			all = append(all, rs...)
+			continue
+		}
+		at, ok := p.countUp(e, n, rs, room, r.Sites)
+		if !ok {
+			continue
+		}
+		if r == e.spot {
+			at = p.now.Add(time.Duration(float64(at.Sub(p.now)) * (1 - stickiness)))
+		}
+		if best == nil || at.Before(bestAt) {
+			if to := p.fitIn(r, e, view); to != nil {
+				best, bestAt = to, at
+			}
+		}
+	}
+	if e.job.Shape.Adjacent != fleet.LevelDomain {
+		return best, bestAt
+	}
+	var sites []*place.Site
+	for _, r := range p.books.Racks() {
+		sites = append(sites, r.Sites...)
+	}
+	at, ok := p.countUp(e, n, all, room, sites)
+	if !ok {
+		return nil, at
+	}
+	return p.books.Fit(place.Search{Shape: e.job.Shape, View: view}), at
+}
+
+func (p *Planner) fitIn(r *place.Rack, e *entry, v place.View) []*place.Site {
+	return p.books.Fit(place.Search{Shape: e.job.Shape, View: func(s *place.Site) place.Room {
+		if s.Rack() != r {
+			return place.Room{}
+		}
+		return v(s)
+	}})
+}
+
+// releases fills in the room of a rack now and returns what running work gives back later.
+func (p *Planner) releases(e *entry, r *place.Rack, room map[*place.Site]place.Room) []release {
+	var rs []release
+	for _, s := range r.Sites {
+		if s.Closed || s.Probe || !s.StopFrom.IsZero() || !s.HeldFrom.IsZero() || slices.Contains(e.avoid, s.Worker.Name) {
+			continue
+		}
+		room[s] = s.Free()
+		if !e.soft {
+			room[s] = s.Free().Least(s.FreeHard())
+		}
+		for _, b := range p.on[s] {
+			if b.gang != nil && !e.soft {
+				// The places of a guaranteed gang stay reserved.
+				continue
+			}
+			rs = append(rs, release{at: p.endOf(b), site: s, room: b.roomOn(s)})
+		}
+	}
+	return rs
+}
+
+// countUp adds releases in time order until the gang fits on the sites.
+func (p *Planner) countUp(e *entry, n place.Room, rs []release, room map[*place.Site]place.Room, sites []*place.Site) (time.Time, bool) {
+	slices.SortStableFunc(rs, func(x, y release) int { return cmp.Compare(x.at.UnixNano(), y.at.UnixNano()) })
+	have := 0
+	enough := func(s *place.Site, sum int) bool {
+		if e.job.Shape.Adjacent == fleet.LevelWorker {
+			return room[s].Holds(n) >= e.job.Shape.Tasks
+		}
+		return sum >= e.job.Shape.Tasks
+	}
+	for _, s := range sites {
+		have += room[s].Holds(n)
+		if enough(s, have) {
+			return p.now, true
+		}
+	}
+	for _, x := range rs {
+		before := room[x.site].Holds(n)
+		after := room[x.site].Plus(x.room)
+		if !e.soft {
+			after = after.Least(x.site.Capacity)
+		}
+		room[x.site] = after
+		have += after.Holds(n) - before
+		if enough(x.site, have) {
+			return x.at, true
+		}
+	}
+	return time.Time{}, false
+}
--- /dev/null
+++ b/internal/state/plan/clear.go
@@ -0,0 +1,247 @@
+package plan
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/hold"
+	"github.com/auburncleat/auburncleat/internal/state/place"
+)
+
+// restartCost is the run time that a stopped gang loses besides what its checkpoint takes.
+const restartCost = 30 * time.Second
+
+// scope is a site with the most tasks that may be placed there once borrowers have left.
+type scope struct {
+	site  *place.Site
+	tasks int
+}
+
+func addScope(in []scope, s *place.Site, n int) []scope {
+	for i := range in {
+		if in[i].site == s {
+			in[i].tasks += n
+			return in
+		}
+	}
+	return append(in, scope{s, n})
+}
+
+// clearing is a set of borrowers whose stop makes room on the sites.
+type clearing struct {
+	ok    bool
+	sites []*place.Site
+	stops []*entry
+	cost  float64
+}
+
+// loss returns the accelerator seconds that stopping a gang now would lose.
+func (p *Planner) loss(e *entry) float64 {
+	run := min(p.now.Sub(e.since), e.profile.ReclaimBound+restartCost)
+	accs := max(e.job.Shape.TotalAccelerators(), 1)
+	return float64(accs) * (run.Seconds() + 1)
+}
+
+// cheapest compares all spots of an idle gang by what stopping their borrowers would lose.
+func (p *Planner) cheapest(e *entry, g *hold.Gang, end time.Time) clearing {
+	k := p.keeper
+	old := k.Lift(g)
+	defer k.Place(g, old)
+	n := place.TaskRoom(g.Need.Shape)
+	return p.cheapestSpot(e, g.Need.Shape, n, p.open(e, end, (*place.Site).FreeHard), anyBorrower)
+}
+
+// cheapestSpot finds the worker, rack or set of racks from which the borrowers leave with the least loss.
+func (p *Planner) cheapestSpot(e *entry, s fleet.Shape, n place.Room, v place.View, may func(*entry) bool) clearing {
+	var best clearing
+	try := func(in []scope) {
+		if c := p.clear(in, e, may); c.ok && (!best.ok || c.cost < best.cost) {
+			best = c
+		}
+	}
+	if s.Adjacent == fleet.LevelDomain {
+		q := place.Search{Shape: s, View: v}
+		var in []scope
+		for _, x := range p.books.Fit(q) {
+			in = addScope(in, x, 1)
+		}
+		try(in)
+		return best
+	}
+	for _, r := range p.books.Racks() {
+		var in []scope
+		sum := 0
+		for _, x := range r.Sites {
+			m := v(x).Holds(n)
+			if m == 0 {
+				continue
+			}
+			if s.Adjacent == fleet.LevelWorker {
+				if m >= s.Tasks {
+					try([]scope{{x, m}})
+				}
+				continue
+			}
+			in = append(in, scope{x, m})
+			sum += m
+		}
+		if sum >= s.Tasks {
+			try(in)
+		}
+	}
+	return best
+}
+
+// yard is a site under study: its room as borrowers leave.
+type yard struct {
+	scope
+	room place.Room
+}
+
+func (y *yard) holds(n place.Room) int {
+	return min(y.tasks, y.room.Holds(n))
+}
+
+// clear chooses borrowers whose stop lets the job's tasks fit into the scopes: cheapest for what they free first, and
+// then without those that turn out not to be needed.
+func (p *Planner) clear(in []scope, e *entry, may func(*entry) bool) clearing {
+	ys := make([]yard, len(in))
+	at := make(map[*place.Site]*yard, len(in))
+	var bs []*entry
+	for i, x := range in {
+		ys[i] = yard{scope: x, room: x.site.Free()}
+		at[x.site] = &ys[i]
+		for _, b := range p.on[x.site] {
+			if !b.soft || b.gang != nil {
+				continue
+			}
+			if b.state == StateStopping || b.doomed != "" {
+				ys[i].room = ys[i].room.Plus(b.roomOn(x.site))
+				continue
+			}
+			if may(b) {
+				bs = append(bs, b)
+			}
+		}
+	}
+	bs = p.byLoss(bs, at)
+	sum := func() int {
+		n := 0
+		for i := range ys {
+			n += ys[i].holds(e.need)
+		}
+		return n
+	}
+	var stops []*entry
+	have := sum()
+	for _, b := range bs {
+		if have >= e.job.Shape.Tasks {
+			break
+		}
+		shift(b, at, 1)
+		stops = append(stops, b)
+		have = sum()
+	}
+	if have < e.job.Shape.Tasks {
+		return clearing{}
+	}
+	return p.prune(ys, at, stops, e, sum)
+}
+
+// prune takes back stops that are not needed, the dearest first, and picks the sites.
+func (p *Planner) prune(ys []yard, at map[*place.Site]*yard, stops []*entry, e *entry, sum func() int) clearing {
+	slices.SortStableFunc(stops, func(x, y *entry) int { return cmp.Compare(p.loss(y), p.loss(x)) })
+	c := clearing{ok: true}
+	for _, b := range stops {
+		shift(b, at, -1)
+		if sum() >= e.job.Shape.Tasks {
+			continue
+		}
+		shift(b, at, 1)
+		c.stops = append(c.stops, b)
+		c.cost += p.loss(b)
+	}
+	slices.SortStableFunc(ys, func(x, y yard) int { return cmp.Compare(x.holds(e.need), y.holds(e.need)) })
+	for i := range ys {
+		for range min(ys[i].holds(e.need), e.job.Shape.Tasks-len(c.sites)) {
+			c.sites = append(c.sites, ys[i].site)
+		}
+	}
+	return c
+}
+
+// byLoss orders borrowers by the loss for each accelerator that they free on the sites.
+func (p *Planner) byLoss(bs []*entry, at map[*place.Site]*yard) []*entry {
+	type weighed struct {
+		e    *entry
+		loss float64
+	}
+	slices.SortFunc(bs, func(x, y *entry) int { return cmp.Compare(x.job.ID, y.job.ID) })
+	bs = slices.Compact(bs)
+	ws := make([]weighed, len(bs))
+	for i, b := range bs {
+		n := 0
+		for _, s := range b.sites {
+			if at[s] != nil {
+				n++
+			}
+		}
+		ws[i] = weighed{b, p.loss(b) / float64(n*max(b.need.Accelerators, 1))}
+	}
+	slices.SortStableFunc(ws, func(x, y weighed) int { return cmp.Compare(x.loss, y.loss) })
+	for i, w := range ws {
+		bs[i] = w.e
+	}
+	return bs
+}
+
+// shift adds (1) or takes back (-1) the room that a borrower would free.
+func shift(b *entry, at map[*place.Site]*yard, sign int) {
+	for _, s := range b.sites {
+		if y := at[s]; y != nil {
+			y.room = y.room.Plus(b.need.Times(sign))
+		}
+	}
+}
+
+// roomOn returns what the gang takes on a site.
+func (e *entry) roomOn(s *place.Site) place.Room {
+	n := 0
+	for _, x := range e.sites {
+		if x == s {
+			n++
+		}
+	}
+	return e.need.Times(n)
+}
+
+// displace lets urgent work outside of a guarantee stop borrowers that are less urgent.
+func (p *Planner) displace(e *entry, _ *Decisions) bool {
+	if len(e.want) > 0 {
+		p.pend(e, -1)
+		e.want = nil
+	}
+	if e.rank() > 0 {
+		return false
+	}
+	end := p.now.Add(p.runTime(e))
+	v := p.open(e, end, (*place.Site).FreeHard)
+	if e.soft {
+		v = p.open(e, end, func(s *place.Site) place.Room { return s.Capacity })
+	}
+	c := p.cheapestSpot(e, e.job.Shape, e.need, v, func(b *entry) bool { return b.rank() > e.rank() })
+	if !c.ok {
+		return false
+	}
+	e.want = c.sites
+	p.pend(e, 1)
+	for _, b := range c.stops {
+		p.doom(b, fmt.Sprintf("urgent work %s takes the capacity that this job borrowed", e.label()))
+	}
+	racks, jobs := countBorrowed(p, c.sites)
+	e.why = why{code: whyReclaim, a: racks, b: jobs}
+	return true
+}
--- /dev/null
+++ b/internal/state/plan/pass.go
@@ -0,0 +1,264 @@
+package plan
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/place"
+)
+
+const (
+	// maxHeads bounds the blocked gangs for which capacity is held back at a time.
+	maxHeads = 4
+	// maxRoomTries bounds the searches that move reservations in one pass.
+	maxRoomTries = 16
+	// maxTargets bounds the shapes that fragmentation is measured against.
+	maxTargets = 8
+)
+
+// failure remembers a shape for which a pass found no room.
+type failure struct {
+	shape fleet.Shape
+	soft  bool
+}
+
+type passNotes struct {
+	// failed holds the shortest run time for which a shape found no room.
+	failed map[failure]time.Duration
+	tries  int
+	heads  int
+}
+
+// Pass decides what to start, stop and refuse now.
+func (p *Planner) Pass(now time.Time) Decisions {
+	p.rounds.note(now)
+	p.now = now
+	p.pass = passNotes{failed: map[failure]time.Duration{}}
+	p.refresh()
+	p.repair()
+	p.rependent()
+	queue := p.order()
+	p.targets = p.findTargets(queue)
+	var d Decisions
+	for _, e := range queue {
+		p.decide(e, &d)
+	}
+	p.stopDoomed(&d)
+	d.Refusals = append(d.Refusals, p.refusals...)
+	p.refusals = nil
+	return d
+}
+
+// refresh brings the sites up to date with planned stops and the time.
+func (p *Planner) refresh() {
+	p.total = place.Room{}
+	stops := p.stopsHere()
+	for _, r := range p.books.Racks() {
+		for _, s := range r.Sites {
+			closed, from := s.Worker.Leaving, time.Time{}
+			for _, x := range stops {
+				if !isStopOf(x, s.Worker) || !p.now.Before(x.Until) {
+					continue
+				}
+				if !p.now.Before(x.From) {
+					closed = true
+					continue
+				}
+				if from.IsZero() || x.From.Before(from) {
+					from = x.From
+				}
+			}
+			p.dirty = p.dirty || closed != s.Closed || from.IsZero() != s.StopFrom.IsZero()
+			s.Closed, s.StopFrom, s.HeldFrom = closed, from, time.Time{}
+			if !closed {
+				p.total = p.total.Plus(s.Capacity)
+			}
+		}
+	}
+}
+
+// rependent books anew what claims and urgent work wait for.
+func (p *Planner) rependent() {
+	for _, r := range p.books.Racks() {
+		for _, s := range r.Sites {
+			s.Pending = place.Room{}
+		}
+	}
+	for _, g := range p.keeper.Gangs() {
+		e := p.jobs[g.Claim]
+		if e == nil || !e.isQueued() || e.gang != g {
+			g.Claim = ""
+			continue
+		}
+		p.pend(e, 1)
+	}
+	for _, e := range p.jobs {
+		if e.isQueued() && e.gang == nil && len(e.want) > 0 {
+			p.pend(e, 1)
+		}
+	}
+}
+
+// pend adds (1) or takes back (-1) what a queued job waits for.
+func (p *Planner) pend(e *entry, sign int) {
+	n := e.need.Times(sign)
+	for _, s := range e.want {
+		s.Pending = s.Pending.Plus(n)
+	}
+}
+
+func (p *Planner) decide(e *entry, d *Decisions) {
+	if p.isTooLate(e) {
+		p.remove(e)
+		d.Refusals = append(d.Refusals, Refusal{Job: e.job.ID, Reason: "its deadline passed before it could start"})
+		return
+	}
+	if p.claim(e, d) {
+		return
+	}
+	if q := p.quota(e); q > 0 {
+		used := p.usage[e.job.Organisation].Accelerators + p.elsewhere[e.job.Organisation]
+		if used+e.job.Shape.TotalAccelerators() > q {
+			e.why = why{code: whyQuota, a: used, b: q}
+			return
+		}
+	}
+	if sites, reason := p.findSites(e); sites != nil {
+		p.start(e, sites, reason, d)
+		return
+	}
+	if p.displace(e, d) {
+		return
+	}
+	p.holdBack(e)
+}
+
+func (p *Planner) isTooLate(e *entry) bool {
+	return e.job.Attempt == 0 && !e.job.Deadline.IsZero() && p.now.After(e.job.Deadline)
+}
+
+// start books a gang and asks for it.
+func (p *Planner) start(e *entry, sites []*place.Site, reason string, d *Decisions) {
+	p.dequeue(e)
+	e.job.Attempt++
+	e.state = StateStarting
+	e.since = p.now
+	e.sites = sites
+	e.want = nil
+	e.why = why{text: reason}
+	p.book(e)
+	as := make([]fleet.Assignment, len(sites))
+	for i, s := range sites {
+		as[i] = fleet.Assignment{Task: i, Worker: s.Worker.Name}
+	}
+	d.Starts = append(d.Starts, Start{Job: e.job, Placement: as, Reason: reason})
+}
+
+// unheld narrows a view to sites that take the job now without delaying a blocked gang.
+func (p *Planner) unheld(e *entry, end time.Time, v place.View) place.View {
+	open := p.open(e, end, v)
+	return func(s *place.Site) place.Room {
+		if !s.HeldFrom.IsZero() && end.After(s.HeldFrom) {
+			return place.Room{}
+		}
+		return open(s)
+	}
+}
+
+// open narrows a view to sites that take the job now.
+func (p *Planner) open(e *entry, end time.Time, v place.View) place.View {
+	return func(s *place.Site) place.Room {
+		if !p.isOpen(e, s, end) {
+			return place.Room{}
+		}
+		return v(s)
+	}
+}
+
+// isOpen reports whether a site takes the job now.
+func (p *Planner) isOpen(e *entry, s *place.Site, end time.Time) bool {
+	if s.Closed || s.Probe && len(p.on[s]) > 0 {
+		return false
+	}
+	if !s.StopFrom.IsZero() && end.After(s.StopFrom) {
+		return false
+	}
+	return len(e.avoid) == 0 || !slices.Contains(e.avoid, s.Worker.Name)
+}
+
+// findSites looks for free room outside of the job's guarantee: first where no reservation needs it, then, for work
+// that can be stopped, inside reservations, and for other work where reservations can move away.
+func (p *Planner) findSites(e *entry) ([]*place.Site, string) {
+	run := p.runTime(e)
+	key := failure{shape: e.job.Shape, soft: e.soft}
+	if f, ok := p.pass.failed[key]; ok && run >= f && len(e.avoid) == 0 {
+		e.why = why{code: whyRoom}
+		return nil, ""
+	}
+	end := p.now.Add(run)
+	q := place.Search{Shape: e.job.Shape, Targets: p.scored()}
+	q.View = p.unheld(e, end, (*place.Site).FreeBoth)
+	if to := p.books.Fit(q); to != nil {
+		return to, "on capacity that no reservation needs"
+	}
+	q.View = p.unheld(e, end, (*place.Site).Free)
+	if e.soft {
+		if to := p.books.Fit(q); to != nil {
+			return to, "borrows capacity that is reserved and idle"
+		}
+	} else if p.pass.tries < maxRoomTries {
+		p.pass.tries++
+		if to := p.keeper.MakeRoom(q); to != nil {
+			clear(p.pass.failed)
+			return to, "on capacity from which reservations were moved"
+		}
+	}
+	if len(e.avoid) == 0 {
+		p.pass.failed[key] = run
+	}
+	e.why = why{code: whyRoom}
+	return nil, ""
+}
+
+// scored returns the targets with the weight of the deployment.
+func (p *Planner) scored() []place.Target {
+	if p.weight == 0 {
+		return nil
+	}
+	return p.targets
+}
+
+// stopDoomed asks for the stops of gangs that run by now.
+func (p *Planner) stopDoomed(d *Decisions) {
+	var es []*entry
+	for _, e := range p.doomed {
+		if p.jobs[e.job.ID] != e || e.doomed == "" {
+			continue
+		}
+		if e.state == StateRunning {
+			e.state = StateStopping
+			e.why = why{text: e.doomed}
+			d.Stops = append(d.Stops, Stop{Job: e.job.ID, Grace: e.profile.ReclaimBound, Reason: e.doomed})
+			continue
+		}
+		if e.state == StateStarting {
+			es = append(es, e)
+		}
+	}
+	p.doomed = es
+}
+
+// doom marks a gang to be stopped as soon as it runs.
+func (p *Planner) doom(e *entry, reason string) {
+	if e.doomed != "" {
+		return
+	}
+	e.doomed = reason
+	p.doomed = append(p.doomed, e)
+}
+
+func (e *entry) label() string {
+	return fmt.Sprintf("%s of %s", e.job.Profile, e.job.Organisation)
+}
--- a/internal/state/plan/plan.go
+++ b/internal/state/plan/plan.go
@@ -5,6 +5,7 @@
 
 	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/pkg/errors"
 )
 
 // Start asks for one gang to be prepared and started.
@@ -45,6 +46,9 @@
 	Expected time.Time
 }
 
+// ErrJobNotExist says that the planner does not hold a job.
+var ErrJobNotExist = errors.New("job does not exist")
+
 // States of a job in the planner.
 const (
 	StateQueued   = "Queued"
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -1,211 +1,188 @@
 package plan
 
 import (
-	"fmt"
 	"sort"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
-	"github.com/pkg/errors"
+	"github.com/auburncleat/auburncleat/internal/state/hold"
+	"github.com/auburncleat/auburncleat/internal/state/place"
 )
 
-// ErrNeverFits says that no worker set of the failure domain can hold a shape.
-var ErrNeverFits = errors.New("shape can never be placed")
-
-// ErrJobNotExist says that the planner does not hold a job.
-var ErrJobNotExist = errors.New("job does not exist")
-
-type entry struct {
-	job       fleet.Job
-	state     string
-	placement []fleet.Assignment
-}
-
 // Planner holds the books of one failure domain.
 type Planner struct {
-	domain  string
-	config  config.Config
-	workers map[string]fleet.Worker
-	jobs    map[string]*entry
-}
+	domain   string
+	config   config.Config
+	profiles map[string]*config.Profile
+	books    *place.Books
+	keeper   *hold.Keeper
+	jobs     map[string]*entry
+	// on lists the started gangs of each site.
+	on map[*place.Site][]*entry
+	// fleet keeps also workers that were dropped, so that a lost rack makes no shape impossible.
+	fleet map[string]fleet.Worker
+	// usage holds what each organisation runs here.
+	usage     map[string]place.Room
+	elsewhere map[string]int
+	total     place.Room
+	tightest  time.Duration
+	weight    float64
+	limits    limits
+	queued    map[lane]int
+	newest    [ranks][]*entry
+	doomed    []*entry
+	rounds    rounds
+	waiting   int
+	refusals  []Refusal
+	fits      map[question]bool
+	dirty     bool
+	now       time.Time
+	targets   []place.Target
+	pass      passNotes
+}
+
+// Option changes how a planner is built.
+type Option func(*Planner)
+
+// WithFragmentationWeight trades completion time (0) against fragmentation (1).
+func WithFragmentationWeight(w float64) Option {
+	return func(p *Planner) { p.weight = min(max(w, 0), 1) }
+}
+
+const defaultFragmentationWeight = 0.5
 
 // New returns an empty planner for a failure domain.
-func New(domain string) *Planner {
-	return &Planner{
-		domain:  domain,
-		workers: map[string]fleet.Worker{},
-		jobs:    map[string]*entry{},
-	}
+func New(domain string, opts ...Option) *Planner {
+	b := place.New()
+	p := &Planner{
+		domain:    domain,
+		profiles:  map[string]*config.Profile{},
+		books:     b,
+		keeper:    hold.New(b),
+		jobs:      map[string]*entry{},
+		on:        map[*place.Site][]*entry{},
+		fleet:     map[string]fleet.Worker{},
+		usage:     map[string]place.Room{},
+		elsewhere: map[string]int{},
+		weight:    defaultFragmentationWeight,
+		limits:    defaultLimits(),
+		queued:    map[lane]int{},
+		fits:      map[question]bool{},
+	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
 // Configure replaces the configuration in force.
 func (p *Planner) Configure(c config.Config) {
 	p.config = c
-}
-
-// PutWorker adds a worker or updates what is known of it.
-func (p *Planner) PutWorker(w fleet.Worker) {
-	p.workers[w.Name] = w
-}
-
-// DropWorker removes a worker and returns the jobs that had tasks on it.
-func (p *Planner) DropWorker(name string) []string {
-	delete(p.workers, name)
-	var ids []string
-	for id, e := range p.jobs {
-		for _, a := range e.placement {
-			if a.Worker == name {
-				ids = append(ids, id)
-				break
-			}
+	p.profiles = make(map[string]*config.Profile, len(c.Profiles))
+	for n, x := range c.Profiles {
+		p.profiles[n] = &x
+	}
+	needs := Needs(p.domain, c.Profiles)
+	p.tightest = 0
+	for _, n := range needs {
+		if n.WaitBound > 0 && (p.tightest == 0 || n.WaitBound < p.tightest) {
+			p.tightest = n.WaitBound
 		}
 	}
-	sort.Strings(ids)
-	return ids
-}
-
-// Submit queues a job, or returns an error that says why it can never run here.
-func (p *Planner) Submit(j fleet.Job) error {
-	if err := j.Shape.Check(); err != nil {
-		return fmt.Errorf("submit %s: %w", j.ID, err)
+	for _, id := range p.keeper.SetNeeds(needs) {
+		p.evict(p.jobs[id])
 	}
-	p.jobs[j.ID] = &entry{job: j, state: StateQueued}
-	return nil
-}
-
-// Adopt books a gang that a former owner started.
-func (p *Planner) Adopt(j fleet.Job, placement []fleet.Assignment, started time.Time) {
-	p.jobs[j.ID] = &entry{job: j, state: StateRunning, placement: placement}
+	for _, e := range p.jobs {
+		p.reprofile(e)
+	}
+	p.changed()
 }
 
-// Cancel removes queued jobs and returns the ids that were still queued; running ones are left to the caller.
-func (p *Planner) Cancel(ids []string) []string {
-	var out []string
-	for _, id := range ids {
-		e, ok := p.jobs[id]
-		if ok && e.state == StateQueued {
-			delete(p.jobs, id)
-			out = append(out, id)
+// Needs returns the guarantees of a failure domain in the order of their profiles' names.
+func Needs(domain string, profiles map[string]config.Profile) []hold.Need {
+	var names []string
+	for n := range profiles {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	var out []hold.Need
+	for _, n := range names {
+		x := profiles[n]
+		for _, g := range x.Guarantees {
+			if g.Domain != domain {
+				continue
+			}
+			out = append(out, hold.Need{
+				Organisation: g.Organisation, Profile: n, Rank: x.Urgency.Rank(), Gangs: g.Gangs,
+				Shape: g.Shape, WaitBound: x.WaitBound,
+			})
 		}
 	}
 	return out
 }
 
-// Started notes that all tasks of a job run.
-func (p *Planner) Started(id string, at time.Time) {
-	if e, ok := p.jobs[id]; ok {
-		e.state = StateRunning
-	}
+// changed notes that reservations and answers about shapes are out of date.
+func (p *Planner) changed() {
+	p.dirty = true
+	clear(p.fits)
 }
 
-// Ended notes the end of an attempt and frees what it held.
-func (p *Planner) Ended(x Ended) {
-	e, ok := p.jobs[x.Job]
-	if !ok {
-		return
-	}
-	if !x.Requeue {
-		delete(p.jobs, x.Job)
+// PutWorker adds a worker or updates what is known of it.
+func (p *Planner) PutWorker(w fleet.Worker) {
+	if !p.books.Put(w) {
 		return
 	}
-	e.state = StateQueued
-	e.placement = nil
-	e.job.Progress = x.Progress
+	p.fleet[w.Name] = w
+	p.books.Get(w.Name).Closed = w.Leaving
+	p.changed()
 }
 
-// Pass decides what to start, stop and refuse now.
-func (p *Planner) Pass(now time.Time) Decisions {
-	var d Decisions
-	used := map[string]int{}
-	accs := map[string]int{}
-	var queued []*entry
-	for _, e := range p.jobs {
-		for _, a := range e.placement {
-			used[a.Worker]++
-			accs[a.Worker] += e.job.Shape.Accelerators
-		}
-		if e.state == StateQueued {
-			queued = append(queued, e)
-		}
+// DropWorker removes a worker and returns the jobs that had tasks on it.
+func (p *Planner) DropWorker(name string) []string {
+	s := p.books.Drop(name)
+	if s == nil {
+		return nil
 	}
-	sort.Slice(queued, func(i, j int) bool { return queued[i].job.ID < queued[j].job.ID })
-	for _, e := range queued {
-		as := p.fit(e.job.Shape, used, accs)
-		if as == nil {
-			continue
-		}
-		for _, a := range as {
-			used[a.Worker]++
-			accs[a.Worker] += e.job.Shape.Accelerators
-		}
-		e.job.Attempt++
-		e.state = StateStarting
-		e.placement = as
-		d.Starts = append(d.Starts, Start{Job: e.job, Placement: as, Reason: "first fit"})
+	p.changed()
+	p.forgetGone()
+	var ids []string
+	for _, e := range p.on[s] {
+		ids = append(ids, e.job.ID)
 	}
-	return d
+	sort.Strings(ids)
+	return ids
 }
 
-func (p *Planner) fit(s fleet.Shape, used, accs map[string]int) []fleet.Assignment {
-	names := make([]string, 0, len(p.workers))
-	for n, w := range p.workers {
-		if !w.Leaving {
-			names = append(names, n)
-		}
+const maxGoneWorkers = 1024
+
+// forgetGone bounds the memory of dropped workers.
+func (p *Planner) forgetGone() {
+	if len(p.fleet)-p.books.Len() <= maxGoneWorkers {
+		return
 	}
-	sort.Strings(names)
-	var as []fleet.Assignment
-	for _, n := range names {
-		w := p.workers[n]
-		u, a := used[n], accs[n]
-		for len(as) < s.Tasks && u < w.Slots && a+s.Accelerators <= w.Accelerators {
-			as = append(as, fleet.Assignment{Task: len(as), Worker: n})
-			u++
-			a += s.Accelerators
+	for n := range p.fleet {
+		if p.books.Get(n) == nil {
+			delete(p.fleet, n)
 		}
 	}
-	if len(as) < s.Tasks {
-		return nil
-	}
-	return as
 }
 
-// Status explains where a job stands.
-func (p *Planner) Status(id string) (Status, error) {
-	e, ok := p.jobs[id]
-	if !ok {
-		return Status{}, fmt.Errorf("status of %s: %w", id, ErrJobNotExist)
-	}
-	s := Status{Job: e.job, State: e.state}
-	for _, a := range e.placement {
-		s.Workers = append(s.Workers, a.Worker)
-	}
-	return s, nil
+// PutElsewhere notes the accelerators that organisations use in other failure domains, for their quotas.
+func (p *Planner) PutElsewhere(used map[string]int) {
+	p.elsewhere = used
 }
 
-// FindStatus explains all jobs, ordered by id.
-func (p *Planner) FindStatus() []Status {
-	var out []Status
-	for id := range p.jobs {
-		s, _ := p.Status(id)
-		out = append(out, s)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Job.ID < out[j].Job.ID })
-	return out
+// UnkeptGuarantees lists the guaranteed gangs that cannot be kept at present, with the reason.
+func (p *Planner) UnkeptGuarantees() []hold.Unkept {
+	p.repair()
+	return p.keeper.FindUnkept()
 }
 
-// FindWorkers returns the books of all workers, ordered by name.
-func (p *Planner) FindWorkers() []WorkerView {
-	var out []WorkerView
-	for _, w := range p.workers {
-		out = append(out, WorkerView{Worker: w, State: "Ready"})
+func (p *Planner) repair() {
+	if !p.dirty {
+		return
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Worker.Name < out[j].Worker.Name })
-	return out
-}
-
-// Summary describes the load for other failure domains.
-func (p *Planner) Summary(now time.Time) Summary {
-	return Summary{Wait: map[config.Urgency]time.Duration{}}
+	p.dirty = false
+	p.keeper.Repair()
 }
--- /dev/null
+++ b/internal/state/plan/planner_test.go
@@ -0,0 +1,153 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/config"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+
+func workers(racks, each int) []fleet.Worker {
+	var ws []fleet.Worker
+	for i := range racks * each {
+		ws = append(ws, fleet.Worker{
+			Name: fmt.Sprintf("w%03d", i), Rack: fmt.Sprintf("r%02d", i/each), Domain: "north-quay",
+			Slots: 8, Accelerators: 8, Processors: 64, Memory: 128 * fleet.Gigabyte,
+		})
+	}
+	return ws
+}
+
+func shape(tasks, accs int, l fleet.Level) fleet.Shape {
+	return fleet.Shape{Tasks: tasks, Accelerators: accs, Processors: 1, Memory: fleet.Gigabyte, Adjacent: l}
+}
+
+func profiles(ps ...config.Profile) config.Config {
+	c := config.Config{Profiles: map[string]config.Profile{}}
+	for _, p := range ps {
+		c.Profiles[p.Name] = p
+	}
+	return c
+}
+
+func guarantee(org string, gangs int, s fleet.Shape) []config.Guarantee {
+	return []config.Guarantee{{Organisation: org, Domain: "north-quay", Gangs: gangs, Shape: s}}
+}
+
+var (
+	audit = config.Profile{
+		Name: "Audit", Urgency: config.Quiet, WaitBound: time.Hour, Stoppable: true, ReclaimBound: 2 * time.Second,
+	}
+	recon = config.Profile{
+		Name: "Recon", Urgency: config.Normal, WaitBound: 10 * time.Minute,
+		Guarantees: guarantee("CW", 1, shape(64, 1, fleet.LevelRack)),
+	}
+)
+
+func planner(t *testing.T, ws []fleet.Worker, c config.Config, opts ...Option) *Planner {
+	t.Helper()
+	p := New("north-quay", opts...)
+	p.Configure(c)
+	for _, w := range ws {
+		p.PutWorker(w)
+	}
+	return p
+}
+
+func job(id, org, profile string, s fleet.Shape) fleet.Job {
+	return fleet.Job{ID: id, Organisation: org, Profile: profile, Shape: s, RunTime: time.Minute, Submitted: start}
+}
+
+func run(p *Planner, d Decisions, at time.Time) {
+	for _, s := range d.Starts {
+		p.Started(s.Job.ID, at)
+	}
+}
+
+func TestClaimStopsBorrowers(t *testing.T) {
+	p := planner(t, workers(1, 8), profiles(audit, recon))
+	for i := range 8 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("a%d", i), "Gear", "Audit", shape(8, 1, fleet.LevelWorker))))
+	}
+	d := p.Pass(start)
+	require.Len(t, d.Starts, 8)
+	run(p, d, start)
+
+	require.NoError(t, p.Submit(job("big", "CW", "Recon", shape(64, 1, fleet.LevelRack))))
+	d = p.Pass(start.Add(time.Second))
+	require.Len(t, d.Stops, 8)
+	require.Equal(t, 2*time.Second, d.Stops[0].Grace)
+	s, err := p.Status("big")
+	require.NoError(t, err)
+	require.Equal(t, "waits for 64 accelerators in one rack; 1 rack with borrowed work of 8 jobs, reclaim under way", s.Reason)
+
+	for _, x := range d.Stops {
+		p.Ended(Ended{Job: x.Job, Result: ResultStopped, Progress: time.Second, Requeue: true})
+	}
+	d = p.Pass(start.Add(3 * time.Second))
+	require.Len(t, d.Starts, 1)
+	require.Equal(t, "big", d.Starts[0].Job.ID)
+	require.Empty(t, p.UnkeptGuarantees())
+}
+
+func TestUnstoppableWorkLeavesGuarantees(t *testing.T) {
+	cases := map[string]struct {
+		racks int
+		job   fleet.Job
+		want  bool
+	}{
+		"one rack is the guarantee's":     {1, job("j", "Gear", "", shape(1, 1, fleet.LevelWorker)), false},
+		"two racks leave one":             {2, job("j", "Gear", "", shape(64, 1, fleet.LevelRack)), true},
+		"a once job may not borrow":       {1, fleet.Job{ID: "j", Organisation: "Gear", Profile: "Audit", Key: "k", Shape: shape(1, 1, fleet.LevelWorker)}, false},
+		"an audit may borrow":             {1, job("j", "Gear", "Audit", shape(1, 1, fleet.LevelWorker)), true},
+		"the organisation takes its own":  {1, job("j", "CW", "Recon", shape(64, 1, fleet.LevelRack)), true},
+		"a part of its own is enough too": {1, job("j", "CW", "Recon", shape(3, 1, fleet.LevelRack)), true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := planner(t, workers(c.racks, 8), profiles(audit, recon))
+			err := p.Submit(c.job)
+			if err != nil {
+				require.ErrorIs(t, err, ErrNeverFits)
+			}
+			d := p.Pass(start)
+			require.Equal(t, c.want, len(d.Starts) == 1)
+			require.Empty(t, p.UnkeptGuarantees())
+		})
+	}
+}
+
+func TestPlannedStopTakesNoWorkThatOutlivesIt(t *testing.T) {
+	c := profiles(audit)
+	c.Stops = map[string]config.Stop{"s": {
+		Name: "s", Kind: "Worker", Domain: "north-quay", Target: "w000",
+		From: start.Add(2 * time.Minute), Until: start.Add(time.Hour),
+	}}
+	p := planner(t, workers(1, 1), c)
+	long := job("long", "Gear", "Audit", shape(1, 1, fleet.LevelWorker))
+	long.RunTime = time.Hour
+	require.NoError(t, p.Submit(long))
+	require.NoError(t, p.Submit(job("short", "Gear", "Audit", shape(1, 1, fleet.LevelWorker))))
+	d := p.Pass(start)
+	require.Len(t, d.Starts, 1)
+	require.Equal(t, "short", d.Starts[0].Job.ID)
+	require.Empty(t, p.Pass(start.Add(3*time.Minute)).Starts)
+	require.Len(t, p.Pass(start.Add(2*time.Hour)).Starts, 1)
+}
+
+func TestLostRackNamesUnkeptGuarantees(t *testing.T) {
+	p := planner(t, workers(2, 8), profiles(recon))
+	require.Empty(t, p.UnkeptGuarantees())
+	p.DropWorker("w000")
+	require.Empty(t, p.UnkeptGuarantees(), "the reservation moves to the other rack")
+	p.DropWorker("w008")
+	us := p.UnkeptGuarantees()
+	require.Len(t, us, 1)
+	require.Equal(t, 1, us[0].Gangs)
+	require.Contains(t, us[0].Reason, "at most 56")
+}
