Fold the operators' records into the configuration in force

Cause: hosts need one verdict on racing operators, and must never go back to an older configuration. Change: config.State folds records by log offset; a change is all or nothing, the first by log order wins, the later is recorded as ErrVersionConflict.

--- /dev/null
+++ b/internal/state/config/change.go
@@ -0,0 +1,142 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+)
+
+// Kind names a sort of resource.
+type Kind string
+
+// Kinds of resource.
+const (
+	KindProfile      Kind = "Profile"
+	KindOrganisation Kind = "Organisation"
+	KindStop         Kind = "Stop"
+)
+
+// Item sets or removes one resource.
+type Item struct {
+	Kind Kind
+	Name string
+	// Version is the version that the item revises; 0 creates the resource.
+	Version uint64
+	Remove  bool   `json:",omitempty"`
+	JSON    []byte `json:",omitempty"`
+}
+
+// Change is one all-or-nothing change as the log holds it, with the verdict of the fold.
+type Change struct {
+	ID       string
+	Offset   uint64
+	At       time.Time
+	Operator string
+	Reason   string
+	Items    []Item
+	// Conflict is set when another change had won.
+	Conflict *ErrVersionConflict `json:",omitempty"`
+	// Problems are set when the change does not fit.
+	Problems []string `json:",omitempty"`
+}
+
+// IsAccepted reports whether the change is in force or was until it was revised.
+func (c Change) IsAccepted() bool {
+	return c.Conflict == nil && len(c.Problems) == 0
+}
+
+// HasItem reports whether the change is about one resource.
+func (c Change) HasItem(k Kind, name string) bool {
+	for _, i := range c.Items {
+		if i.Kind == k && i.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Err returns nil for an accepted change, else an ErrVersionConflict or ErrInvalid.
+func (c Change) Err() error {
+	if c.Conflict != nil {
+		return *c.Conflict
+	}
+	if len(c.Problems) > 0 {
+		return ErrInvalid{Problems: c.Problems}
+	}
+	return nil
+}
+
+// ErrVersionConflict says that a change named another version than the one in force.
+type ErrVersionConflict struct {
+	Kind Kind
+	Name string
+	// Want is the version that the change named and Have the one in force; 0 means that there is none.
+	Want uint64
+	Have uint64
+	// By is the operator who set or removed the resource last, if still known.
+	By string
+}
+
+// Error says which version was named and which holds.
+func (e ErrVersionConflict) Error() string {
+	by := ""
+	if e.By != "" {
+		by = " by " + e.By
+	}
+	switch {
+	case e.Want == 0:
+		return fmt.Sprintf("%s %s exists already, at version %d%s", e.Kind, e.Name, e.Have, by)
+	case e.Have == 0:
+		return fmt.Sprintf("%s %s at version %d was removed%s", e.Kind, e.Name, e.Want, by)
+	default:
+		return fmt.Sprintf("%s %s is at version %d%s, not at %d", e.Kind, e.Name, e.Have, by, e.Want)
+	}
+}
+
+// ErrInvalid lists all that is wrong with a change or a resource.
+type ErrInvalid struct {
+	Problems []string
+}
+
+// Error lists the problems, separated by semicolons.
+func (e ErrInvalid) Error() string {
+	return "invalid: " + strings.Join(e.Problems, "; ")
+}
+
+// NewRecord returns the log record of a change.
+func NewRecord(c Change) *wire.Record {
+	w := &wire.ConfigChange{Operator: c.Operator, Reason: c.Reason}
+	for _, i := range c.Items {
+		w.Items = append(w.Items, &wire.ConfigItem{
+			Kind:    string(i.Kind),
+			Name:    i.Name,
+			Version: i.Version,
+			Remove:  i.Remove,
+			Json:    i.JSON,
+		})
+	}
+	return &wire.Record{Id: c.ID, Body: &wire.Record_Config{Config: w}}
+}
+
+func newChange(offset uint64, at time.Time, r *wire.Record) Change {
+	w := r.GetConfig()
+	c := Change{
+		ID:       r.GetId(),
+		Offset:   offset,
+		At:       at,
+		Operator: w.GetOperator(),
+		Reason:   w.GetReason(),
+	}
+	for _, i := range w.GetItems() {
+		c.Items = append(c.Items, Item{
+			Kind:    Kind(i.GetKind()),
+			Name:    i.GetName(),
+			Version: i.GetVersion(),
+			Remove:  i.GetRemove(),
+			JSON:    i.GetJson(),
+		})
+	}
+	return c
+}
--- /dev/null
+++ b/internal/state/config/check.go
@@ -0,0 +1,173 @@
+package config
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Bounds of a configuration.
+const (
+	// MaxItems bounds the items of one change.
+	MaxItems = 256
+	// MaxGuarantees bounds the guarantees of one profile.
+	MaxGuarantees = 1024
+	// MaxGangs bounds the gangs of one guarantee, the tasks of a gang and the accelerators and processors of a task.
+	MaxGangs = 10_000
+	// MaxText bounds reasons and operators' names, in bytes.
+	MaxText = 1024
+	// MaxWait bounds waits, run times and notices.
+	MaxWait = 90 * 24 * time.Hour
+	// MaxWeight bounds the weight of an organisation.
+	MaxWeight = 1_000_000
+)
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// problems gathers what is wrong, so that an operator hears all of it at once.
+type problems []string
+
+func (p *problems) add(format string, args ...any) {
+	*p = append(*p, fmt.Sprintf(format, args...))
+}
+
+func (p *problems) name(what, v string) {
+	if !namePattern.MatchString(v) {
+		p.add("%s: name %q is not 1 to 63 letters, digits, dots, dashes or underscores", what, v)
+	}
+}
+
+func (p *problems) span(what string, v, low time.Duration) {
+	if v < low || v > MaxWait {
+		p.add("%s: %s is not between %s and %s", what, v, low, MaxWait)
+	}
+}
+
+func (p problems) err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return ErrInvalid{Problems: p}
+}
+
+// Check returns ErrInvalid with all that is wrong with the profile by itself.
+func (p Profile) Check() error {
+	var x problems
+	w := "profile " + p.Name
+	x.name(w, p.Name)
+	if p.Urgency != Urgent && p.Urgency != Normal && p.Urgency != Quiet {
+		x.add("%s: Urgency %q is not Urgent, Normal or Quiet", w, p.Urgency)
+	}
+	x.span(w+" WaitBound", p.WaitBound, time.Millisecond)
+	x.span(w+" RunTime", p.RunTime, 0)
+	x.span(w+" Notice", p.Notice, 0)
+	x.span(w+" ReclaimBound", p.ReclaimBound, 0)
+	if p.Stoppable && p.ReclaimBound == 0 {
+		x.add("%s: a Stoppable profile needs a ReclaimBound", w)
+	}
+	if p.Once && p.Stoppable {
+		x.add("%s: Once work starts at most once and cannot be Stoppable", w)
+	}
+	if len(p.Guarantees) > MaxGuarantees {
+		x.add("%s: %d guarantees are more than %d", w, len(p.Guarantees), MaxGuarantees)
+	}
+	for i, g := range p.Guarantees {
+		p.checkGuarantee(&x, fmt.Sprintf("%s guarantee %d", w, i+1), g)
+	}
+	return x.err()
+}
+
+func (p Profile) checkGuarantee(x *problems, w string, g Guarantee) {
+	x.name(w+" Domain", g.Domain)
+	if g.Gangs < 1 || g.Gangs > MaxGangs || g.Shape.Tasks > MaxGangs {
+		x.add("%s: Gangs %d or Tasks %d is not between 1 and %d", w, g.Gangs, g.Shape.Tasks, MaxGangs)
+	}
+	if g.Shape.Accelerators > MaxGangs || g.Shape.Processors > MaxGangs {
+		x.add("%s: Accelerators %d or Processors %d above %d", w, g.Shape.Accelerators, g.Shape.Processors, MaxGangs)
+	}
+	if err := g.Shape.Check(); err != nil {
+		x.add("%s: %v", w, err)
+	}
+	if len(p.Organisations) > 0 && !slices.Contains(p.Organisations, g.Organisation) {
+		x.add("%s: organisation %s may not use the profile", w, g.Organisation)
+	}
+}
+
+// Check returns ErrInvalid with all that is wrong with the organisation by itself.
+func (o Organisation) Check() error {
+	var x problems
+	w := "organisation " + o.Name
+	x.name(w, o.Name)
+	if o.Weight < 1 || o.Weight > MaxWeight {
+		x.add("%s: Weight %d is not between 1 and %d", w, o.Weight, MaxWeight)
+	}
+	if o.Accelerators < 0 {
+		x.add("%s: Accelerators %d is below 0", w, o.Accelerators)
+	}
+	return x.err()
+}
+
+// Check returns ErrInvalid with all that is wrong with the stop by itself.
+func (s Stop) Check() error {
+	var x problems
+	w := "stop " + s.Name
+	x.name(w, s.Name)
+	x.name(w+" Domain", s.Domain)
+	switch s.Kind {
+	case StopWorker, StopRack, StopHost:
+		x.name(w+" Target", s.Target)
+	case StopDomain:
+		if s.Target != "" {
+			x.add("%s: the stop of a whole failure domain has no Target", w)
+		}
+	default:
+		x.add("%s: Kind %q is not Worker, Rack, Host or Domain", w, s.Kind)
+	}
+	if s.From.IsZero() || !s.From.Before(s.Until) {
+		x.add("%s: From %s is not before Until %s", w, s.From.Format(time.RFC3339), s.Until.Format(time.RFC3339))
+	}
+	if s.Reason == "" || len(s.Reason) > MaxText {
+		x.add("%s: Reason is empty or longer than %d bytes", w, MaxText)
+	}
+	return x.err()
+}
+
+// Check returns ErrInvalid with all names that the configuration uses and does not have, and quotas below guarantees.
+func (c Config) Check() error {
+	var x problems
+	sums := map[string]int{}
+	for _, n := range sortedNames(c.Profiles) {
+		p := c.Profiles[n]
+		for _, o := range p.Organisations {
+			c.checkOrganisation(&x, n, o)
+		}
+		for _, g := range p.Guarantees {
+			c.checkOrganisation(&x, n, g.Organisation)
+			sums[g.Organisation] += g.Gangs * g.Shape.TotalAccelerators()
+		}
+	}
+	for _, n := range sortedNames(sums) {
+		q := c.Organisations[n].Accelerators
+		if q > 0 && sums[n] > q {
+			x.add("organisation %s: guarantees of %d accelerators exceed its quota of %d", n, sums[n], q)
+		}
+	}
+	return x.err()
+}
+
+func (c Config) checkOrganisation(x *problems, profile, org string) {
+	if _, ok := c.Organisations[org]; !ok {
+		x.add("profile %s: organisation %q is not known", profile, org)
+	}
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for n := range m {
+		out = append(out, n)
+	}
+	sort.Strings(out)
+	return out
+}
--- /dev/null
+++ b/internal/state/config/history.go
@@ -0,0 +1,83 @@
+package config
+
+// history keeps the newest changes by log order, and finds them by id.
+type history struct {
+	changes []Change
+	ids     map[string]int
+	// dropped is how many changes went before the first one kept.
+	dropped int
+}
+
+func (h *history) add(c Change) {
+	if h.ids == nil {
+		h.ids = map[string]int{}
+	}
+	h.ids[c.ID] = h.dropped + len(h.changes)
+	h.changes = append(h.changes, c)
+	if len(h.changes) > historyLimit {
+		delete(h.ids, h.changes[0].ID)
+		h.changes[0] = Change{}
+		h.changes = h.changes[1:]
+		h.dropped++
+	}
+}
+
+func (h *history) get(id string) (Change, bool) {
+	i, ok := h.ids[id]
+	if !ok {
+		return Change{}, false
+	}
+	return h.changes[i-h.dropped], true
+}
+
+// lastOperator returns who set or removed a resource last, or "" when that is no longer known.
+func (h *history) lastOperator(k Kind, name string) string {
+	for i := len(h.changes) - 1; i >= 0; i-- {
+		if h.changes[i].IsAccepted() && h.changes[i].HasItem(k, name) {
+			return h.changes[i].Operator
+		}
+	}
+	return ""
+}
+
+// FindChanges selects changes of the history; empty fields select all.
+type FindChanges struct {
+	Kind  Kind
+	Name  string
+	Limit int
+}
+
+func (f FindChanges) isMatch(c Change) bool {
+	if f.Kind == "" {
+		return true
+	}
+	for _, i := range c.Items {
+		if i.Kind == f.Kind && (f.Name == "" || i.Name == f.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// GetChange returns a change with its verdict by its id, if it is among the newest 1024.
+func (s *State) GetChange(id string) (Change, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.get(id)
+}
+
+// FindHistory returns the newest changes that f selects, oldest first.
+func (s *State) FindHistory(f FindChanges) []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Change
+	for _, c := range s.history.changes {
+		if f.isMatch(c) {
+			out = append(out, c)
+		}
+	}
+	if f.Limit > 0 && len(out) > f.Limit {
+		out = out[len(out)-f.Limit:]
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/config/snapshot.go
@@ -0,0 +1,150 @@
+package config
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+)
+
+// snapshotLimit bounds a decoded snapshot, in bytes.
+const snapshotLimit = 64 << 20
+
+// SnapshotMark says which snapshot in the log is the newest.
+type SnapshotMark struct {
+	// Offset is where the record stands.
+	Offset uint64
+	At     time.Time
+}
+
+type snapshotJSON struct {
+	Config  Config
+	History []Change
+}
+
+// Snapshot returns the configuration in force and the newest changes, or ErrIncomplete.
+func (s *State) Snapshot() (*wire.ConfigSnapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.ready(); err != nil {
+		return nil, fmt.Errorf("take snapshot: %w", err)
+	}
+	b, err := encodeSnapshot(snapshotJSON{Config: s.config, History: s.history.changes})
+	if err != nil {
+		return nil, fmt.Errorf("take snapshot: %w", err)
+	}
+	return &wire.ConfigSnapshot{Offset: s.next, Data: b}, nil
+}
+
+// NewestSnapshot returns where the newest snapshot stands in the log; its offset is 0 when there is none.
+func (s *State) NewestSnapshot() SnapshotMark {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest
+}
+
+// Load takes in the snapshot of a peer, or refuses it with ErrOlder when a newer configuration is in force.
+func (s *State) Load(w *wire.ConfigSnapshot) error {
+	s.mu.Lock()
+	err := s.load(w)
+	s.unlock(err == nil)
+	return err
+}
+
+func (s *State) load(w *wire.ConfigSnapshot) error {
+	if w.GetOffset() < s.next && !s.revert {
+		return fmt.Errorf("load snapshot: %w", ErrOlder{Have: s.next, Got: w.GetOffset()})
+	}
+	j, err := decodeSnapshot(w.GetData())
+	if err != nil {
+		return fmt.Errorf("load snapshot up to offset %d: %w", w.GetOffset(), err)
+	}
+	if j.Config.Offset > w.GetOffset() {
+		return fmt.Errorf("load snapshot up to offset %d: holds offset %d", w.GetOffset(), j.Config.Offset)
+	}
+	s.config = j.Config
+	s.history = history{}
+	for _, c := range j.History {
+		s.history.add(c)
+	}
+	s.next = w.GetOffset()
+	s.begun = true
+	if s.next >= s.hole {
+		s.hole = 0
+		s.replay()
+	}
+	return nil
+}
+
+func (s *State) markSnapshot(e entry) {
+	s.newest = SnapshotMark{Offset: e.offset, At: e.at}
+}
+
+// foldSnapshot compares a snapshot with the configuration in force, which it repeats.
+//
+// A snapshot from beyond its own place was written because the log had lost its end, and is loaded.
+func (s *State) foldSnapshot(e entry, w *wire.ConfigSnapshot) bool {
+	s.markSnapshot(e)
+	if w.GetOffset() > s.next {
+		s.raise(AlarmShort, e.offset, fmt.Sprintf("log lost records up to offset %d; a snapshot repeats them", w.GetOffset()-1))
+		if err := s.load(w); err != nil {
+			s.raise(AlarmSnapshot, e.offset, err.Error())
+			return false
+		}
+		return true
+	}
+	s.compare(e, w)
+	return false
+}
+
+func (s *State) compare(e entry, w *wire.ConfigSnapshot) {
+	j, err := decodeSnapshot(w.GetData())
+	if err != nil {
+		s.raise(AlarmSnapshot, e.offset, err.Error())
+		return
+	}
+	if j.Config.Offset == s.config.Offset && !isSameConfig(j.Config, s.config) {
+		s.raise(AlarmSnapshot, e.offset, "snapshot differs from what the records before it gave")
+	}
+}
+
+func isSameConfig(a, b Config) bool {
+	x, err := json.Marshal(a)
+	if err != nil {
+		return false
+	}
+	y, err := json.Marshal(b)
+	return err == nil && bytes.Equal(x, y)
+}
+
+func encodeSnapshot(j snapshotJSON) ([]byte, error) {
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	if err := json.NewEncoder(z).Encode(j); err != nil {
+		return nil, fmt.Errorf("encode: %w", err)
+	}
+	if err := z.Close(); err != nil {
+		return nil, fmt.Errorf("compress: %w", err)
+	}
+	return b.Bytes(), nil
+}
+
+func decodeSnapshot(b []byte) (snapshotJSON, error) {
+	j := snapshotJSON{Config: newConfig()}
+	z, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return j, fmt.Errorf("decompress: %w", err)
+	}
+	l := &io.LimitedReader{R: z, N: snapshotLimit}
+	if err := json.NewDecoder(l).Decode(&j); err != nil {
+		return j, fmt.Errorf("decode: %w", err)
+	}
+	if j.Config.Profiles == nil || j.Config.Organisations == nil || j.Config.Stops == nil || j.Config.Notices == nil {
+		return j, ErrInvalid{Problems: []string{"snapshot lacks a kind of resource"}}
+	}
+	return j, nil
+}
--- a/internal/state/config/stop.go
+++ b/internal/state/config/stop.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+// Kinds of stop.
+const (
+	StopWorker = "Worker"
+	StopRack   = "Rack"
+	StopHost   = "Host"
+	StopDomain = "Domain"
+)
+
 // Stop is a planned stop of a worker, a rack, a host or a failure domain.
 type Stop struct {
 	Name    string
