Follow and write the log, and go on from peers while it does not answer

Cause: what must last goes through the platform's log, which has outages, loses answers and lets records expire; hosts keep nothing.

Ruled out: completing an append on the log's answer (the answer can be lost after the record was written, so an append ends only when its record was read back); retrying under a new id (a repeat would show twice); following a log that ends before what was read (a host would revert).

Without folding (mutation keepsRepeats) the repeat shows, without the comparison (mutation trustsLog) the stream goes on over a log that lost records.

--- a/internal/coordination/port/log.go
+++ b/internal/coordination/port/log.go
@@ -28,6 +28,6 @@
 type Log struct {
 	// Append adds records in order and returns the offset of the first; after an error they may still be there.
 	Append func(ctx context.Context, data [][]byte) (uint64, error)
-	// Read returns up to limit records from an offset on, waiting up to wait for the first, or ErrExpired.
+	// Read returns up to limit records from an offset on, waiting up to wait for the first, or ErrExpired with Page.First.
 	Read func(ctx context.Context, from uint64, limit int, wait time.Duration) (Page, error)
 }
--- /dev/null
+++ b/internal/coordination/stream/stream_test.go
@@ -0,0 +1,395 @@
+package stream
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/clock"
+	"github.com/auburncleat/auburncleat/internal/coordination/nettest"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/events"
+	"github.com/stretchr/testify/require"
+)
+
+// bench is a small set of streams on one log.
+type bench struct {
+	t    *testing.T
+	ctx  context.Context
+	net  *nettest.Net
+	log  *nettest.Log
+	hubs []*hub
+}
+
+// hub is one host's stream and what it delivered; a snapshot carries the ids.
+type hub struct {
+	*Stream
+	addr netip.AddrPort
+	ids  []string
+	offs []uint64
+	gaps [][2]uint64
+	ring *events.Ring
+	stop context.CancelFunc
+}
+
+func run(t *testing.T, f func(b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := &bench{t: t, ctx: ctx, net: nettest.New(), log: nettest.NewLog()}
+		f(b)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func (b *bench) start(opts ...Option) *hub {
+	h := &hub{addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(b.hubs) + 1)}), 1)}
+	b.hubs = append(b.hubs, h)
+	h.ring = events.NewRing(h.addr.String(), 100, events.NewClock(time.Now))
+	live := func() []netip.AddrPort {
+		var as []netip.AddrPort
+		for _, o := range b.hubs {
+			if o != h {
+				as = append(as, o.addr)
+			}
+		}
+		return as
+	}
+	take := func(r *wire.SnapshotReply) error {
+		r.Config = []byte(fmt.Sprint(h.ids))
+		return nil
+	}
+	load := func(r *wire.SnapshotReply) error {
+		h.ids = []string{"snapshot " + string(r.GetConfig())}
+		return nil
+	}
+	all := []Option{
+		WithLog(b.log.Port()), WithPeers(b.net.Peers(h.addr), live), WithClock(clock.System()), WithRing(h.ring),
+		WithSnapshot(take, load), WithGap(func(from, first uint64) { h.gaps = append(h.gaps, [2]uint64{from, first}) }),
+	}
+	h.Stream = New(append(all, opts...)...)
+	h.Subscribe(func(offset uint64, _ time.Time, r *wire.Record) {
+		h.ids = append(h.ids, r.GetId())
+		h.offs = append(h.offs, offset)
+	})
+	nettest.Serve(b.net, h.addr, "Peer.Records", h.Records)
+	nettest.Serve(b.net, h.addr, "Peer.Snapshot", h.Snapshot)
+	ctx, cancel := context.WithCancel(b.ctx)
+	h.stop = cancel
+	go func() { _ = h.Run(ctx) }()
+	synctest.Wait()
+	return h
+}
+
+func (b *bench) sleep(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (b *bench) append(h *hub, ids ...string) {
+	b.t.Helper()
+	for _, id := range ids {
+		_, err := h.Append(b.ctx, &wire.Record{Id: id})
+		require.NoError(b.t, err)
+	}
+	synctest.Wait()
+}
+
+func (h *hub) count(k events.Kind) int {
+	es, _ := h.ring.Find(events.Filter{})
+	n := 0
+	for _, e := range es {
+		if e.Kind == k {
+			n++
+		}
+	}
+	return n
+}
+
+func TestStreamDeliversInOrderOnAllHosts(t *testing.T) {
+	run(t, func(b *bench) {
+		x, y := b.start(), b.start()
+		offset, err := x.Append(b.ctx, &wire.Record{Id: "a"})
+		require.NoError(t, err)
+		require.Equal(t, uint64(1), offset)
+		b.append(y, "b", "c")
+		require.Equal(t, []string{"a", "b", "c"}, x.ids)
+		require.Equal(t, x.ids, y.ids)
+		require.True(t, x.IsCaughtUp() && y.IsCaughtUp())
+		require.Equal(t, uint64(4), y.Next())
+	})
+}
+
+func TestStreamFoldsRepeatAfterLostAnswer(t *testing.T) {
+	for name, mutate := range map[string]bool{"folded": false, "mutation keeps repeats": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				x, y := b.start(), b.start()
+				y.keepsRepeats = mutate
+				b.log.SetLossy(true)
+				offset, err := x.Append(b.ctx, &wire.Record{Id: "a"})
+				require.NoError(t, err, "the record was read back although the answer was lost")
+				require.Equal(t, uint64(1), offset)
+				again, err := y.Append(b.ctx, &wire.Record{Id: "a"})
+				require.NoError(t, err)
+				require.Equal(t, offset, again, "a repeat answers the first offset")
+				// A repeat that another host has written before it read the first one.
+				_, _ = b.log.Port().Append(b.ctx, [][]byte{must(newEntry(&wire.Record{Id: "a"})).data})
+				b.sleep(time.Second)
+				want := []string{"a"}
+				if mutate {
+					require.NotEqual(t, want, y.ids, "without folding the repeat shows")
+					return
+				}
+				require.Equal(t, want, x.ids)
+				require.Equal(t, want, y.ids)
+			})
+		})
+	}
+}
+
+func must(e *entry, err error) *entry {
+	if err != nil {
+		panic(err)
+	}
+	return e
+}
+
+func TestStreamAppendWhileDownIsNeverWritten(t *testing.T) {
+	run(t, func(b *bench) {
+		x := b.start()
+		b.append(x, "a")
+		b.log.SetDown(true)
+		b.sleep(time.Second)
+		require.False(t, x.IsUp())
+		_, err := x.Append(b.ctx, &wire.Record{Id: "b"})
+		require.ErrorIs(t, err, ErrLogDown)
+		b.log.SetDown(false)
+		b.sleep(time.Minute)
+		require.True(t, x.IsUp())
+		require.Equal(t, []string{"a"}, x.ids)
+		require.Equal(t, uint64(2), b.log.Next())
+		require.Equal(t, 1, x.count(events.LogDown))
+		require.Equal(t, 2, x.count(events.LogUp))
+	})
+}
+
+func TestStreamAppendToSilentLogIsUnknown(t *testing.T) {
+	run(t, func(b *bench) {
+		x := b.start()
+		b.append(x, "a")
+		b.log.SetBlocked(true)
+		ctx, cancel := context.WithTimeout(b.ctx, 400*time.Millisecond)
+		defer cancel()
+		_, err := x.Append(ctx, &wire.Record{Id: "b"})
+		require.ErrorIs(t, err, ErrUnknown)
+		require.NotErrorIs(t, err, ErrLogDown)
+		late, cancel := context.WithTimeout(b.ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err = x.Append(late, &wire.Record{Id: "c"})
+		require.ErrorIs(t, err, ErrLogDown, "c waited behind b and was withdrawn before it was sent")
+		b.sleep(15 * time.Second)
+		require.False(t, x.IsUp(), "a log that does not answer counts as down")
+		b.log.SetBlocked(false)
+		b.sleep(time.Minute)
+		require.True(t, x.IsUp())
+		require.NotContains(t, x.ids, "c")
+	})
+}
+
+func TestStreamSlowLogStaysUsable(t *testing.T) {
+	run(t, func(b *bench) {
+		x, y := b.start(), b.start()
+		b.log.SetSlow(3 * time.Second)
+		b.sleep(time.Minute)
+		downs := x.count(events.LogDown)
+		b.sleep(time.Hour)
+		require.LessOrEqual(t, x.count(events.LogDown)-downs, 1, "a slow log does not go up and down")
+		b.append(x, "a")
+		b.sleep(10 * time.Second)
+		require.Equal(t, []string{"a"}, y.ids)
+	})
+}
+
+func TestStreamFetchesFromPeersWhileDown(t *testing.T) {
+	run(t, func(b *bench) {
+		x := b.start()
+		b.append(x, "a", "b", "c")
+		b.log.SetDown(true)
+		b.sleep(time.Second)
+		y := b.start()
+		b.sleep(3 * time.Second)
+		require.Equal(t, []string{"a", "b", "c"}, y.ids)
+		require.Equal(t, []uint64{1, 2, 3}, y.offs)
+		require.True(t, y.IsCaughtUp())
+		b.log.SetDown(false)
+		b.sleep(3 * time.Second)
+		b.append(y, "d")
+		require.Equal(t, []string{"a", "b", "c", "d"}, x.ids)
+		require.Equal(t, x.ids, y.ids)
+	})
+}
+
+func TestStreamJoinerDoesNotTrustAnEmptyPeer(t *testing.T) {
+	run(t, func(b *bench) {
+		b.log.SetDown(true)
+		x, y := b.start(), b.start()
+		b.sleep(time.Minute)
+		require.False(t, x.IsCaughtUp() || y.IsCaughtUp())
+		b.log.SetDown(false)
+		b.sleep(3 * time.Second)
+		require.True(t, x.IsCaughtUp() && y.IsCaughtUp())
+	})
+}
+
+func TestStreamHintFetchesAtOnce(t *testing.T) {
+	run(t, func(b *bench) {
+		x, y := b.start(), b.start()
+		b.append(x, "a")
+		b.log.SetBlocked(true)
+		b.sleep(15 * time.Second)
+		require.False(t, x.IsUp())
+		// y has read a record that x has not.
+		y.deliver(port.Record{Offset: 2, Data: must(newEntry(&wire.Record{Id: "b"})).data})
+		x.Hint(y.addr, y.Next())
+		synctest.Wait()
+		require.Equal(t, []string{"a", "b"}, x.ids)
+	})
+}
+
+func TestStreamLoadsSnapshotWhenExpired(t *testing.T) {
+	run(t, func(b *bench) {
+		x := b.start()
+		b.append(x, "a", "b", "c")
+		b.log.Expire(3)
+		y := b.start()
+		b.sleep(3 * time.Second)
+		require.Equal(t, []string{"snapshot [a b c]"}, y.ids)
+		require.Empty(t, y.gaps)
+		_, _ = b.log.Port().Append(b.ctx, [][]byte{must(newEntry(&wire.Record{Id: "c"})).data})
+		b.append(x, "d")
+		require.Equal(t, []string{"snapshot [a b c]", "d"}, y.ids, "a repeat of a record before the snapshot is folded")
+	})
+}
+
+func TestStreamTellsGapWhenNobodyHasSnapshot(t *testing.T) {
+	run(t, func(b *bench) {
+		x := b.start()
+		b.append(x, "a", "b", "c")
+		x.stop()
+		synctest.Wait()
+		b.net.Remove(x.addr)
+		b.log.Expire(3)
+		y := b.start()
+		b.sleep(3 * time.Second)
+		require.Equal(t, []string{"c"}, y.ids)
+		require.Equal(t, [][2]uint64{{1, 3}}, y.gaps)
+		require.True(t, y.IsCaughtUp())
+	})
+}
+
+func TestStreamShorterLogIsAnAlarmAndNeverReverts(t *testing.T) {
+	for name, mutate := range map[string]bool{"held": false, "mutation trusts the log": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				x := b.start()
+				x.trustsLog = mutate
+				b.append(x, "a", "b", "c")
+				b.log.SetDown(true)
+				b.sleep(time.Second)
+				b.log.Truncate(2)
+				b.log.SetDown(false)
+				b.sleep(5 * time.Second)
+				for _, id := range []string{"p", "q", "r"} {
+					_, _ = b.log.Port().Append(b.ctx, [][]byte{must(newEntry(&wire.Record{Id: id})).data})
+				}
+				b.sleep(5 * time.Second)
+				if mutate {
+					require.Contains(t, x.ids, "r", "without the check the stream goes on as if nothing were lost")
+					return
+				}
+				require.Equal(t, []string{"a", "b", "c"}, x.ids)
+				require.Equal(t, 1, x.count(events.ConfigAlarm))
+				require.False(t, x.IsUp())
+				_, err := x.Append(b.ctx, &wire.Record{Id: "d"})
+				require.ErrorIs(t, err, ErrLogDown)
+			})
+		})
+	}
+}
+
+func TestStreamWritesBacklogAtBoundedRate(t *testing.T) {
+	run(t, func(b *bench) {
+		var hs []*hub
+		for range 4 {
+			hs = append(hs, b.start(WithBacklogBytes(32<<10)))
+		}
+		b.log.SetDown(true)
+		b.sleep(time.Second)
+		var full int
+		for i := range 2000 {
+			for j, h := range hs {
+				if err := h.Queue(&wire.Record{Id: fmt.Sprintf("%d-%d", j, i), Host: "host-with-a-name"}); err != nil {
+					require.ErrorIs(t, err, ErrBacklogFull)
+					full++
+				}
+			}
+		}
+		require.Positive(t, full, "the backlog is bounded")
+		waiting := hs[0].Backlog()
+		require.Greater(t, waiting, 1000)
+		b.sleep(time.Hour)
+		b.log.SetDown(false)
+		b.sleep(2 * time.Minute)
+		for _, h := range hs {
+			require.Zero(t, h.Backlog())
+			require.Len(t, h.ids, 4*waiting)
+		}
+		most := mostPerSecond(b.log.Appends())
+		t.Logf("%d records of 4 hosts were written by %d appends, at most %d in one second",
+			4*waiting, len(b.log.Appends()), most)
+		require.LessOrEqual(t, most, 4)
+	})
+}
+
+func mostPerSecond(ts []time.Time) int {
+	most := 0
+	for i, t := range ts {
+		j, _ := slices.BinarySearchFunc(ts, t.Add(time.Second), time.Time.Compare)
+		most = max(most, j-i)
+	}
+	return most
+}
+
+func TestStreamOrderUnderRandomDelays(t *testing.T) {
+	for seed := range 24 {
+		run(t, func(b *bench) {
+			x, y, z := b.start(), b.start(), b.start()
+			b.net.Delay = func(_, to netip.AddrPort) time.Duration {
+				return time.Duration((seed*7919+int(to.Addr().As4()[3])*104729)%90) * time.Millisecond
+			}
+			for i := range 30 {
+				h := []*hub{x, y, z}[(seed+i*i)%3]
+				b.log.SetLossy((seed+i)%4 == 0)
+				b.log.SetDown((seed+i)%7 == 3)
+				id := fmt.Sprintf("%d", i)
+				_ = h.Queue(&wire.Record{Id: id})
+				ctx, cancel := context.WithTimeout(b.ctx, 100*time.Millisecond)
+				_, _ = h.Append(ctx, &wire.Record{Id: id})
+				cancel()
+			}
+			b.log.SetDown(false)
+			b.log.SetLossy(false)
+			b.sleep(5 * time.Minute)
+			require.Equal(t, x.ids, y.ids, "seed %d", seed)
+			require.Equal(t, x.ids, z.ids, "seed %d", seed)
+			require.Len(t, x.ids, 30, "seed %d", seed)
+		})
+	}
+}
