Keep the owner's lease below the suspicion of its peers

Cause: a new owner may act once its peers suspect the old one, so the old lease has to have ended by then. Change: default 800ms instead of 1500ms, and a fault that names both keys when Lease is not below Suspect. Proved by: TestOwnerLeaseStaysBelowSuspect.

--- a/internal/setup/owner.go
+++ b/internal/setup/owner.go
@@ -9,5 +9,5 @@
 }
 
 func loadOwner(s *section) Owner {
-	return Owner{Lease: s.duration("Lease", 1500*time.Millisecond, 50*time.Millisecond, time.Minute)}
+	return Owner{Lease: s.duration("Lease", 800*time.Millisecond, 50*time.Millisecond, time.Minute)}
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -92,6 +92,10 @@
 	if s.Owner.Lease <= s.Membership.Heartbeat {
 		r.fault("Owner", "Lease", "%s is not above the heartbeat of %s", s.Owner.Lease, s.Membership.Heartbeat)
 	}
+	if s.Owner.Lease >= s.Membership.Suspect {
+		r.fault("Owner", "Lease", "%s is not below [Membership] Suspect, %s; a new owner would act beside the old one",
+			s.Owner.Lease, s.Membership.Suspect)
+	}
 	if s.Worker.Lease <= s.Owner.Lease {
 		r.fault("Worker", "Lease", "%s is not above the owner's lease of %s", s.Worker.Lease, s.Owner.Lease)
 	}
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -113,6 +113,11 @@
 	}
 }
 
+func TestOwnerLeaseStaysBelowSuspect(t *testing.T) {
+	_, err := Parse([]byte(required + "[Owner]\nLease = 900ms\n"))
+	require.ErrorContains(t, err, "[Owner] Lease: 900ms is not below [Membership] Suspect, 900ms")
+}
+
 func TestLoadSaysWhichFileIsMissing(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "none.ini")
 	_, err := Load(path)
