--- a/internal/state/config/apply.go
+++ b/internal/state/config/apply.go
@@ -58,7 +58,7 @@
 	if ch.Reason == "" || len(ch.Reason) > MaxText {
 		x.add("reason is empty or longer than %d bytes", MaxText)
 	}
-	if len(ch.Items) == 0 || len(ch.Items) > MaxItems {
+	if (len(ch.Items) == 0 && ch.Apply == "") || len(ch.Items) > MaxItems {
 		x.add("%d items are not between 1 and %d", len(ch.Items), MaxItems)
 	}
 	type ref struct {
@@ -97,11 +97,51 @@
 			s.Version = version
 			return s.Name
 		})
+	case KindPlanned:
+		if !i.Remove {
+			return fmt.Errorf("planned change %s can only be removed", i.Name)
+		}
+		delete(c.Planned, i.Name)
+		return nil
 	default:
 		return fmt.Errorf("kind %q of %s is not Profile, Organisation or Stop", i.Kind, i.Name)
 	}
 }
 
+// plan keeps an accepted change for later instead of putting it in force.
+func (c Config) plan(ch Change) (Config, error) {
+	if len(c.Planned) >= MaxPlanned {
+		return c, ErrInvalid{Problems: []string{fmt.Sprintf("%d changes are planned already", len(c.Planned))}}
+	}
+	n := c.clone()
+	n.Planned[ch.ID] = ch
+	return n, nil
+}
+
+// putPlanned puts a planned change in force and forgets the plan, whether or not it still fits.
+func (c Config) putPlanned(id string, offset uint64) (Config, error) {
+	ch, ok := c.Planned[id]
+	if !ok {
+		return c, ErrInvalid{Problems: []string{fmt.Sprintf("planned change %s does not exist", id)}}
+	}
+	c = c.clone()
+	delete(c.Planned, id)
+	ch.Offset = offset
+	return c.WithChange(ch)
+}
+
+// settle returns the configuration after the change, which is put in force, planned or refused.
+func (c Config) settle(ch Change) (Config, error) {
+	if ch.Apply != "" {
+		return c.putPlanned(ch.Apply, ch.Offset)
+	}
+	n, err := c.WithChange(ch)
+	if err != nil || !ch.From.After(ch.At) {
+		return n, err
+	}
+	return c.plan(ch)
+}
+
 type checker interface {
 	Check() error
 }
--- a/internal/state/config/change.go
+++ b/internal/state/config/change.go
@@ -16,6 +16,8 @@
 	KindProfile      Kind = "Profile"
 	KindOrganisation Kind = "Organisation"
 	KindStop         Kind = "Stop"
+	// KindPlanned is a planned change, named by its id; it can only be removed.
+	KindPlanned Kind = "Planned"
 )
 
 // Item sets or removes one resource.
@@ -36,6 +38,10 @@
 	Operator string
 	Reason   string
 	Items    []Item
+	// From is when a planned change takes effect; zero means at once.
+	From time.Time
+	// Apply is the id of the planned change that this one puts in force.
+	Apply string `json:",omitempty"`
 	// Conflict is set when another change had won.
 	Conflict *ErrVersionConflict `json:",omitempty"`
 	// Problems are set when the change does not fit.
@@ -107,7 +113,10 @@
 
 // NewRecord returns the log record of a change.
 func NewRecord(c Change) *wire.Record {
-	w := &wire.ConfigChange{Operator: c.Operator, Reason: c.Reason}
+	w := &wire.ConfigChange{Operator: c.Operator, Reason: c.Reason, Apply: c.Apply}
+	if !c.From.IsZero() {
+		w.FromUnixMillis = c.From.UnixMilli()
+	}
 	for _, i := range c.Items {
 		w.Items = append(w.Items, &wire.ConfigItem{
 			Kind:    string(i.Kind),
@@ -128,6 +137,10 @@
 		At:       at,
 		Operator: w.GetOperator(),
 		Reason:   w.GetReason(),
+		Apply:    w.GetApply(),
+	}
+	if w.GetFromUnixMillis() != 0 {
+		c.From = time.UnixMilli(w.GetFromUnixMillis()).UTC()
 	}
 	for _, i := range w.GetItems() {
 		c.Items = append(c.Items, Item{
--- a/internal/state/config/check.go
+++ b/internal/state/config/check.go
@@ -16,6 +16,8 @@
 	MaxGuarantees = 1024
 	// MaxGangs bounds the gangs of one guarantee, the tasks of a gang and the accelerators and processors of a task.
 	MaxGangs = 10_000
+	// MaxPlanned bounds the changes that wait for their time.
+	MaxPlanned = 1024
 	// MaxText bounds reasons and operators' names, in bytes.
 	MaxText = 1024
 	// MaxWait bounds waits, run times and notices.
--- a/internal/state/config/config.go
+++ b/internal/state/config/config.go
@@ -10,6 +10,8 @@
 	Organisations map[string]Organisation
 	Stops         map[string]Stop
 	Notices       map[string]Notice
+	// Planned are accepted changes whose time has not come, by change id.
+	Planned map[string]Change
 }
 
 func newConfig() Config {
@@ -18,6 +20,7 @@
 		Organisations: map[string]Organisation{},
 		Stops:         map[string]Stop{},
 		Notices:       map[string]Notice{},
+		Planned:       map[string]Change{},
 	}
 }
 
@@ -29,6 +32,7 @@
 		Organisations: maps.Clone(c.Organisations),
 		Stops:         maps.Clone(c.Stops),
 		Notices:       maps.Clone(c.Notices),
+		Planned:       maps.Clone(c.Planned),
 	}
 }
 
@@ -41,6 +45,8 @@
 		return c.Organisations[name].Version
 	case KindStop:
 		return c.Stops[name].Version
+	case KindPlanned:
+		return c.Planned[name].Offset
 	default:
 		return 0
 	}
--- a/internal/state/config/notice.go
+++ b/internal/state/config/notice.go
@@ -63,7 +63,7 @@
 }
 
 func (s *State) foldNotice(e entry, w *wire.NoticeChange) bool {
-	ns, err := s.config.withNotice(e.at.UTC(), w)
+	ns, err := s.config.withNotice(e.at, w)
 	if err != nil {
 		s.raise(AlarmSkipped, e.offset, err.Error())
 		return false
--- a/internal/state/config/snapshot.go
+++ b/internal/state/config/snapshot.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 )
 
 // snapshotLimit bounds a decoded snapshot, in bytes.
@@ -80,6 +82,33 @@
 	return nil
 }
 
+// TakeSnapshot fills in the configuration's part of a reply to a peer.
+func (s *State) TakeSnapshot(r *wire.SnapshotReply) error {
+	w, err := s.Snapshot()
+	if err != nil {
+		return err
+	}
+	r.Config, err = proto.Marshal(w)
+	if err != nil {
+		return fmt.Errorf("take snapshot: %w", err)
+	}
+	return nil
+}
+
+// LoadSnapshot takes in the configuration's part of a peer's reply, unless a newer configuration is in force.
+func (s *State) LoadSnapshot(r *wire.SnapshotReply) error {
+	var w wire.ConfigSnapshot
+	if err := proto.Unmarshal(r.GetConfig(), &w); err != nil {
+		return fmt.Errorf("load snapshot of a peer: %w", err)
+	}
+	err := s.Load(&w)
+	var older ErrOlder
+	if errors.As(err, &older) {
+		return nil
+	}
+	return err
+}
+
 func (s *State) markSnapshot(e entry) {
 	s.newest = SnapshotMark{Offset: e.offset, At: e.at}
 }
@@ -143,7 +172,8 @@
 	if err := json.NewDecoder(l).Decode(&j); err != nil {
 		return j, fmt.Errorf("decode: %w", err)
 	}
-	if j.Config.Profiles == nil || j.Config.Organisations == nil || j.Config.Stops == nil || j.Config.Notices == nil {
+	c := j.Config
+	if c.Profiles == nil || c.Organisations == nil || c.Stops == nil || c.Notices == nil || c.Planned == nil {
 		return j, ErrInvalid{Problems: []string{"snapshot lacks a kind of resource"}}
 	}
 	return j, nil
--- a/internal/state/config/state.go
+++ b/internal/state/config/state.go
@@ -130,6 +130,18 @@
 	s.unlock(false)
 }
 
+// Begin notes that the log was read from its start, so that a log without records is complete.
+func (s *State) Begin() {
+	s.mu.Lock()
+	s.begun = true
+	s.unlock(false)
+}
+
+// Gap notes that the records from an offset up to but without first have expired unread.
+func (s *State) Gap(from, first uint64) {
+	s.Observe(Range{From: from, First: first, Next: first})
+}
+
 func (s *State) observe(r Range) {
 	s.begun = true
 	if r.First > s.next && r.First > s.hole {
@@ -146,7 +158,8 @@
 // Fold takes in one record; records that were folded in before are passed over.
 func (s *State) Fold(offset uint64, at time.Time, r *wire.Record) {
 	s.mu.Lock()
-	changed := s.fold(entry{offset: offset, at: at, record: r})
+	// Peers pass times on in milliseconds, so no host may keep more.
+	changed := s.fold(entry{offset: offset, at: time.UnixMilli(at.UnixMilli()).UTC(), record: r})
 	s.unlock(changed)
 }
 
@@ -229,11 +242,11 @@
 
 func (s *State) foldChange(e entry) bool {
 	ch := newChange(e.offset, e.at, e.record)
-	ch.At = ch.At.UTC()
 	if _, ok := s.history.get(ch.ID); ok {
 		return false
 	}
-	c, err := s.config.WithChange(ch)
+	c, err := s.config.settle(ch)
+	s.config = c
 	var conflict ErrVersionConflict
 	var invalid ErrInvalid
 	switch {
@@ -243,8 +256,6 @@
 	case errors.As(err, &invalid):
 		ch.Problems = invalid.Problems
 		s.raise(AlarmSkipped, e.offset, err.Error())
-	default:
-		s.config = c
 	}
 	s.config.Offset = e.offset + 1
 	s.history.add(ch)
--- a/internal/state/config/state_test.go
+++ b/internal/state/config/state_test.go
@@ -286,3 +286,39 @@
 	require.True(t, errors.As(p.Check(), &e))
 	require.Len(t, e.Problems, 3)
 }
+
+func TestFoldPlannedChange(t *testing.T) {
+	planned := func(id string, from time.Time, items ...Item) *wire.Record {
+		return NewRecord(Change{ID: id, Operator: "ann", Reason: "later", From: from, Items: items})
+	}
+	apply := func(id string) *wire.Record {
+		return NewRecord(Change{ID: "apply/" + id, Operator: "ann", Reason: "later", Apply: id})
+	}
+	s := New()
+	fold(s, 1,
+		change("a", "ann", orgItem(t, "registry", 1, 0)),
+		planned("b", at(100), orgItem(t, "registry", 2, 1)),
+		planned("c", at(100), orgItem(t, "registry", 3, 1)),
+		planned("d", at(100), orgItem(t, "registry", 4, 1)),
+		planned("late", at(2), orgItem(t, "audits", 4, 0)),
+		change("undo", "bob", Item{Kind: KindPlanned, Name: "d", Version: 4, Remove: true}),
+	)
+	require.Equal(t, 1, s.Config().Organisations["registry"].Weight)
+	require.Equal(t, 4, s.Config().Organisations["audits"].Weight, "a time that has passed means at once")
+	require.Len(t, s.Config().Planned, 2)
+	w, err := s.Snapshot()
+	require.NoError(t, err)
+	restarted := New()
+	require.NoError(t, restarted.Load(w))
+	require.Equal(t, s.Config(), restarted.Config())
+	for _, x := range []*State{s, restarted} {
+		fold(x, 7, apply("b"), apply("b"), apply("c"), apply("d"))
+		require.Equal(t, Organisation{Name: "registry", Weight: 2, Version: 7}, x.Config().Organisations["registry"])
+		require.Empty(t, x.Config().Planned)
+		for id, isAccepted := range map[string]bool{"b": true, "apply/b": true, "apply/c": false, "apply/d": false} {
+			c, ok := x.GetChange(id)
+			require.True(t, ok)
+			require.Equal(t, isAccepted, c.IsAccepted(), id)
+		}
+	}
+}
