Track hosts by heartbeats and digests, with the platform's list as a hint

Cause: the platform's list lags or freezes, hosts come and go without a word, and a host without disk that joins while the platform is down knows nobody.

Ruled out: heartbeats both ways on every pair (twice the bytes for the same signs of life); full membership lists between failure domains (digests leave members out where the receiver holds them); taking the list for the truth (mutation trustsList hides new hosts and shows dead ones).

Change: Members with one goroutine per contact and per other failure domain, suspicion at 0.9 s and removal at 3 s, own pauses not counted as silence of others (mutation ignoresPause: the woken host sees nobody live), listing and digests passed on to joiners, incarnations against late heartbeats.

--- /dev/null
+++ b/internal/coordination/member/listing.go
@@ -0,0 +1,215 @@
+package member
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+)
+
+const (
+	listTimeout = 3 * time.Second
+	// freshFor is how long a listing counts as fresh, and the least time between two requests of one from a peer.
+	freshFor = time.Minute
+	// youngerBy is how much younger a listing must be to be worth passing on.
+	youngerBy = 10 * time.Second
+	// keepWorker is how long a worker that is no longer listed is kept as leaving.
+	keepWorker = 5 * time.Minute
+)
+
+// listing is the newest list of the platform, as read or passed on by a peer.
+type listing struct {
+	at      time.Time
+	hosts   []port.Host
+	workers map[string]listedWorker
+	leaving map[string]bool
+}
+
+type listedWorker struct {
+	fleet.Worker
+	lastListed time.Time
+}
+
+// Workers returns the workers of the own failure domain; one that is no longer listed is Leaving for a while.
+func (m *Members) Workers() []fleet.Worker {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ws []fleet.Worker
+	for _, w := range m.listing.workers {
+		if w.Domain == m.self.Domain {
+			ws = append(ws, w.Worker)
+		}
+	}
+	return ws
+}
+
+func (m *Members) listLoop(ctx context.Context) {
+	if m.hosts.List == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		m.readList(ctx)
+		_ = m.clock.Sleep(ctx, m.listEvery)
+	}
+}
+
+func (m *Members) readList(ctx context.Context) {
+	c, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	start := m.clock.Now()
+	l, err := m.hosts.List(c)
+	if err != nil {
+		m.scope.Counter("list_errors").Inc(1)
+		return
+	}
+	m.apply(l, start)
+}
+
+// apply takes a list in that was true at a time; an empty one after a full one is a fault of the platform.
+func (m *Members) apply(l port.Listing, at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at.Before(m.listing.at) || (len(l.Hosts) == 0 && len(l.Workers) == 0 && !m.listing.at.IsZero()) {
+		m.scope.Counter("lists_ignored").Inc(1)
+		return
+	}
+	next := listing{at: at, hosts: l.Hosts, workers: make(map[string]listedWorker), leaving: make(map[string]bool)}
+	for _, w := range l.Workers {
+		next.workers[w.Name] = listedWorker{Worker: w, lastListed: at}
+	}
+	for name, w := range m.listing.workers {
+		if _, ok := next.workers[name]; !ok && at.Sub(w.lastListed) < keepWorker {
+			w.Leaving = true
+			next.workers[name] = w
+		}
+	}
+	for _, h := range l.Hosts {
+		if h.Leaving {
+			next.leaving[h.Name] = true
+		}
+		m.learn(h.Addr, h.Name, h.Domain, at)
+	}
+	m.listing = next
+	m.learnDomains()
+	if m.trustsList {
+		m.dropUnlisted(l.Hosts)
+	}
+}
+
+func (m *Members) dropUnlisted(hs []port.Host) {
+	listed := make(map[string]bool)
+	for _, h := range hs {
+		listed[h.Name] = true
+	}
+	for name, p := range m.peers {
+		p.isRemoved = !listed[name]
+	}
+}
+
+func (m *Members) isListingFresh() bool {
+	return !m.listing.at.IsZero() && m.clock.Since(m.listing.at) < freshFor
+}
+
+// wantListing reports whether a heartbeat to p should ask for its listing, and the age that it must beat.
+func (m *Members) wantListing(p *peer) (bool, int64) {
+	if m.isListingFresh() {
+		return false, 0
+	}
+	now := m.clock.Now()
+	if m.listing.at.IsZero() {
+		return true, 0
+	}
+	if p == nil || now.Sub(p.hadListing) < freshFor {
+		return false, 0
+	}
+	p.hadListing = now
+	return true, now.Sub(m.listing.at).Milliseconds()
+}
+
+// giveListing passes the listing on with the hosts that heartbeats and digests have shown, unless it is too old.
+func (m *Members) giveListing(ageMillis int64) *wire.Listing {
+	if m.listing.at.IsZero() {
+		return nil
+	}
+	age := m.clock.Since(m.listing.at)
+	if ageMillis > 0 && age.Milliseconds()+youngerBy.Milliseconds() > ageMillis {
+		return nil
+	}
+	l := &wire.Listing{AgeMillis: age.Milliseconds()}
+	for _, h := range m.listing.hosts {
+		s := Ready
+		if h.Leaving {
+			s = Leaving
+		}
+		l.Hosts = append(l.Hosts, wireMember(Member{Name: h.Name, Domain: h.Domain, Addr: h.Addr, State: s}, true))
+	}
+	for _, p := range m.peers {
+		l.Hosts = append(l.Hosts, wireMember(p.Member, true))
+	}
+	for _, v := range m.views {
+		for _, o := range v.Members {
+			l.Hosts = append(l.Hosts, wireMember(o, true))
+		}
+	}
+	for _, w := range m.listing.workers {
+		l.Workers = append(l.Workers, wireWorker(w.Worker))
+	}
+	return l
+}
+
+// takeListing takes the listing of a peer in.
+func (m *Members) takeListing(l *wire.Listing) {
+	if l == nil {
+		return
+	}
+	m.scope.Counter("listings_taken").Inc(1)
+	var p port.Listing
+	seen := make(map[string]bool)
+	for _, h := range l.GetHosts() {
+		a, err := netip.ParseAddrPort(h.GetAddr())
+		if err != nil || seen[h.GetName()] {
+			continue
+		}
+		seen[h.GetName()] = true
+		isLeaving := h.GetState() == string(Leaving)
+		p.Hosts = append(p.Hosts, port.Host{Name: h.GetName(), Domain: h.GetDomain(), Addr: a, Leaving: isLeaving})
+	}
+	for _, w := range l.GetWorkers() {
+		p.Workers = append(p.Workers, fleetWorker(w))
+	}
+	m.apply(p, m.clock.Now().Add(-time.Duration(l.GetAgeMillis())*time.Millisecond))
+}
+
+func wireWorker(w fleet.Worker) *wire.WorkerInfo {
+	return &wire.WorkerInfo{
+		Name:         w.Name,
+		Domain:       w.Domain,
+		Rack:         w.Rack,
+		Addr:         w.Addr.String(),
+		Slots:        int32(w.Slots),
+		Connections:  int32(w.Connections),
+		Accelerators: int32(w.Accelerators),
+		Processors:   int32(w.Processors),
+		MemoryBytes:  int64(w.Memory),
+		Leaving:      w.Leaving,
+	}
+}
+
+func fleetWorker(w *wire.WorkerInfo) fleet.Worker {
+	a, _ := netip.ParseAddrPort(w.GetAddr())
+	return fleet.Worker{
+		Name:         w.GetName(),
+		Domain:       w.GetDomain(),
+		Rack:         w.GetRack(),
+		Addr:         a,
+		Slots:        int(w.GetSlots()),
+		Connections:  int(w.GetConnections()),
+		Accelerators: int(w.GetAccelerators()),
+		Processors:   int(w.GetProcessors()),
+		Memory:       fleet.Bytes(w.GetMemoryBytes()),
+		Leaving:      w.GetLeaving(),
+	}
+}
--- /dev/null
+++ b/internal/coordination/member/member_test.go
@@ -0,0 +1,435 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/clock"
+	"github.com/auburncleat/auburncleat/internal/coordination/nettest"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+)
+
+// bench is a set of hosts that share a network and a platform's list.
+type bench struct {
+	t     *testing.T
+	ctx   context.Context
+	net   *nettest.Net
+	hosts []*host
+	// list is what the platform answers; nil means that it is down.
+	list atomic.Pointer[port.Listing]
+}
+
+type host struct {
+	*Members
+	addr   netip.AddrPort
+	cancel context.CancelFunc
+}
+
+func run(t *testing.T, f func(b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		b := &bench{t: t, ctx: ctx, net: nettest.New()}
+		f(b)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func (b *bench) addr() netip.AddrPort {
+	n := len(b.hosts) + 1
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 4000)
+}
+
+// start runs a host; its seeds are the hosts that were started before it.
+func (b *bench) start(name, domain string, opts ...Option) *host {
+	h := &host{addr: b.addr()}
+	var seeds []netip.AddrPort
+	for _, o := range b.hosts {
+		seeds = append(seeds, o.addr)
+	}
+	return b.run(h, name, domain, append([]Option{WithSeeds(seeds...)}, opts...))
+}
+
+func (b *bench) run(h *host, name, domain string, opts []Option) *host {
+	b.hosts = append(b.hosts, h)
+	list := func(context.Context) (port.Listing, error) {
+		if l := b.list.Load(); l != nil {
+			return *l, nil
+		}
+		return port.Listing{}, errors.New("platform is down")
+	}
+	all := []Option{
+		WithSelf(name, domain, h.addr), WithPeers(b.net.Peers(h.addr)), WithHosts(port.Hosts{List: list}),
+		WithClock(b.net.Pause(h.addr).Clock()),
+	}
+	h.Members = New(append(all, opts...)...)
+	h.SetState(Ready)
+	nettest.Serve(b.net, h.addr, "Peer.Heartbeat", h.Heartbeat)
+	nettest.Serve(b.net, h.addr, "Peer.Digest", h.Digest)
+	ctx, cancel := context.WithCancel(b.ctx)
+	h.cancel = cancel
+	go func() { _ = h.Run(ctx) }()
+	return h
+}
+
+func (b *bench) kill(h *host) {
+	h.cancel()
+	b.net.Remove(h.addr)
+}
+
+func (b *bench) sleep(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// names lists the live hosts of a domain as h sees them, with a mark on those that get no new work.
+func (h *host) names(domain string) []string {
+	var ns []string
+	for _, m := range h.Live(domain) {
+		n := m.Name
+		if !m.IsUsable() {
+			n += "!"
+		}
+		ns = append(ns, n)
+	}
+	return ns
+}
+
+func workers(domain string, n int) []fleet.Worker {
+	var ws []fleet.Worker
+	for i := range n {
+		ws = append(ws, fleet.Worker{
+			Name: fmt.Sprintf("%s-worker-%03d", domain, i), Domain: domain, Rack: fmt.Sprint("rack-", i/8),
+			Addr:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 80),
+			Slots: 8, Connections: 64, Accelerators: 8, Processors: 128, Memory: 512 * fleet.Gigabyte,
+		})
+	}
+	return ws
+}
+
+func TestMembersSuspectBeforeTheyRemove(t *testing.T) {
+	run(t, func(b *bench) {
+		x, y, z := b.start("x", "north"), b.start("y", "north"), b.start("z", "north")
+		b.sleep(3 * time.Second)
+		for _, h := range b.hosts {
+			require.Equal(t, []string{"x", "y", "z"}, h.names("north"))
+		}
+		b.kill(z)
+		b.sleep(time.Second + 300*time.Millisecond)
+		require.Equal(t, []string{"x", "y", "z!"}, x.names("north"), "suspected within 1.3 s, not removed")
+		require.Equal(t, []string{"x", "y", "z!"}, y.names("north"))
+		b.sleep(2 * time.Second)
+		require.Equal(t, []string{"x", "y"}, x.names("north"))
+		require.Equal(t, []string{"x", "y"}, y.names("north"))
+	})
+}
+
+func TestMembersPausedHostSuspectsNobody(t *testing.T) {
+	for name, mutate := range map[string]bool{"pause is noticed": false, "mutation ignores the pause": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				b.net.Delay = func(netip.AddrPort, netip.AddrPort) time.Duration { return 20 * time.Millisecond }
+				x := b.start("x", "north")
+				y := b.start("y", "north")
+				z := b.start("z", "north")
+				x.ignoresPause = mutate
+				b.sleep(3 * time.Second)
+				p := b.net.Pause(x.addr)
+				p.Stop()
+				b.sleep(30 * time.Second)
+				require.Equal(t, []string{"y", "z"}, y.names("north"))
+				// The moment between waking and the first heartbeat is what counts.
+				b.net.Silence(y.addr, x.addr, true)
+				b.net.Silence(z.addr, x.addr, true)
+				b.sleep(time.Second)
+				p.Resume()
+				b.sleep(10 * time.Millisecond)
+				b.net.Silence(y.addr, x.addr, false)
+				b.net.Silence(z.addr, x.addr, false)
+				if mutate {
+					require.NotEqual(t, []string{"x", "y", "z"}, x.names("north"))
+					return
+				}
+				require.Equal(t, []string{"x", "y", "z"}, x.names("north"))
+				b.sleep(3 * time.Second)
+				require.Equal(t, []string{"x", "y", "z"}, x.names("north"))
+				require.Equal(t, []string{"x", "y", "z"}, y.names("north"))
+			})
+		})
+	}
+}
+
+func TestMembersLeavingGetsNoNewWork(t *testing.T) {
+	run(t, func(b *bench) {
+		x, y, z := b.start("x", "north"), b.start("y", "north"), b.start("z", "north")
+		b.list.Store(&port.Listing{Hosts: []port.Host{{Name: "x", Domain: "north", Addr: x.addr}}, Workers: workers("north", 2)})
+		b.sleep(6 * time.Second)
+		z.Leave(b.ctx)
+		synctest.Wait()
+		require.Equal(t, []string{"x", "y", "z!"}, x.names("north"), "told at once")
+		require.Equal(t, []string{"x", "y", "z!"}, y.names("north"))
+		b.list.Store(&port.Listing{Hosts: []port.Host{{Name: "y", Domain: "north", Addr: y.addr, Leaving: true}}, Workers: workers("north", 1)})
+		b.sleep(6 * time.Second)
+		require.Equal(t, []string{"x", "y!", "z!"}, x.names("north"), "the list is a sign too")
+		require.Equal(t, Leaving, y.Self().State)
+		for _, w := range x.Workers() {
+			require.Equal(t, w.Name == "north-worker-001", w.Leaving, "a worker that is no longer listed is leaving")
+		}
+		b.list.Store(&port.Listing{})
+		b.sleep(time.Minute)
+		require.Len(t, x.Workers(), 2, "an empty list is a fault")
+	})
+}
+
+func TestMembersJoinerLearnsFromPeersWhilePlatformIsDown(t *testing.T) {
+	run(t, func(b *bench) {
+		x := b.start("x", "north")
+		s := b.start("s", "south")
+		b.list.Store(&port.Listing{
+			Hosts: []port.Host{
+				{Name: "x", Domain: "north", Addr: x.addr},
+				{Name: "s", Domain: "south", Addr: s.addr},
+			},
+			Workers: append(workers("north", 480), workers("south", 10)...),
+		})
+		b.sleep(6 * time.Second)
+		b.list.Store(nil)
+		h := &host{addr: b.addr()}
+		j := b.run(h, "j", "north", []Option{WithSeeds(x.addr)})
+		b.sleep(2 * time.Second)
+		require.Equal(t, []string{"j", "x"}, j.names("north"))
+		require.Len(t, j.Workers(), 480)
+		require.Equal(t, []string{"s"}, j.names("south"))
+		k := &host{addr: b.addr()}
+		o := b.run(k, "o", "south", []Option{WithSeeds(s.addr)})
+		b.sleep(4 * time.Second)
+		require.Len(t, o.Workers(), 10)
+		require.Equal(t, []string{"j", "x"}, o.names("north"), "known through a digest")
+	})
+}
+
+func TestMembersFrozenListDoesNotHideHosts(t *testing.T) {
+	for name, mutate := range map[string]bool{"list is a hint": false, "mutation trusts the list": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				x, y := b.start("x", "north"), b.start("y", "north")
+				x.trustsList = mutate
+				b.list.Store(&port.Listing{Hosts: []port.Host{
+					{Name: "x", Domain: "north", Addr: x.addr},
+					{Name: "y", Domain: "north", Addr: y.addr},
+				}})
+				b.sleep(10 * time.Second)
+				b.kill(y)
+				z := b.start("z", "north")
+				b.sleep(30 * time.Second)
+				seen := 0
+				for range 20 {
+					b.sleep(50 * time.Millisecond)
+					if fmt.Sprint(x.names("north")) == "[x z]" {
+						seen++
+					}
+				}
+				if mutate {
+					x.readList(b.ctx)
+					require.NotEqual(t, []string{"x", "z"}, x.names("north"), "the frozen list hides z and shows y")
+					return
+				}
+				require.Equal(t, 20, seen)
+				require.Equal(t, []string{"x", "z"}, z.names("north"))
+			})
+		})
+	}
+}
+
+func TestMembersAllHostsReplacedOneByOne(t *testing.T) {
+	run(t, func(b *bench) {
+		for i := range 8 {
+			b.start(fmt.Sprintf("h%d", i), "north")
+		}
+		b.list.Store(&port.Listing{Workers: workers("north", 20)})
+		b.sleep(6 * time.Second)
+		b.list.Store(nil)
+		for i := range 8 {
+			b.hosts[i].Leave(b.ctx)
+			b.kill(b.hosts[i])
+			h := &host{addr: b.addr()}
+			b.run(h, fmt.Sprintf("n%d", i), "north", []Option{WithSeeds(b.hosts[i+1].addr)})
+			b.sleep(7 * time.Second)
+		}
+		for _, h := range b.hosts[8:] {
+			require.Equal(t, []string{"n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7"}, h.names("north"))
+			require.Len(t, h.Workers(), 20)
+		}
+	})
+}
+
+func TestMembersRestartedHostReplacesItsEarlierProcess(t *testing.T) {
+	run(t, func(b *bench) {
+		x, y := b.start("x", "north"), b.start("y", "north")
+		b.sleep(2 * time.Second)
+		b.kill(y)
+		old := y.Self()
+		b.sleep(500 * time.Millisecond)
+		again := b.start("y", "north")
+		again.SetState(Joining)
+		b.sleep(2 * time.Second)
+		require.Equal(t, []string{"x", "y!"}, x.names("north"))
+		require.Equal(t, again.addr, x.Peers()[0].Addr)
+		late := &wire.Heartbeat{From: wireMember(old, true), Owner: true}
+		require.NoError(t, x.Heartbeat(b.ctx, late, &wire.HeartbeatReply{}))
+		require.Equal(t, Joining, x.Peers()[0].State, "a late heartbeat of the earlier process is ignored")
+		require.False(t, x.Peers()[0].Ownership.IsOwner)
+	})
+}
+
+func TestMembersDigestsReachEveryHost(t *testing.T) {
+	run(t, func(b *bench) {
+		var offset atomic.Uint64
+		offset.Store(7)
+		for _, d := range []string{"a", "b", "c"} {
+			for i := range 3 {
+				b.start(fmt.Sprintf("%s%d", d, i), d, WithConfigOffset(offset.Load),
+					WithSummary(func(w *wire.Digest) { w.FreeAccelerators = 40 }))
+			}
+		}
+		b.sleep(10 * time.Second)
+		for _, h := range b.hosts {
+			for _, d := range []string{"a", "b", "c"} {
+				require.Equal(t, []string{d + "0", d + "1", d + "2"}, h.names(d), "%s sees %s", h.self.Name, d)
+			}
+			for _, v := range h.FindDomains() {
+				require.Equal(t, 40, v.FreeAccelerators)
+				require.Equal(t, uint64(7), v.ConfigOffset)
+			}
+		}
+		b.kill(b.hosts[0])
+		offset.Store(8)
+		b.sleep(9 * time.Second)
+		for _, h := range b.hosts[3:] {
+			require.Equal(t, []string{"a1", "a2"}, h.names("a"))
+			require.Equal(t, uint64(8), h.FindDomains()[0].ConfigOffset, "known everywhere within 9 s")
+		}
+	})
+}
+
+func TestMembersCutAndHealedLink(t *testing.T) {
+	run(t, func(b *bench) {
+		x, y, z := b.start("x", "north"), b.start("y", "north"), b.start("z", "north")
+		b.sleep(3 * time.Second)
+		b.net.Cut(x.addr, y.addr, true)
+		b.sleep(time.Hour)
+		require.Equal(t, []string{"x", "z"}, x.names("north"))
+		require.Equal(t, []string{"x", "y", "z"}, z.names("north"))
+		b.net.Cut(x.addr, y.addr, false)
+		b.sleep(3 * time.Second)
+		require.Equal(t, []string{"x", "y", "z"}, x.names("north"))
+		b.net.Silence(x.addr, y.addr, true)
+		b.net.Silence(y.addr, x.addr, true)
+		b.sleep(1300 * time.Millisecond)
+		require.Equal(t, []string{"x", "y!", "z"}, x.names("north"), "silence counts like a cut")
+		require.Equal(t, []string{"x!", "y", "z"}, y.names("north"))
+	})
+}
+
+func TestMembersControlBytes(t *testing.T) {
+	for _, c := range []struct{ domains, hosts int }{{1, 3}, {1, 8}, {3, 3}, {11, 3}} {
+		run(t, func(b *bench) {
+			var l port.Listing
+			for d := range c.domains {
+				name := fmt.Sprintf("domain-%02d", d)
+				for i := range c.hosts {
+					h := b.start(fmt.Sprintf("%s-host-%d", name, i), name)
+					l.Hosts = append(l.Hosts, port.Host{Name: h.self.Name, Domain: name, Addr: h.addr})
+				}
+			}
+			b.list.Store(&l)
+			b.sleep(time.Minute)
+			before := make([]int64, len(b.hosts))
+			for i, h := range b.hosts {
+				before[i] = b.net.Bytes(h.addr)
+			}
+			b.sleep(time.Minute)
+			var most, sum int64
+			for i, h := range b.hosts {
+				n := (b.net.Bytes(h.addr) - before[i]) / 60
+				most, sum = max(most, n), sum+n
+			}
+			mean := sum / int64(len(b.hosts))
+			t.Logf("%d domains of %d hosts: %d bytes/s for a host, %d at most", c.domains, c.hosts, mean, most)
+			require.Less(t, most, int64(5000), "the whole budget is 5 KB/s")
+		})
+	}
+}
+
+// BenchmarkHeartbeat measures one exchange, and its bytes each second for one host, by hosts of the domain.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, hosts := range []int{2, 4, 8} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			ms := benchMembers(hosts)
+			ctx := context.Background()
+			var size int
+			for b.Loop() {
+				h := ms[0].heartbeat(ms[1].self.Addr)
+				var r wire.HeartbeatReply
+				if err := ms[1].Heartbeat(ctx, h, &r); err != nil {
+					b.Fatal(err)
+				}
+				ms[0].hear(r.GetFrom(), Ownership{}, ms[1].self.Addr)
+				size = proto.Size(h) + proto.Size(&r)
+			}
+			perSecond := float64(time.Second) / float64(defaultInterval) * float64(hosts-1)
+			b.ReportMetric(float64(size)*perSecond, "bytes/s")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)*perSecond/1e4, "%core")
+		})
+	}
+}
+
+// BenchmarkDigest measures one exchange between two failure domains, by hosts of each.
+func BenchmarkDigest(b *testing.B) {
+	for _, hosts := range []int{2, 4, 8} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			ms := benchMembers(hosts)
+			far := New(WithSelf("far", "south", netip.MustParseAddrPort("10.9.0.1:1")))
+			ctx := context.Background()
+			var size int
+			for b.Loop() {
+				d := ms[0].digest("south")
+				var r wire.DigestReply
+				if err := far.Digest(ctx, d, &r); err != nil {
+					b.Fatal(err)
+				}
+				ms[0].takeDigest(r.GetDigest(), true)
+				size = proto.Size(d) + proto.Size(&r)
+			}
+			b.ReportMetric(float64(size), "bytes/exchange")
+		})
+	}
+}
+
+func benchMembers(n int) []*Members {
+	var ms []*Members
+	for i := range n {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 4000)
+		m := New(WithSelf(fmt.Sprintf("north-host-%d", i), "north", a), WithClock(clock.System()))
+		m.SetState(Ready)
+		ms = append(ms, m)
+	}
+	for _, m := range ms {
+		for _, o := range ms {
+			m.hear(wireMember(o.Self(), true), Ownership{}, o.self.Addr)
+			m.setKnows(o.self.Addr, true)
+		}
+	}
+	return ms
+}
--- a/internal/coordination/nettest/net.go
+++ b/internal/coordination/nettest/net.go
@@ -126,11 +126,15 @@
 }
 
 func (n *Net) call(ctx context.Context, l link, method string, req, reply proto.Message) error {
-	n.Pause(l.from).wait(ctx)
+	if err := n.Pause(l.from).wait(ctx); err != nil {
+		return err
+	}
 	if err := n.travel(ctx, l, method, req); err != nil {
 		return err
 	}
-	n.Pause(l.to).wait(ctx)
+	if err := n.Pause(l.to).wait(ctx); err != nil {
+		return err
+	}
 	n.mu.Lock()
 	h, ok := n.handlers[l.to][method]
 	n.mu.Unlock()
@@ -145,9 +149,11 @@
 	if err := n.travel(ctx, link{l.to, l.from}, method, r); err != nil {
 		return err
 	}
-	n.Pause(l.from).wait(ctx)
+	if err := n.Pause(l.from).wait(ctx); err != nil {
+		return err
+	}
 	proto.Merge(reply, r)
-	return ctx.Err()
+	return nil
 }
 
 // travel carries one message over a link.
@@ -193,17 +199,18 @@
 	}
 }
 
-func (p *Pause) wait(ctx context.Context) {
+func (p *Pause) wait(ctx context.Context) error {
 	p.mu.Lock()
 	c := p.resumed
 	p.mu.Unlock()
 	if c == nil {
-		return
+		return ctx.Err()
 	}
 	select {
 	case <-c:
 	case <-ctx.Done():
 	}
+	return ctx.Err()
 }
 
 // Clock returns a clock whose timers fire late when the host is paused.
@@ -213,11 +220,10 @@
 		Now: base.Now,
 		After: func(d time.Duration) <-chan time.Time {
 			c := make(chan time.Time, 1)
-			go func() {
-				<-base.After(d)
-				p.wait(context.Background())
+			time.AfterFunc(d, func() { //nolint:forbidigo // this is the seam's other side
+				_ = p.wait(context.Background())
 				c <- base.Now()
-			}()
+			})
 			return c
 		},
 	}
