Write the demo against the contract of the daemon

Cause: a new user has to see the whole path run as processes with one command. Change: scripts/demo starts platform, workers and hosts on loopback addresses of its own, publishes, submits, stops a rack, kills an owner and checks; two deployments as data; standin enroll and standin fault. Not run yet: the daemon is not there.

--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,6 @@
 
 tools: ## build the pinned formatter, linter and generator
 	.ci/tools
+
+demo: ## run a whole deployment on loopback; DEPLOYMENT=settlement picks the other one
+	@scripts/demo
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -16,6 +16,8 @@
 type options struct {
 	Platform *platformCmd `arg:"subcommand:platform" help:"serve the log and the host list"`
 	Worker   *workerCmd   `arg:"subcommand:worker" help:"serve workers of one rack"`
+	Enroll   *enrollCmd   `arg:"subcommand:enroll" help:"change the platform's list of hosts"`
+	Fault    *faultCmd    `arg:"subcommand:fault" help:"make stand-ins fail, or mend them"`
 	Load     *loadCmd     `arg:"subcommand:load" help:"play callers and report what they heard"`
 	Check    *checkCmd    `arg:"subcommand:check" help:"compare what callers heard with what workers started"`
 }
@@ -25,23 +27,20 @@
 	return "standin " + version
 }
 
+// command adds its actors to a group.
+type command interface {
+	add(g *run.Group) error
+}
+
 func main() {
 	var o options
 	p := arg.MustParse(&o)
-	g := &run.Group{}
-	var err error
-	switch {
-	case o.Platform != nil:
-		o.Platform.add(g)
-	case o.Worker != nil:
-		err = o.Worker.add(g)
-	case o.Load != nil:
-		err = o.Load.add(g)
-	case o.Check != nil:
-		err = o.Check.add(g)
-	default:
-		p.Fail("name a sub-command: platform, worker, load or check")
+	c, ok := p.Subcommand().(command)
+	if !ok {
+		p.Fail("name a sub-command")
 	}
+	g := &run.Group{}
+	err := c.add(g)
 	if err == nil {
 		g.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
 		err = g.Run()
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -16,7 +16,7 @@
 	Lag  time.Duration  `arg:"--lag" default:"1s" help:"how far the host list lags"`
 }
 
-func (c *platformCmd) add(g *run.Group) {
+func (c *platformCmd) add(g *run.Group) error {
 	p := standin.NewPlatform(
 		standin.WithKeep(c.Keep),
 		standin.WithAge(c.Age),
@@ -25,4 +25,5 @@
 	actor(g, func(ctx context.Context) error {
 		return standin.Serve(ctx, c.Addr, 0, p.Handler())
 	})
+	return nil
 }
