--- a/internal/coordination/once/outcome.go
+++ b/internal/coordination/once/outcome.go
@@ -27,7 +27,6 @@
 	Outcome *wire.Outcome
 	// Free is set when the claimed attempt never ran, so that the key can be claimed anew.
 	Free  bool
-	claim *wire.OnceClaim
 }
 
 // Find returns what is known of a key.
@@ -65,7 +64,6 @@
 		Workers:      e.claim.GetWorkers(),
 		Outcome:      e.outcome.GetOutcome(),
 		Free:         e.isFree(),
-		claim:        e.claim,
 	}
 }
 
