Keep tasks that ran as evidence, and do not wait for a log that is known to be down

A roll back no longer lets workers forget tasks that ran: a new owner that finds none would take the claim for not run. A claim outside the log no longer waits for its append while the stream knows that the log is down.

Ruled out: pushing a marker to the peers while the log is down; it put off the claims outside the log again (TestHostsAreReplacedOneByOne/log_down failed with 'its marker still holds').

--- a/internal/coordination/gang/gang.go
+++ b/internal/coordination/gang/gang.go
@@ -64,6 +64,7 @@
 	bounds  Bounds
 	slots   chan struct{}
 	stats   stats
+	settled func(fleet.TaskRef) bool
 	off     mechanismsOff
 
 	mu       sync.Mutex
@@ -124,6 +125,11 @@
 	return func(g *Gangs) { g.ring = r }
 }
 
+// WithSettled sets the function that reports whether the outcome of a task's job is kept, so that a sweep may forget it.
+func WithSettled(f func(fleet.TaskRef) bool) Option {
+	return func(g *Gangs) { g.settled = f }
+}
+
 // WithScope sets the scope of the counters.
 func WithScope(s tally.Scope) Option {
 	return func(g *Gangs) { g.stats = newStats(s) }
@@ -140,6 +146,7 @@
 		clock:    clock.System(),
 		check:    func() error { return nil },
 		resolve:  func(string) (netip.AddrPort, bool) { return netip.AddrPort{}, false },
+		settled:  func(fleet.TaskRef) bool { return false },
 		bounds:   DefaultBounds(),
 		stats:    newStats(tally.NoopScope),
 		runs:     map[runKey]*run{},
--- a/internal/coordination/gang/rollback.go
+++ b/internal/coordination/gang/rollback.go
@@ -47,8 +47,8 @@
 		}
 		return err
 	})
-	if err == nil {
-		// A worker that keeps tasks that ended wastes memory only, and is swept later.
+	if err == nil && !s.hasStarted() {
+		// Tasks that ran are kept as evidence until their outcome is known; a failure here is swept later.
 		_ = g.forgetPart(ctx, a.Term, p)
 	}
 	return s, err
--- a/internal/coordination/gang/sweep.go
+++ b/internal/coordination/gang/sweep.go
@@ -30,39 +30,49 @@
 	g.open[runKey{job: f.Attempt.Job.ID, attempt: f.Attempt.Job.Attempt}] = true
 }
 
-// Sweep stops and forgets the tasks in a worker's report that belong to no live attempt, and returns their number.
+// Sweep stops the tasks in a worker's report that belong to no live attempt, and returns the number of those forgotten.
 //
-// Such tasks stay behind when a worker did not answer an abort. A new owner calls Adopt first.
+// Such tasks stay behind when a worker did not answer an abort. Those that ran are forgotten only once their outcome is
+// kept (WithSettled), since they are the evidence that they ran. A new owner calls Adopt first.
 func (g *Gangs) Sweep(ctx context.Context, t fleet.Term, worker string, rep fleet.Report) (int, error) {
 	addr, known := g.resolve(worker)
 	if !known {
 		return 0, fmt.Errorf("sweep worker %s without an address: %w", worker, ErrPlacementInvalid)
 	}
-	p := part{worker: worker, addr: addr, refs: g.strays(rep)}
-	if len(p.refs) == 0 {
-		return 0, nil
+	active, ended := g.strays(rep)
+	if len(active) > 0 {
+		if err := g.stopPart(ctx, t, part{worker: worker, addr: addr, refs: active}, 0); err != nil {
+			return 0, fmt.Errorf("sweep worker %s: %w", worker, err)
+		}
 	}
-	if err := g.stopPart(ctx, t, p, 0); err != nil {
-		return 0, fmt.Errorf("sweep worker %s: %w", worker, err)
+	if len(ended) == 0 {
+		return 0, nil
 	}
-	if err := g.forgetPart(ctx, t, p); err != nil {
+	if err := g.forgetPart(ctx, t, part{worker: worker, addr: addr, refs: ended}); err != nil {
 		return 0, fmt.Errorf("sweep worker %s: %w", worker, err)
 	}
-	g.stats.swept.Inc(int64(len(p.refs)))
-	return len(p.refs), nil
+	g.stats.swept.Inc(int64(len(ended)))
+	return len(ended), nil
 }
 
-func (g *Gangs) strays(rep fleet.Report) []fleet.TaskRef {
+// strays returns the tasks to stop and those to forget.
+func (g *Gangs) strays(rep fleet.Report) (active, ended []fleet.TaskRef) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var refs []fleet.TaskRef
 	for _, tr := range rep.Tasks {
-		k := runKey{job: tr.Task.Ref.Job, attempt: tr.Task.Ref.Attempt}
-		if g.runs[k] == nil && !g.open[k] {
-			refs = append(refs, tr.Task.Ref)
+		ref := tr.Task.Ref
+		k := runKey{job: ref.Job, attempt: ref.Attempt}
+		if g.runs[k] != nil || g.open[k] {
+			continue
+		}
+		if isActive(tr.State) {
+			active = append(active, ref)
+		}
+		if !tr.Started || g.settled(ref) {
+			ended = append(ended, ref)
 		}
 	}
-	return refs
+	return active, ended
 }
 
 // Live returns the number of attempts that are followed now.
--- a/internal/coordination/gang/watch_test.go
+++ b/internal/coordination/gang/watch_test.go
@@ -178,6 +178,24 @@
 	}
 }
 
+func TestSweepKeepsTheEvidenceOfTasksThatRan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.workers[1].fail = always("Start", loseRequest)
+		kept := false
+		g := gangs(f, WithSettled(func(fleet.TaskRef) bool { return kept }))
+		a, err := g.Start(t.Context(), term, job(4), f.place(4, 2), nil)
+		require.Error(t, err)
+		require.Equal(t, Partly, a.State)
+		for _, kept = range []bool{false, true} {
+			n, err := g.Sweep(t.Context(), term, "w000", f.workers[0].report())
+			require.NoError(t, err)
+			require.Equal(t, kept, n == 2)
+		}
+		require.Zero(t, f.held())
+	})
+}
+
 func TestStopNamesSilentWorkers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(2)
--- a/internal/coordination/once/book.go
+++ b/internal/coordination/once/book.go
@@ -69,6 +69,7 @@
 	append  func(context.Context, *wire.Record) (uint64, error)
 	queue   func(*wire.Record) error
 	isDown  func(error) bool
+	isUp    func() bool
 	check   func() error
 	owner   func() (fleet.Term, bool)
 	listed  func(host string) bool
@@ -168,6 +169,11 @@
 	}
 }
 
+// WithLogUp sets the function that reports whether the log answers, so that no claim waits for one that does not.
+func WithLogUp(f func() bool) Option {
+	return func(b *Book) { b.isUp = f }
+}
+
 // WithCheck sets the check of the owner's lease, which is called before every step of a claim.
 func WithCheck(f func() error) Option {
 	return func(b *Book) { b.check = f }
@@ -211,6 +217,7 @@
 		owner:   func() (fleet.Term, bool) { return fleet.Term{}, false },
 		listed:  func(string) bool { return true },
 		isDown:  func(error) bool { return true },
+		isUp:    func() bool { return true },
 		stats:   newStats(tally.NoopScope),
 		entries: map[id]*entry{},
 		memory:  memory{why: "neither a peer nor the log has been read yet"},
--- a/internal/coordination/once/claim.go
+++ b/internal/coordination/once/claim.go
@@ -8,6 +8,7 @@
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
 	"github.com/auburncleat/auburncleat/internal/state/events"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/pkg/errors"
 )
 
 // Claim reserves the job's key for its present attempt on the given workers; the attempt may start once it returns nil.
@@ -121,7 +122,7 @@
 	}
 	err = b.write(ctx, c)
 	logged := err == nil
-	if err != nil && !b.isDown(err) {
+	if err != nil && !errors.Is(err, errLogDown) && !b.isDown(err) {
 		return false, err
 	}
 	if !logged {
--- a/internal/coordination/once/fake_test.go
+++ b/internal/coordination/once/fake_test.go
@@ -82,6 +82,7 @@
 	up        bool
 	gone      chan struct{}
 	logUp     bool
+	logAt     time.Time
 	loseLog   bool
 	owns      fleet.Term
 	next      uint64
@@ -136,6 +137,12 @@
 		WithLog(h.append, h.queue, func(err error) bool {
 			return errors.Is(err, errDown) || errors.Is(err, errUnknown) || errors.Is(err, context.DeadlineExceeded)
 		}),
+		WithLogUp(func() bool {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			// A host notices an outage late.
+			return h.logUp || time.Since(h.logAt) < time.Second
+		}),
 		WithOwner(func() (fleet.Term, bool) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
@@ -178,6 +185,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.logUp = up
+	h.logAt = time.Now()
 }
 
 // setLose lets the answers to this host's appends be lost.
--- a/internal/coordination/once/record.go
+++ b/internal/coordination/once/record.go
@@ -6,8 +6,11 @@
 	"strings"
 
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/pkg/errors"
 )
 
+var errLogDown = errors.New("log is known to be down")
+
 // record returns an empty record whose id is made of its parts, so that repeating its append changes nothing.
 func (b *Book) record(parts ...string) *wire.Record {
 	return &wire.Record{
@@ -17,13 +20,6 @@
 	}
 }
 
-// Advance tells that the log has been read up to offset, also when its last records were none to fold.
-func (b *Book) Advance(offset uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.advance(offset)
-}
-
 // advance wakes those that wait for a record; the caller holds the lock.
 func (b *Book) advance(offset uint64) {
 	if offset <= b.folded {
@@ -38,7 +34,10 @@
 func (b *Book) appendAndRead(ctx context.Context, r *wire.Record) error {
 	c, cancel := context.WithTimeout(ctx, b.bounds.Log)
 	defer cancel()
-	offset, err := b.append(c, r)
+	offset, err := uint64(0), errLogDown
+	if b.isUp() {
+		offset, err = b.append(c, r)
+	}
 	b.mu.Lock()
 	b.logFailed = err != nil
 	b.mu.Unlock()
--- a/internal/coordination/once/renew.go
+++ b/internal/coordination/once/renew.go
@@ -34,7 +34,7 @@
 	behind := b.backlog()
 	failed := b.logFailed
 	b.mu.Unlock()
-	if failed {
+	if failed || !b.isUp() {
 		// A marker that peers know of and that never comes to the log would only delay claims outside it.
 		if err := b.barrier(ctx, t); err != nil {
 			return fmt.Errorf("renew marker: %w", err)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -44,6 +44,7 @@
 	lease     time.Time
 	change    uint64
 	boot      uint64
+	since     time.Time
 	tasks     map[fleet.TaskRef]*task
 	forgotten map[fleet.TaskRef]uint64
 	starts    []Start
@@ -71,7 +72,8 @@
 	}
 	w.faults = newFaults(w.clock)
 	// A counter that starts from the wall clock never repeats after a restart.
-	w.boot = uint64(w.clock.Now().UnixMilli()) << changeBits
+	w.since = w.clock.Now()
+	w.boot = uint64(w.since.UnixMilli()) << changeBits
 	w.change = w.boot
 	return w
 }
@@ -152,7 +154,7 @@
 }
 
 func (w *Worker) report(since uint64, full bool) worker.Report {
-	p := worker.Report{Term: w.term, Change: w.change, Partial: since >= w.boot && since <= w.change}
+	p := worker.Report{SinceUnixMillis: w.since.UnixMilli(), Term: w.term, Change: w.change, Partial: since >= w.boot && since <= w.change}
 	if !p.Partial {
 		p.Worker = &w.info
 	}
--- a/internal/transport/worker/message.go
+++ b/internal/transport/worker/message.go
@@ -72,6 +72,8 @@
 	Partial bool            `json:",omitempty"`
 	Tasks   []TaskReport    `json:",omitempty"`
 	Gone    []fleet.TaskRef `json:",omitempty"`
+	// SinceUnixMillis is when the worker's memory of tasks begins.
+	SinceUnixMillis int64 `json:",omitempty"`
 }
 
 // InspectRequest raises the worker to a term.
--- a/internal/transport/worker/view.go
+++ b/internal/transport/worker/view.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/netip"
 	"sort"
+	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 )
@@ -13,11 +14,12 @@
 	change uint64
 	term   fleet.Term
 	worker fleet.Worker
+	since  time.Time
 	tasks  map[fleet.TaskRef]fleet.TaskReport
 }
 
 func (v view) merge(p Report) view {
-	n := view{change: p.Change, term: p.Term, worker: v.worker, tasks: map[fleet.TaskRef]fleet.TaskReport{}}
+	n := view{change: p.Change, term: p.Term, worker: v.worker, since: sinceOf(p), tasks: map[fleet.TaskRef]fleet.TaskReport{}}
 	if p.Worker != nil {
 		n.worker = p.Worker.Fleet()
 	}
@@ -33,8 +35,15 @@
 	return n
 }
 
+func sinceOf(p Report) time.Time {
+	if p.SinceUnixMillis == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(p.SinceUnixMillis)
+}
+
 func (v view) report() fleet.Report {
-	r := fleet.Report{Worker: v.worker, Term: v.term}
+	r := fleet.Report{Worker: v.worker, Term: v.term, Since: v.since}
 	for _, t := range v.tasks {
 		r.Tasks = append(r.Tasks, t)
 	}
