--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -262,6 +262,11 @@
 func (m *Members) Leave(ctx context.Context) {
 	m.SetState(Leaving)
 	m.addEvent(events.MemberLeaving, "this host leaves")
+	m.Announce(ctx)
+}
+
+// Announce sends a heartbeat to every live peer at once and waits for the answers.
+func (m *Members) Announce(ctx context.Context) {
 	var g sync.WaitGroup
 	for _, p := range m.Peers() {
 		g.Go(func() { m.beat(ctx, p.Addr) })
--- a/internal/coordination/nettest/net.go
+++ b/internal/coordination/nettest/net.go
@@ -126,13 +126,13 @@
 }
 
 func (n *Net) call(ctx context.Context, l link, method string, req, reply proto.Message) error {
-	if err := n.Pause(l.from).wait(ctx); err != nil {
+	if err := n.Pause(l.from).Wait(ctx); err != nil {
 		return err
 	}
 	if err := n.travel(ctx, l, method, req); err != nil {
 		return err
 	}
-	if err := n.Pause(l.to).wait(ctx); err != nil {
+	if err := n.Pause(l.to).Wait(ctx); err != nil {
 		return err
 	}
 	n.mu.Lock()
@@ -149,7 +149,7 @@
 	if err := n.travel(ctx, link{l.to, l.from}, method, r); err != nil {
 		return err
 	}
-	if err := n.Pause(l.from).wait(ctx); err != nil {
+	if err := n.Pause(l.from).Wait(ctx); err != nil {
 		return err
 	}
 	proto.Merge(reply, r)
@@ -199,7 +199,8 @@
 	}
 }
 
-func (p *Pause) wait(ctx context.Context) error {
+// Wait returns once the host is not paused, or the error of ctx.
+func (p *Pause) Wait(ctx context.Context) error {
 	p.mu.Lock()
 	c := p.resumed
 	p.mu.Unlock()
@@ -221,7 +222,7 @@
 		After: func(d time.Duration) <-chan time.Time {
 			c := make(chan time.Time, 1)
 			time.AfterFunc(d, func() { //nolint:forbidigo // this is the seam's other side
-				_ = p.wait(context.Background())
+				_ = p.Wait(context.Background())
 				c <- base.Now()
 			})
 			return c
