Replay recorded traces against two baselines; move work out of a gang's way

Cause: nothing told whether an order or a placement is better than first-come first-fit. Blocked gangs hold back the sites where they can start first; work that can be stopped moves when it fits elsewhere at once and the gang's wait costs more; the wait of an organisation's first job counts as credit in fair share; work past half of its bound displaces less urgent borrowers. Ruled out: late jobs before all others (one organisation's old backlog overtakes everyone).

--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,6 @@
 
 tools: ## build the pinned formatter, linter and generator
 	.ci/tools
+
+measure: ## replay the recorded traces through our planner and both baselines
+	@go test -run '^$$' -bench '^BenchmarkMeasure$$' -benchtime 1x ./internal/state/replay | grep -vE '^(goos|goarch|pkg|cpu|PASS)'
--- a/internal/state/place/books.go
+++ b/internal/state/place/books.go
@@ -18,6 +18,8 @@
 	Hard Room
 	// Pending is the part of Hard that a claim waits to use.
 	Pending Room
+	// Wanted waits for work outside of guarantees; claims do not see it.
+	Wanted Room
 	// Closed sites take no new work.
 	Closed bool
 	// StopFrom is when a planned stop begins; zero means none.
@@ -32,11 +34,21 @@
 	take int
 }
 
-// Free returns what no started gang and no claim takes.
+// Free returns what no started gang takes and nothing waits for.
 func (s *Site) Free() Room {
+	return s.FreeForClaim().Minus(s.Wanted)
+}
+
+// FreeForClaim returns what no started gang and no other claim takes.
+func (s *Site) FreeForClaim() Room {
 	return s.Capacity.Minus(s.Used).Minus(s.Pending)
 }
 
+// FreeBothForClaim returns what is free for a claim and not reserved.
+func (s *Site) FreeBothForClaim() Room {
+	return s.FreeForClaim().Least(s.FreeHard())
+}
+
 // FreeHard returns what neither a reservation nor unstoppable work takes.
 func (s *Site) FreeHard() Room {
 	return s.Capacity.Minus(s.Hard)
--- a/internal/state/place/frag.go
+++ b/internal/state/place/frag.go
@@ -1,6 +1,10 @@
 package place
 
 import (
+	"cmp"
+	"slices"
+	"strings"
+
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 )
 
@@ -10,13 +14,46 @@
 	Weight float64
 }
 
+// NewTargets returns the shapes once each, those with the most accelerators first, weighed by these so that the
+// weights add up to 1; a limit above 0 keeps only the first.
+func NewTargets(ss []fleet.Shape, limit int) []Target {
+	seen := make(map[fleet.Shape]bool, maxKinds)
+	var ts []Target
+	for _, s := range ss {
+		if s.Accelerators == 0 || seen[s] {
+			continue
+		}
+		seen[s] = true
+		ts = append(ts, Target{Shape: s, Weight: float64(s.TotalAccelerators())})
+	}
+	slices.SortFunc(ts, func(x, y Target) int {
+		return cmp.Or(cmp.Compare(y.Weight, x.Weight), strings.Compare(x.Shape.String(), y.Shape.String()))
+	})
+	if limit > 0 && len(ts) > limit {
+		ts = ts[:limit]
+	}
+	sum := 0.0
+	for _, t := range ts {
+		sum += t.Weight
+	}
+	for i := range ts {
+		ts[i].Weight /= sum
+	}
+	return ts
+}
+
+const maxKinds = 64
+
 // Fragmentation tells how much of the free accelerators the targets can use.
 type Fragmentation struct {
 	Free int
 	// Stranded counts the free accelerators that not one target can use.
 	Stranded int
-	// Weighted is the share of free accelerators that a target cannot use, averaged over the targets by weight.
-	Weighted float64
+	// Scattered is the share of the whole gangs for which there are enough free accelerators, but not close enough
+	// together, averaged by weight over the targets for which there are enough.
+	Scattered float64
+	// HasScattered is set when there are enough free accelerators for a gang of some target.
+	HasScattered bool
 }
 
 // Share returns the stranded part of the free accelerators, between 0 and 1.
@@ -37,21 +74,25 @@
 	usable := map[*Site]int{}
 	weights, missed := 0.0, 0.0
 	for _, t := range ts {
-		sum := 0
+		sum, free := 0, 0
 		for _, r := range b.racks {
-			b.count(r, t, v)
+			free += b.count(r, t, v)
 			sum += r.sum
 		}
 		got := 0
 		for _, r := range b.racks {
 			for _, s := range r.Sites {
-				k := t.usable(s.n, s.rack.sum, sum)
-				usable[s] = max(usable[s], k)
-				got += k
+				usable[s] = max(usable[s], t.usable(s.n, s.rack.sum, sum))
 			}
+			got += t.gangs(r)
+		}
+		if t.Shape.Adjacent == fleet.LevelDomain {
+			got = sum / t.Shape.Tasks
+		}
+		if could := free / max(t.Shape.TotalAccelerators(), 1); could > 0 && t.Weight > 0 {
+			weights += t.Weight
+			missed += t.Weight * float64(max(could-got, 0)) / float64(could)
 		}
-		weights += t.Weight
-		missed -= t.Weight * float64(got)
 	}
 	for _, r := range b.racks {
 		for _, s := range r.Sites {
@@ -60,19 +101,36 @@
 			f.Stranded += a - usable[s]
 		}
 	}
-	if f.Free > 0 && weights > 0 {
-		f.Weighted = 1 + missed/weights/float64(f.Free)
+	if weights > 0 {
+		f.Scattered, f.HasScattered = missed/weights, true
 	}
 	return f
 }
 
-func (b *Books) count(r *Rack, t Target, v View) {
+// count fills in the tasks of the target that each site of the rack holds, and returns its free accelerators.
+func (b *Books) count(r *Rack, t Target, v View) int {
 	r.sum = 0
+	free := 0
 	n := TaskRoom(t.Shape)
 	for _, s := range r.Sites {
-		s.n = v(s).Holds(n)
+		x := v(s)
+		free += max(x.Accelerators, 0)
+		s.n = x.Holds(n)
 		r.sum += s.n
 	}
+	return free
+}
+
+// gangs returns the whole gangs of a target that fit into a rack at once.
+func (t Target) gangs(r *Rack) int {
+	if t.Shape.Adjacent == fleet.LevelRack {
+		return r.sum / t.Shape.Tasks
+	}
+	n := 0
+	for _, s := range r.Sites {
+		n += s.n / t.Shape.Tasks
+	}
+	return n
 }
 
 // usable returns the accelerators of a site with room for n tasks that the target can use.
--- a/internal/state/plan/admit.go
+++ b/internal/state/plan/admit.go
@@ -104,7 +104,7 @@
 			e := q[len(q)-1]
 			q = q[:len(q)-1]
 			p.newest[r] = q
-			if p.jobs[e.job.ID] != e || !e.isQueued() || e.job.Attempt > 0 || e.rank() != r || e.gang != nil {
+			if p.jobs[e.job.ID] != e || !e.isQueued() || e.hasRun() || e.rank() != r || e.gang != nil {
 				continue
 			}
 			p.remove(e)
@@ -122,7 +122,7 @@
 func (p *Planner) enqueue(e *entry) {
 	p.queued[e.lane()]++
 	p.waiting++
-	if e.job.Attempt > 0 || e.rank() == 0 {
+	if e.hasRun() || e.rank() == 0 {
 		return
 	}
 	q := p.newest[e.rank()]
--- a/internal/state/plan/back.go
+++ b/internal/state/plan/back.go
@@ -19,6 +19,9 @@
 	}
 	sites, at := p.earliest(e)
 	if sites == nil {
+		at = p.now.Add(defaultRunTime)
+	}
+	if p.rearrange(e, at) || sites == nil {
 		return
 	}
 	p.pass.heads++
--- a/internal/state/plan/claim.go
+++ b/internal/state/plan/claim.go
@@ -38,10 +38,10 @@
 // take starts a job in a gang whose places, or others like them, are free now.
 func (p *Planner) take(e *entry, g *hold.Gang, d *Decisions) bool {
 	end := p.now.Add(p.runTime(e))
-	free := p.open(e, end, (*place.Site).Free)
+	free := p.open(e, end, (*place.Site).FreeForClaim)
 	if g.IsIdle() && e.job.Shape.Tasks == g.Need.Shape.Tasks {
 		q := place.Search{Shape: g.Need.Shape, Targets: p.scored()}
-		q.View = p.open(e, end, (*place.Site).FreeBoth)
+		q.View = p.open(e, end, (*place.Site).FreeBothForClaim)
 		if !p.keeper.Move(g, q) {
 			return p.takeInPlace(e, g, free, d)
 		}
@@ -93,7 +93,7 @@
 	if g.IsIdle() && e.job.Shape.Tasks == g.Need.Shape.Tasks {
 		c = p.cheapest(e, g, end)
 	} else {
-		c = p.clear(p.idlePlaces(e, g, end), e, anyBorrower)
+		c = p.clear(p.idlePlaces(e, g, end), e, (*place.Site).FreeForClaim, anyBorrower)
 	}
 	if !c.ok {
 		return false
--- a/internal/state/plan/clear.go
+++ b/internal/state/plan/clear.go
@@ -14,6 +14,9 @@
 // restartCost is the run time that a stopped gang loses besides what its checkpoint takes.
 const restartCost = 30 * time.Second
 
+// displaceFrom is the part of its bound that work waits before it has less urgent borrowers stopped.
+const displaceFrom = 0.5
+
 // scope is a site with the most tasks that may be placed there once borrowers have left.
 type scope struct {
 	site  *place.Site
@@ -51,14 +54,14 @@
 	old := k.Lift(g)
 	defer k.Place(g, old)
 	n := place.TaskRoom(g.Need.Shape)
-	return p.cheapestSpot(e, g.Need.Shape, n, p.open(e, end, (*place.Site).FreeHard), anyBorrower)
+	return p.cheapestSpot(e, g.Need.Shape, n, p.open(e, end, (*place.Site).FreeHard), (*place.Site).FreeForClaim, anyBorrower)
 }
 
 // cheapestSpot finds the worker, rack or set of racks from which the borrowers leave with the least loss.
-func (p *Planner) cheapestSpot(e *entry, s fleet.Shape, n place.Room, v place.View, may func(*entry) bool) clearing {
+func (p *Planner) cheapestSpot(e *entry, s fleet.Shape, n place.Room, v, free place.View, may func(*entry) bool) clearing {
 	var best clearing
 	try := func(in []scope) {
-		if c := p.clear(in, e, may); c.ok && (!best.ok || c.cost < best.cost) {
+		if c := p.clear(in, e, free, may); c.ok && (!best.ok || c.cost < best.cost) {
 			best = c
 		}
 	}
@@ -107,12 +110,12 @@
 
 // clear chooses borrowers whose stop lets the job's tasks fit into the scopes: cheapest for what they free first, and
 // then without those that turn out not to be needed.
-func (p *Planner) clear(in []scope, e *entry, may func(*entry) bool) clearing {
+func (p *Planner) clear(in []scope, e *entry, free place.View, may func(*entry) bool) clearing {
 	ys := make([]yard, len(in))
 	at := make(map[*place.Site]*yard, len(in))
 	var bs []*entry
 	for i, x := range in {
-		ys[i] = yard{scope: x, room: x.site.Free()}
+		ys[i] = yard{scope: x, room: free(x.site)}
 		at[x.site] = &ys[i]
 		for _, b := range p.on[x.site] {
 			if !b.soft || b.gang != nil {
@@ -218,13 +221,14 @@
 	return e.need.Times(n)
 }
 
-// displace lets urgent work outside of a guarantee stop borrowers that are less urgent.
+// displace lets work outside of a guarantee stop borrowers that are less urgent: urgent work at once, other work when
+// half of its bound has passed.
 func (p *Planner) displace(e *entry, _ *Decisions) bool {
 	if len(e.want) > 0 {
 		p.pend(e, -1)
 		e.want = nil
 	}
-	if e.rank() > 0 {
+	if e.rank() > 0 && p.overdue(e) < displaceFrom {
 		return false
 	}
 	end := p.now.Add(p.runTime(e))
@@ -232,10 +236,10 @@
 	if e.soft {
 		v = p.open(e, end, func(s *place.Site) place.Room { return s.Capacity })
 	}
-	c := p.cheapestSpot(e, e.job.Shape, e.need, v, func(b *entry) bool { return b.rank() > e.rank() })
+	c := p.cheapestSpot(e, e.job.Shape, e.need, v, (*place.Site).Free, func(b *entry) bool { return b.rank() > e.rank() })
 	if !c.ok {
 		return false
 	}
-	p.await(e, c, fmt.Sprintf("urgent work %s takes the capacity that this job borrowed", e.label()))
+	p.await(e, c, fmt.Sprintf("more urgent work, %s, takes the capacity that this job borrowed", e.label()))
 	return true
 }
--- a/internal/state/plan/guess.go
+++ b/internal/state/plan/guess.go
@@ -1,9 +1,9 @@
 package plan
 
 import (
-	"slices"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/place"
 )
 
@@ -34,31 +34,12 @@
 // findTargets returns the shapes that the free accelerators should serve: the guaranteed and the queued ones with the
 // most accelerators, weighed by these.
 func (p *Planner) findTargets(queue []*entry) []place.Target {
-	seen := map[place.Target]bool{}
-	var ts []place.Target
-	add := func(t place.Target) {
-		t.Weight = float64(t.Shape.TotalAccelerators())
-		if t.Weight > 0 && !seen[t] {
-			seen[t] = true
-			ts = append(ts, t)
-		}
-	}
+	var ss []fleet.Shape
 	for _, g := range p.keeper.Gangs() {
-		add(place.Target{Shape: g.Need.Shape})
+		ss = append(ss, g.Need.Shape)
 	}
 	for _, e := range queue {
-		add(place.Target{Shape: e.job.Shape})
-	}
-	slices.SortStableFunc(ts, func(x, y place.Target) int { return int(y.Weight - x.Weight) })
-	if len(ts) > maxTargets {
-		ts = ts[:maxTargets]
-	}
-	sum := 0.0
-	for _, t := range ts {
-		sum += t.Weight
-	}
-	for i := range ts {
-		ts[i].Weight /= sum
+		ss = append(ss, e.job.Shape)
 	}
-	return ts
+	return place.NewTargets(ss, maxTargets)
 }
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -31,6 +31,13 @@
 	// spot is the rack where a blocked gang is planned to start.
 	spot  *place.Rack
 	avoid []string
+	// tries counts the starts under this owner.
+	tries int
+}
+
+// hasRun reports whether some attempt of the job may have run.
+func (e *entry) hasRun() bool {
+	return e.tries > 0 || e.job.Progress > 0
 }
 
 func (e *entry) rank() int {
--- a/internal/state/plan/order.go
+++ b/internal/state/plan/order.go
@@ -25,30 +25,37 @@
 	return float64(p.now.Sub(e.job.Submitted)) / float64(e.profile.WaitBound)
 }
 
+// late returns the wait in bounds of the profile, where no bound counts as a long one.
+func (p *Planner) late(e *entry) float64 {
+	b := e.profile.WaitBound
+	if b <= 0 {
+		b = defaultWaitBound
+	}
+	return float64(p.now.Sub(e.job.Submitted)) / float64(b)
+}
+
+// defaultWaitBound orders the work of profiles without a bound.
+const defaultWaitBound = 4 * time.Hour
+
 type ordered struct {
 	e    *entry
 	rank int
 	late float64
 }
 
-// order returns the queued jobs: by urgency; then those past their bound, longest first; then by weighted fair share.
+// order returns the queued jobs by urgency. Within one, the organisation with the least weighted share comes first,
+// where the wait of its first job against its bound counts as credit; within an organisation the longest such wait.
 func (p *Planner) order() []*entry {
 	os := make([]ordered, 0, p.waiting)
 	for _, e := range p.jobs {
-		if !e.isQueued() {
-			continue
-		}
-		o := ordered{e: e, rank: p.effectiveRank(e)}
-		if l := p.overdue(e); l >= 1 {
-			o.late = l
+		if e.isQueued() {
+			os = append(os, ordered{e: e, rank: p.effectiveRank(e), late: p.late(e)})
 		}
-		os = append(os, o)
 	}
 	slices.SortFunc(os, func(x, y ordered) int {
 		return cmp.Or(
 			cmp.Compare(x.rank, y.rank),
 			cmp.Compare(y.late, x.late),
-			x.e.job.Submitted.Compare(y.e.job.Submitted),
 			cmp.Compare(x.e.job.ID, y.e.job.ID),
 		)
 	})
@@ -68,38 +75,49 @@
 	return out
 }
 
-// interleave appends one rank: the late ones as they are, the others by the least share of their organisation so far.
+// line is the queue of one organisation within one urgency.
+type line struct {
+	org    string
+	use    float64
+	weight float64
+	jobs   []ordered
+}
+
+// key is the weighted share, lowered by the wait of the first job.
+func (l *line) key() float64 {
+	return l.use / l.weight / (1 + l.jobs[0].late)
+}
+
+// interleave appends the jobs of one rank, one organisation's turn after the other.
 func (p *Planner) interleave(out []*entry, os []ordered, use map[string]float64) []*entry {
-	lines := map[string][]*entry{}
-	var orgs []string
+	by := map[string]*line{}
+	var ls []*line
 	for _, o := range os {
-		if o.late > 0 {
-			out = append(out, o.e)
-			use[o.e.job.Organisation] += p.share(o.e.need.Times(o.e.job.Shape.Tasks))
-			continue
-		}
 		org := o.e.job.Organisation
-		if _, ok := lines[org]; !ok {
-			orgs = append(orgs, org)
+		l := by[org]
+		if l == nil {
+			l = &line{org: org, use: use[org], weight: p.orgWeight(org)}
+			by[org] = l
+			ls = append(ls, l)
 		}
-		lines[org] = append(lines[org], o.e)
+		l.jobs = append(l.jobs, o)
 	}
-	slices.Sort(orgs)
-	for len(orgs) > 0 {
+	for len(ls) > 0 {
 		k := 0
-		for i := range orgs {
-			if use[orgs[i]]/p.orgWeight(orgs[i]) < use[orgs[k]]/p.orgWeight(orgs[k]) {
+		for i, l := range ls {
+			if c := cmp.Compare(l.key(), ls[k].key()); c < 0 || c == 0 && l.jobs[0].late > ls[k].jobs[0].late {
 				k = i
 			}
 		}
-		o := orgs[k]
-		e := lines[o][0]
-		lines[o] = lines[o][1:]
-		if len(lines[o]) == 0 {
-			orgs = slices.Delete(orgs, k, k+1)
-		}
-		use[o] += p.share(e.need.Times(e.job.Shape.Tasks))
+		l := ls[k]
+		e := l.jobs[0].e
 		out = append(out, e)
+		l.use += p.share(e.need.Times(e.job.Shape.Tasks))
+		use[l.org] = l.use
+		l.jobs = l.jobs[1:]
+		if len(l.jobs) == 0 {
+			ls = slices.Delete(ls, k, k+1)
+		}
 	}
 	return out
 }
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -29,6 +29,7 @@
 	failed map[failure]time.Duration
 	tries  int
 	heads  int
+	moves  int
 }
 
 // Pass decides what to start, stop and refuse now.
@@ -83,7 +84,7 @@
 func (p *Planner) rependent() {
 	for _, r := range p.books.Racks() {
 		for _, s := range r.Sites {
-			s.Pending = place.Room{}
+			s.Pending, s.Wanted = place.Room{}, place.Room{}
 		}
 	}
 	for _, g := range p.keeper.Gangs() {
@@ -105,14 +106,18 @@
 func (p *Planner) pend(e *entry, sign int) {
 	n := e.need.Times(sign)
 	for _, s := range e.want {
-		s.Pending = s.Pending.Plus(n)
+		if e.gang != nil {
+			s.Pending = s.Pending.Plus(n)
+			continue
+		}
+		s.Wanted = s.Wanted.Plus(n)
 	}
 }
 
 func (p *Planner) decide(e *entry, d *Decisions) {
 	if p.isTooLate(e) {
 		p.remove(e)
-		d.Refusals = append(d.Refusals, Refusal{Job: e.job.ID, Reason: "its deadline passed before it could start"})
+		d.Refusals = append(d.Refusals, Refusal{Job: e.job.ID, Reason: "its deadline passed before a start", Ran: e.hasRun()})
 		return
 	}
 	if p.claim(e, d) {
@@ -136,13 +141,14 @@
 }
 
 func (p *Planner) isTooLate(e *entry) bool {
-	return e.job.Attempt == 0 && !e.job.Deadline.IsZero() && p.now.After(e.job.Deadline)
+	return !e.job.Deadline.IsZero() && p.now.After(e.job.Deadline)
 }
 
 // start books a gang and asks for it.
 func (p *Planner) start(e *entry, sites []*place.Site, reason string, d *Decisions) {
 	p.dequeue(e)
 	e.job.Attempt++
+	e.tries++
 	e.state = StateStarting
 	e.since = p.now
 	e.sites = sites
--- a/internal/state/plan/plan.go
+++ b/internal/state/plan/plan.go
@@ -27,6 +27,8 @@
 	Job        string
 	Reason     string
 	RetryAfter time.Duration
+	// Ran is set when an attempt of the job may have run, so that the caller must not hear that it did not.
+	Ran bool
 }
 
 // Decisions are the result of one pass.
--- /dev/null
+++ b/internal/state/replay/doc.go
@@ -0,0 +1,2 @@
+// Package replay plays recorded time lines through a scheduling policy and measures what became of the jobs.
+package replay
