Notice a silent host while a caller waits, and bound what the worker adapter keeps

Cause: a poll of 10 s over a connection that has gone silent held an answer back for 11 s. Change: polls grow from 1 s to 20 s, so a silent one costs at most as long as the job has taken; the adapter keeps 4096 reports at most; rest takes a limit of connections to one address. Without it TestWaitNoticesSilentHost waits 21 s instead of 2 s.

--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -361,3 +363,42 @@
 		}
 	}
 }
+
+// BenchmarkRenewOnWire measures all bytes that a renewal without changes puts on its connection, headers included.
+func BenchmarkRenewOnWire(b *testing.B) {
+	w := standin.NewWorker(info())
+	dial := standin.Pipes(map[netip.AddrPort]http.Handler{addr: w.Handler()})
+	var bytes atomic.Int64
+	c := rest.New(rest.WithDial(func(ctx context.Context, n, a string) (net.Conn, error) {
+		x, err := dial(ctx, n, a)
+		return counted{x, &bytes}, err
+	}))
+	defer c.Close()
+	k := worker.New(c)
+	l := fleet.Lease{Term: fleet.Term{Counter: 123, Host: "north-quay-1"}, Duration: time.Minute}
+	_, err := k.Renew(b.Context(), addr, l)
+	require.NoError(b, err)
+	bytes.Store(0)
+	for b.Loop() {
+		_, err := k.Renew(b.Context(), addr, l)
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "bytes/renewal")
+}
+
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- a/internal/transport/rest/client.go
+++ b/internal/transport/rest/client.go
@@ -79,13 +79,14 @@
 
 // Client makes calls over kept connections and falls back to fresh ones.
 type Client struct {
-	clock   clock.Clock
-	timeout time.Duration
-	hedge   time.Duration
-	limit   int64
-	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
-	kept    *http.Client
-	fresh   *http.Client
+	clock       clock.Clock
+	timeout     time.Duration
+	hedge       time.Duration
+	limit       int64
+	connections int
+	dial        func(ctx context.Context, network, addr string) (net.Conn, error)
+	kept        *http.Client
+	fresh       *http.Client
 }
 
 // Option changes a client while it is built.
@@ -103,6 +104,9 @@
 // WithLimit bounds the body of a reply in bytes.
 func WithLimit(n int64) Option { return func(r *Client) { r.limit = n } }
 
+// WithConnections bounds the connections to one address.
+func WithConnections(n int) Option { return func(r *Client) { r.connections = n } }
+
 // WithDial replaces the function that opens connections.
 func WithDial(f func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
 	return func(r *Client) { r.dial = f }
@@ -124,6 +128,7 @@
 		DialContext:         c.dial,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerAddr,
+		MaxConnsPerHost:     c.connections,
 		IdleConnTimeout:     idleTimeout,
 	}}
 	c.fresh = &http.Client{Transport: &http.Transport{
--- a/internal/transport/worker/view.go
+++ b/internal/transport/worker/view.go
@@ -8,6 +8,9 @@
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 )
 
+// maxViews bounds the workers whose reports are kept.
+const maxViews = 4096
+
 // view is the last report of a worker, against which it reports only what changed; it is never changed in place.
 type view struct {
 	change uint64
@@ -64,5 +67,9 @@
 	if old, ok := a.views[w]; ok && old.change > v.change && v.term == old.term {
 		return
 	}
+	if len(a.views) >= maxViews {
+		// Without its view a worker reports everything once more, so that losing them costs little.
+		clear(a.views)
+	}
 	a.views[w] = v
 }
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -15,7 +15,8 @@
 	defaultTimeout = 30 * time.Second
 	callTimeout    = 4 * time.Second
 	callHedge      = time.Second
-	defaultWait    = 10 * time.Second
+	firstWait      = time.Second
+	defaultWait    = 20 * time.Second
 	maxAnswer      = 256 << 20
 )
 
@@ -37,7 +38,7 @@
 // WithTimeout bounds each call, with all its retries, whose context has no deadline.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
-// WithWait sets how long a host may hold back the answer to a question after an outcome.
+// WithWait sets how long at most a host may hold back the answer to a question after an outcome.
 func WithWait(d time.Duration) Option { return func(c *Client) { c.wait = d } }
 
 // WithDial replaces the function that opens connections.
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -205,3 +205,19 @@
 		require.Equal(t, 3*time.Second, time.Since(start))
 	})
 }
+
+// TestWaitNoticesSilentHost lets the first question after the outcome go unanswered for good.
+func TestWaitNoticesSilentHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hang := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+		right := answer("x", 1, xxhash.Sum64String("x"))
+		s := &script{steps: []http.HandlerFunc{say(202, `{"Job":"j"}`), hang, say(200, done("x")), right}}
+		c := client.New([]netip.AddrPort{one}, dialed(map[netip.AddrPort]http.Handler{one: s}))
+		defer c.Close()
+		start := time.Now()
+		r, err := c.Run(t.Context(), order)
+		require.NoError(t, err)
+		require.Equal(t, "x", string(r.Answer))
+		require.Equal(t, 2*time.Second, time.Since(start))
+	})
+}
--- a/pkg/client/question.go
+++ b/pkg/client/question.go
@@ -50,9 +50,10 @@
 func (c *Client) Wait(ctx context.Context, job string) (Outcome, error) {
 	ctx, cancel := c.bound(ctx)
 	defer cancel()
-	for {
+	// A poll as long as all before it notices a silent connection in time, and costs long jobs few polls.
+	for wait := min(firstWait, c.wait); ; wait = min(2*wait, c.wait) {
 		start := c.clock.Now()
-		_, o, err := c.get(ctx, job, c.wait)
+		_, o, err := c.get(ctx, job, wait)
 		if err != nil {
 			return Outcome{}, err
 		}
@@ -60,7 +61,7 @@
 			return *o, nil
 		}
 		// A host that answers at once, although it may wait, is not asked in a loop.
-		rest := min(c.wait, firstBackoff) - c.clock.Since(start)
+		rest := min(wait, firstBackoff) - c.clock.Since(start)
 		if err := c.clock.Sleep(ctx, rest); err != nil {
 			return Outcome{}, fmt.Errorf("wait for job %s: %w", job, err)
 		}
