--- a/internal/setup/limits.go
+++ b/internal/setup/limits.go
@@ -2,6 +2,8 @@
 
 import "github.com/auburncleat/auburncleat/internal/state/fleet"
 
+const kilobyte fleet.Bytes = 1 << 10
+
 // Limits bounds what callers and operators may send and leave behind.
 type Limits struct {
 	// Body bounds the body of one request.
--- a/internal/setup/section.go
+++ b/internal/setup/section.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"gopkg.in/ini.v1"
 )
@@ -131,7 +132,7 @@
 }
 
 func (s *section) bytes(key string, fallback, low, high fleet.Bytes) fleet.Bytes {
-	return between(s, key, fallback, low, high, parseBytes)
+	return between(s, key, fallback, low, high, config.ParseMemory)
 }
 
 func between[T int | fleet.Bytes](s *section, key string, fallback, low, high T, parse func(string) (T, error)) T {
@@ -170,23 +171,3 @@
 	}
 	return x
 }
-
-const kilobyte fleet.Bytes = 1 << 10
-
-func parseBytes(v string) (fleet.Bytes, error) {
-	units := []struct {
-		suffix string
-		size   fleet.Bytes
-	}{{"KB", kilobyte}, {"MB", fleet.Megabyte}, {"GB", fleet.Gigabyte}}
-	number, size := v, fleet.Bytes(1)
-	for _, u := range units {
-		if n, ok := strings.CutSuffix(v, u.suffix); ok {
-			number, size = strings.TrimSpace(n), u.size
-		}
-	}
-	n, err := strconv.ParseInt(number, 10, 32)
-	if err != nil {
-		return 0, fmt.Errorf("%q is not a size such as 64KB or 8MB", v)
-	}
-	return fleet.Bytes(n) * size, nil
-}
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -74,7 +74,7 @@
 [Worker]
 Connections = -1
 [Queue]
-Bytes = 3TB
+Bytes = 3XB
 [Plan]
 FragmentationWeight = NaN
 [Log]
@@ -102,7 +102,7 @@
 		"[Owner] Lease: is set more than once",
 		"[Owner] Lease: 500ms is not above the heartbeat",
 		"[Worker] Connections: -1 is not between",
-		"[Queue] Bytes: \"3TB\" is not a size",
+		"[Queue] Bytes: \"3XB\": memory is not a number with KB",
 		"[Plan] FragmentationWeight: \"NaN\" is not a number",
 		"[Log] Level: \"loud\" is not one of",
 		"[Nowhere]: is not a section",
