--- a/cmd/standin/worker.go
+++ b/cmd/standin/worker.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/clock"
 	"github.com/auburncleat/auburncleat/internal/standin"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/transport/store"
@@ -42,18 +43,23 @@
 		})
 		addr = netip.AddrPortFrom(addr.Addr().Next(), addr.Port())
 	}
-	actor(g, func(ctx context.Context) error {
-		if c.Platform.IsValid() {
-			if err := standin.Enroll(ctx, c.Platform, q); err != nil {
-				return err
-			}
+	actor(g, func(ctx context.Context) error { return c.enroll(ctx, q) })
+	return nil
+}
+
+// enroll registers the workers, as soon as the platform answers.
+func (c *workerCmd) enroll(ctx context.Context, q standin.Registration) error {
+	for c.Platform.IsValid() && standin.Enroll(ctx, c.Platform, q) != nil {
+		if err := clock.System().Sleep(ctx, enrollInterval); err != nil {
+			return nil
 		}
-		<-ctx.Done()
-		return nil
-	})
+	}
+	<-ctx.Done()
 	return nil
 }
 
+const enrollInterval = 200 * time.Millisecond
+
 func (c *workerCmd) worker(i int, addr netip.AddrPort) store.Worker {
 	return store.Worker{
 		Name:         fmt.Sprintf("%s-w%d", c.Rack, i+1),
