--- a/internal/coordination/once/backlog.go
+++ b/internal/coordination/once/backlog.go
@@ -135,12 +135,12 @@
 	c := d.entry.claim
 	at := strconv.FormatInt(now.UnixMilli(), 10)
 	if d.claim {
-		r := b.record("claim", c.GetOrganisation(), c.GetKey(), strconv.FormatUint(c.GetSequence(), 10), c.GetJob(), at)
+		r := b.record("claim", c.GetOrganisation(), c.GetKey(), claimName(c), at)
 		r.Body = &wire.Record_Claim{Claim: c}
 		out = append(out, r)
 	}
 	if d.outcome {
-		r := b.record("outcome", c.GetOrganisation(), c.GetKey(), strconv.FormatUint(c.GetSequence(), 10), c.GetJob(), at)
+		r := b.record("outcome", c.GetOrganisation(), c.GetKey(), claimName(c), at)
 		r.Body = &wire.Record_Outcome{Outcome: d.entry.outcome}
 		out = append(out, r)
 	}
--- a/internal/coordination/once/book.go
+++ b/internal/coordination/once/book.go
@@ -72,7 +72,8 @@
 	isUp    func() bool
 	check   func() error
 	owner   func() (fleet.Term, bool)
-	listed  func(host string) bool
+	gone    func(host string) bool
+	fresh   bool
 	workers port.Workers
 	resolve func(worker string) (netip.AddrPort, bool)
 	ring    *events.Ring
@@ -184,9 +185,16 @@
 	return func(b *Book) { b.owner = f }
 }
 
-// WithListed sets the function that reports whether the platform still lists a host.
-func WithListed(f func(host string) bool) Option {
-	return func(b *Book) { b.listed = f }
+// WithGone sets the function that reports whether the platform listed a host and has dropped it since.
+func WithGone(f func(host string) bool) Option {
+	return func(b *Book) { b.gone = f }
+}
+
+// WithFreshGroups lets a new host take over from hosts that it cannot reach while their last marker holds.
+//
+// It is safe only where no cut runs between the hosts of one failure domain.
+func WithFreshGroups() Option {
+	return func(b *Book) { b.fresh = true }
 }
 
 // WithWorkers sets the way to the workers and to their addresses.
@@ -215,7 +223,7 @@
 		peers:   func() []Peer { return nil },
 		check:   func() error { return nil },
 		owner:   func() (fleet.Term, bool) { return fleet.Term{}, false },
-		listed:  func(string) bool { return true },
+		gone:    func(string) bool { return false },
 		isDown:  func(error) bool { return true },
 		isUp:    func() bool { return true },
 		stats:   newStats(tally.NoopScope),
--- a/internal/coordination/once/claim.go
+++ b/internal/coordination/once/claim.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
+	"slices"
 
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
 	"github.com/auburncleat/auburncleat/internal/state/events"
@@ -11,6 +11,9 @@
 	"github.com/pkg/errors"
 )
 
+// maxFreed bounds the attempts that a claim names as never run.
+const maxFreed = 16
+
 // Claim reserves the job's key for its present attempt on the given workers; the attempt may start once it returns nil.
 //
 // ErrClaimed, ErrKeyConflict, ErrMemoryMissing, ErrNotHome, ErrTermPassed and ErrBookFull say why not. After any error the
@@ -96,10 +99,10 @@
 		Workers:           workers,
 		Attempt:           int32(j.Attempt),
 		RequestDigest:     Digest(j),
-		Sequence:          1,
 	}
 	if known {
-		c.Sequence = old.claim.GetSequence() + 1
+		c.Freed = append(slices.Clone(old.claim.GetFreed()), claimName(old.claim))
+		c.Freed = c.Freed[max(0, len(c.Freed)-maxFreed):]
 	}
 	b.put(k, &entry{claim: c})
 	return c, nil
@@ -133,13 +136,16 @@
 	if err := b.check(); err != nil {
 		return false, err
 	}
-	return logged, b.isOurs(c)
+	return logged, b.isOurs(t, c)
 }
 
-// isOurs returns ErrClaimed when another claim took the key meanwhile.
-func (b *Book) isOurs(c *wire.OnceClaim) error {
+// isOurs returns ErrClaimed when another claim took the key meanwhile, or ErrTermPassed when another owner came.
+func (b *Book) isOurs(t fleet.Term, c *wire.OnceClaim) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if t.Less(b.term) && !b.off.terms {
+		return ErrTermPassed{Term: b.term}
+	}
 	e, ok := b.entries[idOf(c.GetOrganisation(), c.GetKey())]
 	if ok && isSame(e.claim, c) {
 		return nil
@@ -156,20 +162,14 @@
 	if b.off.log || b.append == nil {
 		return ErrMemoryMissing{Why: "there is no log"}
 	}
-	r := b.record("claim", c.GetOrganisation(), c.GetKey(), strconv.FormatUint(c.GetSequence(), 10), c.GetJob())
+	r := b.record("claim", c.GetOrganisation(), c.GetKey(), claimName(c))
 	r.Body = &wire.Record_Claim{Claim: c}
 	return b.appendAndRead(ctx, r)
 }
 
 // giveBack frees the key of a claim that failed; the claim may be known to peers and the log, but it was never started.
 func (b *Book) giveBack(ctx context.Context, t fleet.Term, c *wire.OnceClaim) {
-	b.mu.Lock()
-	e, ok := b.entries[idOf(c.GetOrganisation(), c.GetKey())]
-	ours := ok && isSame(e.claim, c)
-	b.mu.Unlock()
-	if ours {
-		_ = b.end(context.WithoutCancel(ctx), t, c, notRun(c, b.clock.Now()))
-	}
+	_ = b.end(context.WithoutCancel(ctx), t, c, notRun(c, b.clock.Now()))
 }
 
 func termOf(t fleet.Term) *wire.Term {
--- a/internal/coordination/once/entry.go
+++ b/internal/coordination/once/entry.go
@@ -1,6 +1,8 @@
 package once
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
@@ -54,8 +56,22 @@
 	return id{organisation: organisation, key: key}
 }
 
+// nameOf returns the name of a claimed attempt; attempts of a job are never reused.
+func nameOf(job string, attempt int32) string {
+	return job + "#" + strconv.Itoa(int(attempt))
+}
+
+func claimName(c *wire.OnceClaim) string {
+	return nameOf(c.GetJob(), c.GetAttempt())
+}
+
 func isSame(a, c *wire.OnceClaim) bool {
-	return a.GetSequence() == c.GetSequence() && a.GetJob() == c.GetJob() && a.GetAttempt() == c.GetAttempt()
+	return a.GetJob() == c.GetJob() && a.GetAttempt() == c.GetAttempt()
+}
+
+// hasFreed reports whether the claim was made in the knowledge that the attempt of that name never ran.
+func hasFreed(c *wire.OnceClaim, name string) bool {
+	return slices.Contains(c.GetFreed(), name)
 }
 
 // acceptClaim takes a claim of a peer unless one stands against it, which is returned; the caller holds the lock.
@@ -63,10 +79,10 @@
 	k := idOf(c.GetOrganisation(), c.GetKey())
 	e, ok := b.entries[k]
 	switch {
-	case !ok:
-		b.put(k, &entry{claim: c})
-	case isSame(e.claim, c):
-	case c.GetSequence() > e.claim.GetSequence():
+	case ok && isSame(e.claim, c):
+	case ok && hasFreed(e.claim, claimName(c)):
+		return e
+	case !ok, hasFreed(c, claimName(e.claim)), e.isFree():
 		b.put(k, &entry{claim: c})
 	default:
 		return e
@@ -78,10 +94,18 @@
 func (b *Book) acceptOutcome(o *wire.OnceOutcome) *entry {
 	k := idOf(o.GetOrganisation(), o.GetKey())
 	e, ok := b.entries[k]
-	if !ok || o.GetSequence() > e.claim.GetSequence() {
-		e = &entry{claim: claimOf(o)}
+	c := claimOf(o)
+	switch {
+	case !ok:
+		e = &entry{claim: c}
+	case isSame(e.claim, c):
+	case hasFreed(e.claim, claimName(c)), o.GetOutcome().GetKind() == string(fleet.Refused), e.outcome != nil && !e.isFree():
+		// An attempt that is known not to have run says nothing of another that claimed the key.
+		return e
+	default:
+		e = &entry{claim: c}
 	}
-	if o.GetSequence() < e.claim.GetSequence() || !isNewer(e.outcome, o) {
+	if !isNewer(e.outcome, o) {
 		return e
 	}
 	n := *e
@@ -107,7 +131,6 @@
 		Job:               o.GetOutcome().GetJob(),
 		Attempt:           o.GetOutcome().GetAttempt(),
 		ClaimedUnixMillis: o.GetOutcome().GetFinishedUnixMillis(),
-		Sequence:          o.GetSequence(),
 	}
 }
 
--- a/internal/coordination/once/fake_test.go
+++ b/internal/coordination/once/fake_test.go
@@ -195,6 +195,18 @@
 	h.loseLog = lose
 }
 
+func (h *fakeHost) loses() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.loseLog
+}
+
+func (h *fakeHost) term() fleet.Term {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.owns
+}
+
 // setCut replaces the function that reports which hosts cannot reach each other.
 func (c *fakeCluster) setCut(f func(a, b string) bool) {
 	c.mu.Lock()
@@ -361,10 +373,7 @@
 
 // claim claims a key for a job in the host's own term.
 func (h *fakeHost) claim(id, key string) error {
-	h.mu.Lock()
-	t := h.owns
-	h.mu.Unlock()
-	return h.book.Claim(h.c.t.Context(), t, job(id, key), []string{"w1", "w2"})
+	return h.book.Claim(h.c.t.Context(), h.term(), job(id, key), []string{"w1", "w2"})
 }
 
 func (h *fakeHost) done(id, key string) error {
--- a/internal/coordination/once/fault_test.go
+++ b/internal/coordination/once/fault_test.go
@@ -131,7 +131,7 @@
 			x.own(5)
 			time.Sleep(time.Second)
 			n = granted(first, x.claim("j2", "k"))
-		})
+		}, WithFreshGroups())
 		return n
 	})
 }
@@ -187,7 +187,10 @@
 
 func TestAllHostsRestartAtOnceWhileTheMarkerHolds(t *testing.T) {
 	for s := range uint64(seeds) {
-		for _, names := range [][]string{{"h1", "h2"}, {"h4", "h5"}} {
+		for names, opts := range map[[2]string][]Option{
+			{"h1", "h2"}: nil,
+			{"h4", "h5"}: {WithFreshGroups()},
+		} {
 			inCluster(t, s, mechanismsOff{}, func(c *fakeCluster, a, _, _ *fakeHost) {
 				require.NoError(t, a.claim("j1", "k"))
 				require.NoError(t, a.done("j1", "k"))
@@ -200,7 +203,7 @@
 				var claimed ErrClaimed
 				require.ErrorAs(t, x.claim("j3", "k"), &claimed)
 				require.Equal(t, "tag 17 issued", string(claimed.Outcome.GetAnswer()))
-			})
+			}, opts...)
 		}
 	}
 }
--- a/internal/coordination/once/fold.go
+++ b/internal/coordination/once/fold.go
@@ -28,16 +28,17 @@
 	b.advance(offset)
 }
 
-// foldClaim lets the first claim of a sequence number in the log win; the caller holds the lock.
+// foldClaim lets the first claim of a key in the log win; the caller holds the lock.
 func (b *Book) foldClaim(at time.Time, c *wire.OnceClaim) {
 	k := idOf(c.GetOrganisation(), c.GetKey())
 	e, ok := b.entries[k]
 	switch {
-	case !ok || c.GetSequence() > e.claim.GetSequence():
-		b.put(k, &entry{claim: c, claimLogged: at})
-	case isSame(e.claim, c):
+	case ok && isSame(e.claim, c):
 		e.claimLogged = at
-	case c.GetSequence() == e.claim.GetSequence() && e.claimLogged.IsZero():
+	case ok && hasFreed(e.claim, claimName(c)):
+	case !ok, e.isFree(), hasFreed(c, claimName(e.claim)):
+		b.put(k, &entry{claim: c, claimLogged: at})
+	case e.claimLogged.IsZero() && e.outcome == nil:
 		b.stats.conflicts.Inc(1)
 		b.put(k, &entry{claim: c, claimLogged: at})
 	}
@@ -46,7 +47,7 @@
 // foldOutcome notes an outcome that the log holds; the caller holds the lock.
 func (b *Book) foldOutcome(at time.Time, o *wire.OnceOutcome) {
 	e := b.acceptOutcome(o)
-	if e.claim.GetSequence() == o.GetSequence() && e.outcome.GetOutcome().GetKind() == o.GetOutcome().GetKind() {
+	if isSame(e.claim, claimOf(o)) && e.outcome.GetOutcome().GetKind() == o.GetOutcome().GetKind() {
 		e.outcomeLogged = at
 	}
 }
--- a/internal/coordination/once/holders.go
+++ b/internal/coordination/once/holders.go
@@ -101,7 +101,8 @@
 // yield replaces what this host has for a key by the claim that a peer held first; the caller holds the lock.
 func (b *Book) yield(c *wire.OnceClaim) {
 	k := idOf(c.GetOrganisation(), c.GetKey())
-	if e, ok := b.entries[k]; ok && e.claim.GetSequence() > c.GetSequence() {
+	e, ok := b.entries[k]
+	if ok && (isSame(e.claim, c) || hasFreed(e.claim, claimName(c)) || !e.claimLogged.IsZero()) {
 		return
 	}
 	b.put(k, &entry{claim: c})
@@ -121,7 +122,7 @@
 	for _, g := range gs {
 		have, members := 0, 0
 		for _, h := range g.GetHosts() {
-			if h != b.host && !b.listed(h) {
+			if h != b.host && b.gone(h) {
 				continue
 			}
 			members++
--- a/internal/coordination/once/memory.go
+++ b/internal/coordination/once/memory.go
@@ -160,7 +160,7 @@
 	now := b.clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !hs[b.host] || !b.marks.holds(now.Add(b.bounds.Skew)) {
+	if !b.fresh || !hs[b.host] || !b.marks.holds(now.Add(b.bounds.Skew)) {
 		return false
 	}
 	for _, h := range b.marks.force.GetHosts() {
--- a/internal/coordination/once/outcome.go
+++ b/internal/coordination/once/outcome.go
@@ -121,7 +121,6 @@
 		Organisation: c.GetOrganisation(),
 		Domain:       c.GetDomain(),
 		Outcome:      o,
-		Sequence:     c.GetSequence(),
 	}
 	b.mu.Lock()
 	b.acceptOutcome(x)
--- a/internal/coordination/once/renew.go
+++ b/internal/coordination/once/renew.go
@@ -128,7 +128,13 @@
 func (b *Book) question(t fleet.Term, asOf int64) *wire.ClaimRequest {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return &wire.ClaimRequest{Term: termOf(t), AsOfUnixMillis: asOf, Digest: b.digest(asOf)}
+	// A peer that becomes whole must know the group that its claims have to meet.
+	return &wire.ClaimRequest{
+		Term:           termOf(t),
+		Marker:         b.marks.newest(),
+		AsOfUnixMillis: asOf,
+		Digest:         b.digest(asOf),
+	}
 }
 
 // compare reports whether a peer holds everything; one that does not is filled first.
--- a/internal/coordination/once/serve.go
+++ b/internal/coordination/once/serve.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		// Addition makes the sum independent of the order of the entries.
-		sum += score(k.organisation, k.key, c.GetJob()) + c.GetSequence()*xxhash.Sum64String(c.GetDomain())
+		sum += score(k.organisation, k.key, claimName(c))
 		if o := e.outcome.GetOutcome(); o != nil && o.GetFinishedUnixMillis() <= asOf-digestYoung {
 			sum += xxhash.Sum64String(o.GetKind())
 		}
