--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -140,10 +140,9 @@
 		t.Run(name, func(t *testing.T) {
 			run(t, func(b *bench) {
 				b.net.Delay = func(netip.AddrPort, netip.AddrPort) time.Duration { return 20 * time.Millisecond }
-				x := b.start("x", "north")
+				x := b.start("x", "north", func(m *Members) { m.ignoresPause = mutate })
 				y := b.start("y", "north")
 				z := b.start("z", "north")
-				x.ignoresPause = mutate
 				b.sleep(3 * time.Second)
 				p := b.net.Pause(x.addr)
 				p.Stop()
@@ -223,8 +222,8 @@
 	for name, mutate := range map[string]bool{"list is a hint": false, "mutation trusts the list": true} {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(b *bench) {
-				x, y := b.start("x", "north"), b.start("y", "north")
-				x.trustsList = mutate
+				x := b.start("x", "north", func(m *Members) { m.trustsList = mutate })
+				y := b.start("y", "north")
 				b.list.Store(&port.Listing{Hosts: []port.Host{
 					{Name: "x", Domain: "north", Addr: x.addr},
 					{Name: "y", Domain: "north", Addr: y.addr},
--- a/internal/coordination/stream/stream_test.go
+++ b/internal/coordination/stream/stream_test.go
@@ -130,8 +130,7 @@
 	for name, mutate := range map[string]bool{"folded": false, "mutation keeps repeats": true} {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(b *bench) {
-				x, y := b.start(), b.start()
-				y.keepsRepeats = mutate
+				x, y := b.start(), b.start(func(s *Stream) { s.keepsRepeats = mutate })
 				b.log.SetLossy(true)
 				offset, err := x.Append(b.ctx, &wire.Record{Id: "a"})
 				require.NoError(t, err, "the record was read back although the answer was lost")
@@ -298,8 +297,7 @@
 	for name, mutate := range map[string]bool{"held": false, "mutation trusts the log": true} {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(b *bench) {
-				x := b.start()
-				x.trustsLog = mutate
+				x := b.start(func(s *Stream) { s.trustsLog = mutate })
 				b.append(x, "a", "b", "c")
 				b.log.SetDown(true)
 				b.sleep(time.Second)
