--- /dev/null
+++ b/internal/state/plan/guess.go
@@ -0,0 +1,45 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/place"
+)
+
+// defaultRunTime is planned for work of which nothing is known.
+const defaultRunTime = time.Hour
+
+// runTime returns how long the job is planned to run on from its last checkpoint.
+func (p *Planner) runTime(e *entry) time.Duration {
+	d := e.job.RunTime
+	if d <= 0 {
+		d = e.profile.RunTime
+	}
+	if d <= 0 {
+		d = defaultRunTime
+	}
+	return max(d-e.job.Progress, time.Second)
+}
+
+// endOf returns when a started gang is planned to end; one that outlives its plan is planned half as long again.
+func (p *Planner) endOf(e *entry) time.Time {
+	ran := p.now.Sub(e.since)
+	if left := p.runTime(e) - ran; left > 0 {
+		return p.now.Add(left)
+	}
+	return p.now.Add(ran / 2)
+}
+
+// findTargets returns the shapes that the free accelerators should serve: the guaranteed and the queued ones with the
+// most accelerators, weighed by these.
+func (p *Planner) findTargets(queue []*entry) []place.Target {
+	var ss []fleet.Shape
+	for _, g := range p.keeper.Gangs() {
+		ss = append(ss, g.Need.Shape)
+	}
+	for _, e := range queue {
+		ss = append(ss, e.job.Shape)
+	}
+	return place.NewTargets(ss, maxTargets)
+}
--- a/internal/state/plan/plan.go
+++ b/internal/state/plan/plan.go
@@ -5,6 +5,7 @@
 
 	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/pkg/errors"
 )
 
 // Start asks for one gang to be prepared and started.
@@ -26,6 +27,8 @@
 	Job        string
 	Reason     string
 	RetryAfter time.Duration
+	// Ran is set when an attempt of the job may have run, so that the caller must not hear that it did not.
+	Ran bool
 }
 
 // Decisions are the result of one pass.
@@ -45,6 +48,9 @@
 	Expected time.Time
 }
 
+// ErrJobNotExist says that the planner does not hold a job.
+var ErrJobNotExist = errors.New("job does not exist")
+
 // States of a job in the planner.
 const (
 	StateQueued   = "Queued"
