--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -31,20 +31,21 @@
 
 // Leases renews the leases of this host's share of the workers.
 type Leases struct {
-	host     string
-	hosts    func() []string
-	workers  port.Workers
-	find     func() []fleet.Worker
-	term     func() (fleet.Term, bool)
-	clock    clock.Clock
-	ring     *events.Ring
-	scope    tally.Scope
-	least    time.Duration
-	budget   int
-	size     func(fleet.Report) int
-	onReport func(fleet.Report)
-	onLost   func(string, error)
-	onFenced func(fleet.Term)
+	host      string
+	hosts     func() []string
+	workers   port.Workers
+	find      func() []fleet.Worker
+	term      func() (fleet.Term, bool)
+	clock     clock.Clock
+	ring      *events.Ring
+	scope     tally.Scope
+	least     time.Duration
+	budget    int
+	size      func(fleet.Report) int
+	onReport  func(fleet.Report)
+	onLost    func(string, error)
+	onFenced  func(fleet.Term)
+	onChanged func(string)
 	// renewsAlways renews also when the owner is not known to live; only tests set it.
 	renewsAlways bool
 	// ignoresBudget renews every worker each second; only tests set it.
@@ -66,6 +67,8 @@
 	failures int
 	isLost   bool
 	isBusy   bool
+	// sum identifies the tasks of the last report.
+	sum uint64
 	// isGuest is set while another host's worker is only to be asked once, because it is suspected.
 	isGuest bool
 }
@@ -73,20 +76,21 @@
 // New returns leases that have renewed nothing yet.
 func New(opts ...Option) *Leases {
 	l := &Leases{
-		hosts:    func() []string { return nil },
-		find:     func() []fleet.Worker { return nil },
-		term:     func() (fleet.Term, bool) { return fleet.Term{}, false },
-		clock:    clock.System(),
-		scope:    tally.NoopScope,
-		least:    defaultDuration,
-		budget:   defaultBudget,
-		size:     func(fleet.Report) int { return defaultSize },
-		onReport: func(fleet.Report) {},
-		onLost:   func(string, error) {},
-		onFenced: func(fleet.Term) {},
-		room:     make(chan struct{}, maxConcurrent),
-		share:    make(map[string]*entry),
-		meanSize: defaultSize,
+		hosts:     func() []string { return nil },
+		find:      func() []fleet.Worker { return nil },
+		term:      func() (fleet.Term, bool) { return fleet.Term{}, false },
+		clock:     clock.System(),
+		scope:     tally.NoopScope,
+		least:     defaultDuration,
+		budget:    defaultBudget,
+		size:      func(fleet.Report) int { return defaultSize },
+		onReport:  func(fleet.Report) {},
+		onLost:    func(string, error) {},
+		onFenced:  func(fleet.Term) {},
+		onChanged: func(string) {},
+		room:      make(chan struct{}, maxConcurrent),
+		share:     make(map[string]*entry),
+		meanSize:  defaultSize,
 	}
 	for _, o := range opts {
 		o(l)
--- a/internal/coordination/lease/lease_test.go
+++ b/internal/coordination/lease/lease_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -35,18 +36,20 @@
 	until    time.Time
 	lapses   int
 	isSilent bool
+	tasks    []fleet.TaskReport
 	by       map[string]int
 }
 
 type host struct {
 	*Leases
-	name   string
-	cancel context.CancelFunc
-	pause  *nettest.Pause
-	isLive bool
-	fenced []fleet.Term
-	lost   map[string]time.Time
-	back   int
+	name    string
+	cancel  context.CancelFunc
+	pause   *nettest.Pause
+	isLive  bool
+	fenced  []fleet.Term
+	changed []string
+	lost    map[string]time.Time
+	back    int
 }
 
 func run(t *testing.T, workers int, f func(b *bench)) {
@@ -97,6 +100,11 @@
 			defer b.mu.Unlock()
 			h.lost[w] = time.Now()
 		}),
+		WithChanged(func(w string) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			h.changed = append(h.changed, w)
+		}),
 		WithFenced(func(t fleet.Term) {
 			b.mu.Lock()
 			defer b.mu.Unlock()
@@ -154,7 +162,7 @@
 	w.term = l.Term
 	w.until = now.Add(l.Duration)
 	w.by[h.name]++
-	return fleet.Report{Worker: w.info, Term: w.term}, nil
+	return fleet.Report{Worker: w.info, Term: w.term, Tasks: slices.Clone(w.tasks)}, nil
 }
 
 func (b *bench) set(f func()) {
@@ -344,6 +352,34 @@
 	})
 }
 
+func TestLeasesTellOfChangedWorkers(t *testing.T) {
+	run(t, 8, func(b *bench) {
+		h := b.start("h0")
+		b.sleep(time.Minute)
+		b.set(func() {
+			require.Len(t, h.changed, 8, "each worker once")
+			h.changed = nil
+			for _, w := range b.workers {
+				if w.info.Name == "worker-003" {
+					w.tasks = []fleet.TaskReport{{Task: fleet.Task{Ref: fleet.TaskRef{Job: "j", Attempt: 1}}, State: fleet.TaskRunning}}
+				}
+			}
+		})
+		b.sleep(10 * time.Second)
+		b.set(func() {
+			require.Equal(t, []string{"worker-003"}, h.changed)
+			for _, w := range b.workers {
+				w.isSilent = w.info.Name == "worker-004"
+				for i := range w.tasks {
+					w.tasks[i].State = fleet.TaskDone
+				}
+			}
+		})
+		b.sleep(10 * time.Second)
+		b.set(func() { require.ElementsMatch(t, []string{"worker-003", "worker-003", "worker-004"}, h.changed) })
+	})
+}
+
 // BenchmarkLeases measures a second of renewals of one host, by workers of its share.
 func BenchmarkLeases(b *testing.B) {
 	for _, workers := range []int{48, 160, 480} {
--- a/internal/coordination/lease/options.go
+++ b/internal/coordination/lease/options.go
@@ -76,6 +76,12 @@
 	return func(l *Leases) { l.onReport = f }
 }
 
+// WithChanged sets a function that hears of each worker whose tasks have changed since its last report to this host,
+// or which is lost, so that a helper can tell the owner to ask it.
+func WithChanged(f func(worker string)) Option {
+	return func(l *Leases) { l.onChanged = f }
+}
+
 // WithLost sets a function that hears of a worker that does not answer, and why.
 func WithLost(f func(worker string, reason error)) Option {
 	return func(l *Leases) { l.onLost = f }
--- a/internal/coordination/lease/renew.go
+++ b/internal/coordination/lease/renew.go
@@ -8,6 +8,7 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/state/events"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -68,8 +69,11 @@
 }
 
 func (l *Leases) succeed(e *entry, worker string, r fleet.Report) {
+	sum := sumOf(r)
 	l.mu.Lock()
 	wasLost := e.isLost
+	isChange := e.sum != sum || wasLost
+	e.sum = sum
 	e.failures = 0
 	e.isLost = false
 	e.isGuest = false
@@ -80,10 +84,22 @@
 		l.scope.Counter("workers_back").Inc(1)
 		l.addEvent(events.WorkerUp, worker, "answers again")
 	}
+	if isChange {
+		l.onChanged(worker)
+	}
 	l.onReport(r)
 	l.release(e)
 }
 
+// sumOf identifies the tasks of a report and their states, whatever their order and progress; it is never zero.
+func sumOf(r fleet.Report) uint64 {
+	sum := uint64(1)
+	for _, t := range r.Tasks {
+		sum += xxhash.Sum64String(fmt.Sprintf("%s/%d/%d %s %s", t.Task.Ref.Job, t.Task.Ref.Attempt, t.Task.Ref.Task, t.State, t.Error))
+	}
+	return max(sum, 1)
+}
+
 // fence passes on that a worker has seen a higher term; the worker itself is well.
 func (l *Leases) fence(e *entry, t fleet.Term, r fleet.Report) {
 	l.scope.Counter("fenced").Inc(1)
@@ -114,6 +130,7 @@
 	if isNews {
 		l.scope.Counter("workers_lost").Inc(1)
 		l.addEvent(events.WorkerDown, worker, err.Error())
+		l.onChanged(worker)
 		l.onLost(worker, fmt.Errorf("renew lease of %s: %w", worker, err))
 	}
 	l.release(e)
--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -31,6 +31,7 @@
 	m.setKnows(a, !r.GetUnknown())
 	m.takeRelayed(r.GetDigests())
 	m.takeListing(r.GetListing())
+	m.takeChanges(a, &r)
 	m.onAck(sent, from)
 }
 
@@ -51,6 +52,9 @@
 		Sequence:         m.sequence,
 		Digests:          m.relayTo(p),
 	}
+	if p != nil {
+		h.ChangedAck = p.changedSeen
+	}
 	h.WantListing, h.ListingAgeMillis = m.wantListing(p)
 	return h
 }
@@ -75,6 +79,7 @@
 	r.OwnerHeardMillis = m.heardMillis(s.Ownership.Heard)
 	r.Clock = m.stamp()
 	r.Unknown = !isKnown
+	m.giveChanges(h, r, o, s.Ownership)
 	if h.GetWantListing() {
 		r.Listing = m.giveListing(h.GetListingAgeMillis())
 	}
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -82,6 +82,7 @@
 	ownership    func() Ownership
 	onHeard      func(Member)
 	onAck        func(time.Time, Member)
+	onChanged    func(string)
 	configOffset func() uint64
 	onOffset     func(netip.AddrPort, uint64)
 	onceComplete func() bool
@@ -90,12 +91,15 @@
 	ignoresPause bool
 	// trustsList takes the platform's list for the truth; only tests set it.
 	trustsList bool
+	// dropsUnacked forgets changes once they were sent; only tests set it.
+	dropsUnacked bool
 
 	mu       sync.Mutex
 	peers    map[string]*peer
 	contacts map[netip.AddrPort]*contact
 	views    map[string]*view
 	listing  listing
+	changes  changes
 	// floor is when the host last woke from a pause; silence before it says nothing.
 	floor    time.Time
 	sequence uint64
@@ -110,6 +114,8 @@
 	lastRequest time.Time
 	relayed     map[string]relay
 	hadListing  time.Time
+	// changedSeen is the newest sequence of changes that this host has heard as the owner.
+	changedSeen uint64
 }
 
 // New returns members that know only the host itself, which is Joining.
@@ -125,6 +131,7 @@
 		ownership:    func() Ownership { return Ownership{} },
 		onHeard:      func(Member) {},
 		onAck:        func(time.Time, Member) {},
+		onChanged:    func(string) {},
 		configOffset: func() uint64 { return 0 },
 		onOffset:     func(netip.AddrPort, uint64) {},
 		onceComplete: func() bool { return false },
--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -341,6 +342,42 @@
 	})
 }
 
+func TestMembersTellTheOwnerOfChangedWorkers(t *testing.T) {
+	for name, mutate := range map[string]bool{"acknowledged": false, "mutation drops when sent": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				var mu sync.Mutex
+				heard := make(map[string]int)
+				owner := b.start("o", "north", WithOwnership(func() Ownership {
+					return Ownership{Term: fleet.Term{Counter: 1, Host: "o"}, IsOwner: true}
+				}), WithChanged(func(w string) {
+					mu.Lock()
+					defer mu.Unlock()
+					heard[w]++
+				}))
+				helper := b.start("h", "north", func(m *Members) { m.dropsUnacked = mutate })
+				b.sleep(2 * time.Second)
+				helper.TellOwner("a")
+				b.sleep(400 * time.Millisecond)
+				require.Equal(t, map[string]int{"a": 1}, heard)
+				b.net.Silence(helper.addr, owner.addr, true)
+				for i := range 100 {
+					helper.TellOwner(fmt.Sprint("w", i))
+				}
+				b.sleep(time.Second)
+				b.net.Silence(helper.addr, owner.addr, false)
+				b.sleep(3 * time.Second)
+				if mutate {
+					require.Less(t, len(heard), 101, "changes are lost with the answers that carried them")
+					return
+				}
+				require.Len(t, heard, 101)
+				require.Empty(t, helper.changes.workers)
+			})
+		})
+	}
+}
+
 func TestMembersControlBytes(t *testing.T) {
 	for _, c := range []struct{ domains, hosts int }{{1, 3}, {1, 8}, {3, 3}, {11, 3}} {
 		run(t, func(b *bench) {
--- a/internal/coordination/member/options.go
+++ b/internal/coordination/member/options.go
@@ -115,6 +115,11 @@
 	return func(m *Members) { m.onAck = f }
 }
 
+// WithChanged sets a function that hears, on the owner, of workers that another host has told of with TellOwner.
+func WithChanged(f func(worker string)) Option {
+	return func(m *Members) { m.onChanged = f }
+}
+
 // WithConfigOffset sets which log offset heartbeats and digests state.
 func WithConfigOffset(f func() uint64) Option {
 	return func(m *Members) { m.configOffset = f }
