--- a/internal/coordination/member/listing.go
+++ b/internal/coordination/member/listing.go
@@ -20,7 +20,8 @@
 	keepWorker = 5 * time.Minute
 )
 
-// listing is the newest list of the platform, as read or passed on by a peer.
+// listing is the newest list of the platform, as read or passed on by a peer; of the workers, those of the own failure
+// domain.
 type listing struct {
 	at      time.Time
 	hosts   []port.Host
@@ -39,9 +40,7 @@
 	defer m.mu.Unlock()
 	var ws []fleet.Worker
 	for _, w := range m.listing.workers {
-		if w.Domain == m.self.Domain {
-			ws = append(ws, w.Worker)
-		}
+		ws = append(ws, w.Worker)
 	}
 	return ws
 }
@@ -78,7 +77,9 @@
 	}
 	next := listing{at: at, hosts: l.Hosts, workers: make(map[string]listedWorker), leaving: make(map[string]bool)}
 	for _, w := range l.Workers {
-		next.workers[w.Name] = listedWorker{Worker: w, lastListed: at}
+		if w.Domain == m.self.Domain {
+			next.workers[w.Name] = listedWorker{Worker: w, lastListed: at}
+		}
 	}
 	for name, w := range m.listing.workers {
 		if _, ok := next.workers[name]; !ok && at.Sub(w.lastListed) < keepWorker {
--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -210,6 +210,7 @@
 		b.sleep(2 * time.Second)
 		require.Equal(t, []string{"j", "x"}, j.names("north"))
 		require.Len(t, j.Workers(), 480)
+		t.Logf("the joining host received %d bytes in 2 s", b.net.Bytes(j.addr))
 		require.Equal(t, []string{"s"}, j.names("south"))
 		k := &host{addr: b.addr()}
 		o := b.run(k, "o", "south", []Option{WithSeeds(s.addr)})
@@ -453,6 +454,59 @@
 	}
 }
 
+// BenchmarkDomains measures two seconds of digests of one of three hosts, by failure domains: those that it exchanges
+// itself and those that its peers pass on.
+func BenchmarkDomains(b *testing.B) {
+	for _, domains := range []int{3, 11, 33} {
+		b.Run(fmt.Sprintf("domains=%d", domains), func(b *testing.B) {
+			ms := benchMembers(3)
+			var far []*Members
+			for d := range domains - 1 {
+				a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(d), 1}), 4000)
+				m := New(WithSelf(fmt.Sprintf("far-%02d-host-0", d), fmt.Sprintf("far-%02d", d), a))
+				m.SetState(Ready)
+				far = append(far, m)
+			}
+			ctx := context.Background()
+			var size int
+			for b.Loop() {
+				for i, f := range far {
+					d := ms[i%3].digest(f.self.Domain)
+					var r wire.DigestReply
+					if err := f.Digest(ctx, d, &r); err != nil {
+						b.Fatal(err)
+					}
+					ms[i%3].takeDigest(r.GetDigest(), true)
+					if i%3 == 0 {
+						size += proto.Size(d) + proto.Size(&r)
+					}
+				}
+				size += relayed(ms[0], ms[1]) + relayed(ms[0], ms[2]) + relayed(ms[1], ms[0]) + relayed(ms[2], ms[0])
+			}
+			seconds := float64(b.N) * defaultDigestEvery.Seconds()
+			b.ReportMetric(float64(size)/seconds, "bytes/s")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/3/seconds/1e4, "%core")
+		})
+	}
+}
+
+// relayed passes on what from has heard to to, and returns the bytes.
+func relayed(from, to *Members) int {
+	size := 0
+	for {
+		from.mu.Lock()
+		ds := from.relayTo(from.peers[to.self.Name])
+		from.mu.Unlock()
+		for _, d := range ds {
+			size += proto.Size(d)
+		}
+		to.takeRelayed(ds)
+		if len(ds) < maxRelayed {
+			return size
+		}
+	}
+}
+
 func benchMembers(n int) []*Members {
 	var ms []*Members
 	for i := range n {
--- a/internal/coordination/stream/stream_test.go
+++ b/internal/coordination/stream/stream_test.go
@@ -235,6 +235,35 @@
 	})
 }
 
+func TestStreamAllHostsReplacedWhileDown(t *testing.T) {
+	run(t, func(b *bench) {
+		hs := []*hub{b.start(), b.start(), b.start()}
+		b.append(hs[0], "a", "b", "c")
+		b.log.SetDown(true)
+		b.sleep(time.Second)
+		for i := range 3 {
+			hs = append(hs, b.start())
+			b.sleep(5 * time.Second)
+			require.True(t, hs[3+i].IsCaughtUp())
+			hs[i].stop()
+			b.net.Remove(hs[i].addr)
+		}
+		for _, h := range hs[3:] {
+			require.Equal(t, []string{"a", "b", "c"}, h.ids, "one by one nothing is lost")
+			h.stop()
+			b.net.Remove(h.addr)
+		}
+		last := b.start()
+		b.sleep(time.Hour)
+		require.False(t, last.IsCaughtUp(), "all at once: not ready until the log is back")
+		require.Empty(t, last.ids)
+		b.log.SetDown(false)
+		b.sleep(5 * time.Second)
+		require.True(t, last.IsCaughtUp())
+		require.Equal(t, []string{"a", "b", "c"}, last.ids)
+	})
+}
+
 func TestStreamJoinerDoesNotTrustAnEmptyPeer(t *testing.T) {
 	run(t, func(b *bench) {
 		b.log.SetDown(true)
@@ -365,6 +394,28 @@
 	return most
 }
 
+// BenchmarkStream measures the delivery of records and the bytes that their ids and raw form keep, by their number.
+func BenchmarkStream(b *testing.B) {
+	for _, records := range []int{1000, 4000} {
+		b.Run(fmt.Sprintf("records=%d", records), func(b *testing.B) {
+			var data [][]byte
+			for i := range records {
+				r := &wire.Record{Id: fmt.Sprintf("config/host-%d", i), Body: &wire.Record_Config{Config: &wire.ConfigChange{
+					Operator: "operator", Items: []*wire.ConfigItem{{Kind: "Profile", Json: make([]byte, 1000)}},
+				}}}
+				data = append(data, must(newEntry(r)).data)
+			}
+			for b.Loop() {
+				s := New()
+				for i, d := range data {
+					s.deliver(port.Record{Offset: uint64(i + 1), Data: d})
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*records), "ns/record")
+		})
+	}
+}
+
 func TestStreamOrderUnderRandomDelays(t *testing.T) {
 	for seed := range 24 {
 		run(t, func(b *bench) {
