Publish operators' changes through the log

Cause: accepted may be said only when the record is in the log and has won; operators race and answers get lost. Change: Policy.Publish checks a change against the whole configuration, appends it, waits for the verdict of the fold and resolves lost answers by reading; a repeat of an id does nothing twice.

Ruled out: refusing a create on a host that still knows a removed resource; only the log order can tell.

--- /dev/null
+++ b/internal/coordination/policy/policy_test.go
@@ -0,0 +1,314 @@
+package policy
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/notice"
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/config"
+	"github.com/auburncleat/auburncleat/internal/state/events"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+)
+
+func TestPublishRace(t *testing.T) {
+	l := newFakeLog()
+	a, _ := l.host()
+	b, r := l.host()
+	first := must(t, a, ask("1", "ann", org(t, "registry", 1, 0)))
+	l.cut(r, true)
+	won := must(t, a, ask("2", "ann", org(t, "registry", 2, first.Offset)))
+	l.cut(r, false)
+	_, err := b.Publish(t.Context(), ask("3", "bob", org(t, "registry", 3, first.Offset)))
+	var e ErrConflict
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, "ann", e.Conflict.By)
+	require.Equal(t, won.Offset, e.Conflict.Have)
+	require.Equal(t, []config.Difference{{Key: "Weight", Old: "2", New: "3"}}, e.Differences)
+	require.Equal(t, 2, weight(b, "registry"))
+}
+
+// Both hosts find the change fit by themselves; the log order alone decides.
+func TestPublishRaceUnseen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		a, _ := l.host()
+		b, r := l.host()
+		l.cut(r, true)
+		must(t, a, ask("1", "ann", org(t, "registry", 1, 0)))
+		done := make(chan error)
+		go func() {
+			_, err := b.Publish(context.Background(), ask("2", "bob", org(t, "registry", 9, 0)))
+			done <- err
+		}()
+		synctest.Wait()
+		l.cut(r, false)
+		var e ErrConflict
+		require.ErrorAs(t, <-done, &e)
+		require.Equal(t, "ann", e.Conflict.By)
+		require.Equal(t, 1, weight(b, "registry"))
+	})
+}
+
+func TestPublishNotAcceptedBeforeFolded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		a, r := l.host()
+		l.cut(r, true)
+		_, err := a.Publish(t.Context(), ask("1", "ann", org(t, "registry", 1, 0)))
+		require.ErrorIs(t, err, ErrNotFolded)
+		l.cut(r, false)
+		c := must(t, a, ask("1", "ann", org(t, "registry", 1, 0)))
+		require.Equal(t, uint64(1), c.Offset)
+		require.Len(t, l.records, 1)
+	})
+}
+
+func TestPublishLostAnswer(t *testing.T) {
+	l := newFakeLog()
+	a, _ := l.host()
+	l.loses = func() bool { return true }
+	c, err := a.Publish(t.Context(), ask("1", "ann", org(t, "registry", 1, 0)))
+	require.NoError(t, err, "the record was read back")
+	require.Equal(t, uint64(1), c.Offset)
+}
+
+func TestPublishLostAnswerWhileCut(t *testing.T) {
+	l := newFakeLog()
+	a, _ := l.host()
+	b, r := l.host()
+	l.cut(r, true)
+	l.loses = func() bool { return true }
+	_, err := b.Publish(t.Context(), ask("1", "ann", org(t, "registry", 1, 0)))
+	require.ErrorIs(t, err, errLost, "the outcome is unknown")
+	l.loses = func() bool { return false }
+	// A repeat through another host says what became of it, and does nothing twice.
+	require.Equal(t, uint64(1), must(t, a, ask("1", "ann", org(t, "registry", 1, 0))).Offset)
+	l.cut(r, false)
+	require.Equal(t, uint64(1), must(t, b, ask("1", "ann", org(t, "registry", 1, 0))).Offset)
+	require.Len(t, l.records, 1)
+	_, err = b.Publish(t.Context(), ask("1", "ann", org(t, "audits", 1, 0)))
+	require.ErrorIs(t, err, ErrIDReused)
+}
+
+func TestPublishOutage(t *testing.T) {
+	l := newFakeLog()
+	a, _ := l.host()
+	must(t, a, ask("1", "ann", org(t, "registry", 1, 0)))
+	l.isDown = true
+	_, err := a.Publish(t.Context(), ask("2", "ann", org(t, "registry", 2, 1)))
+	require.ErrorIs(t, err, errDown)
+	require.Equal(t, 1, weight(a, "registry"))
+	require.NoError(t, a.State().Ready(), "the configuration stays in force")
+	l.isDown = false
+	must(t, a, ask("2", "ann", org(t, "registry", 2, 1)))
+	require.Equal(t, 2, weight(a, "registry"))
+}
+
+// A host that is cut off from the log but not from its peers gets the configuration, and never an older one.
+func TestPolicyCutHostHearsPeers(t *testing.T) {
+	l := newFakeLog()
+	a, _ := l.host()
+	b, r := l.host()
+	must(t, a, ask("1", "ann", org(t, "registry", 1, 0)))
+	var old wire.SnapshotReply
+	require.NoError(t, a.State().TakeSnapshot(&old))
+	l.cut(r, true)
+	must(t, a, ask("2", "ann", org(t, "registry", 2, 1)))
+	require.Equal(t, 1, weight(b, "registry"))
+	var reply wire.SnapshotReply
+	require.NoError(t, a.State().TakeSnapshot(&reply))
+	require.NoError(t, b.State().LoadSnapshot(&reply))
+	require.Equal(t, 2, weight(b, "registry"))
+	require.NoError(t, b.State().LoadSnapshot(&old))
+	require.Equal(t, 2, weight(b, "registry"))
+	l.cut(r, false)
+	require.Equal(t, a.Config(), b.Config())
+	fresh := New()
+	require.Error(t, fresh.State().Ready(), "never starts on less than was in force")
+	require.NoError(t, fresh.State().LoadSnapshot(&reply))
+	require.Equal(t, a.Config(), fresh.Config())
+}
+
+// Records expire after a day; with rewriting switched off a host that starts then has no configuration.
+func TestPolicyRetention(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		retention time.Duration
+		isReady   bool
+	}{
+		{"rewritten", 24 * time.Hour, true},
+		{"never rewritten", 1000 * time.Hour, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newFakeLog()
+				var hosts []*Policy
+				for i := range 3 {
+					p, _ := l.host(WithRetention(tt.retention), WithRank(func() int { return i }))
+					hosts = append(hosts, p)
+				}
+				must(t, hosts[0], ask("1", "ann", org(t, "registry", 7, 0)))
+				ctx, cancel := context.WithCancel(t.Context())
+				for _, p := range hosts {
+					go func() { _ = p.Run(ctx) }()
+				}
+				time.Sleep(72 * time.Hour)
+				cancel()
+				synctest.Wait()
+				l.expire(24 * time.Hour)
+				fresh, _ := l.host()
+				require.Equal(t, tt.isReady, fresh.State().Ready() == nil)
+				if tt.isReady {
+					require.Equal(t, hosts[0].Config(), fresh.Config())
+					require.Len(t, l.records, 1+72/6, "hosts take turns at writing")
+				}
+				for _, p := range hosts {
+					require.Equal(t, 7, weight(p, "registry"))
+				}
+			})
+		})
+	}
+}
+
+func TestPolicyPlannedChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		a, _ := l.host()
+		b, _ := l.host(WithRank(func() int { return 1 }))
+		must(t, a, ask("1", "ann", org(t, "registry", 1, 0)))
+		q := ask("2", "ann", org(t, "registry", 2, 1))
+		q.From = time.Now().Add(time.Hour)
+		must(t, a, q)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = a.Run(ctx) }()
+		go func() { _ = b.Run(ctx) }()
+		time.Sleep(time.Hour - 5*time.Second)
+		require.Equal(t, 1, weight(b, "registry"))
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 2, weight(b, "registry"))
+		require.Len(t, l.records, 3)
+		cancel()
+	})
+}
+
+func TestPublishChecksWhole(t *testing.T) {
+	l := newFakeLog()
+	tooMany := errors.New("rack 1 holds 8")
+	capacity := 10
+	fits := func(_ []fleet.Worker, ps []config.Profile) error {
+		n := 0
+		for _, p := range ps {
+			for _, g := range p.Guarantees {
+				n += g.Gangs
+			}
+		}
+		if n > capacity {
+			return tooMany
+		}
+		return nil
+	}
+	a, _ := l.host(WithFits(fits, func() []fleet.Worker { return nil }))
+	must(t, a, ask("1", "ann", org(t, "registry", 1, 0)))
+	profile := func(gangs int, version uint64) config.Item {
+		p := config.Profile{Name: "audits", Urgency: config.Quiet, WaitBound: time.Hour}
+		p.Guarantees = []config.Guarantee{{
+			Organisation: "registry", Domain: "d", Gangs: gangs,
+			Shape: fleet.Shape{Tasks: 1, Accelerators: 1, Adjacent: fleet.LevelRack},
+		}}
+		b, err := json.Marshal(p)
+		require.NoError(t, err)
+		return config.Item{Kind: config.KindProfile, Name: "audits", Version: version, JSON: b}
+	}
+	_, err := a.Publish(t.Context(), ask("2", "ann", profile(11, 0)))
+	require.ErrorIs(t, err, tooMany)
+	c := must(t, a, ask("3", "ann", profile(10, 0)))
+	capacity = 5
+	c = must(t, a, ask("4", "ann", profile(8, c.Offset)))
+	_, err = a.Publish(t.Context(), ask("5", "ann", profile(9, c.Offset)))
+	require.ErrorIs(t, err, tooMany, "a fleet that shrank lets guarantees shrink, not grow")
+
+	typo := config.Item{Kind: config.KindOrganisation, Name: "x", JSON: []byte(`{"Name":"x","Weight":1,"Colour":2}`)}
+	_, err = a.Publish(t.Context(), ask("6", "ann", typo))
+	var invalid config.ErrInvalid
+	require.ErrorAs(t, err, &invalid)
+	require.Len(t, l.records, 3, "what does not fit never reaches the log")
+}
+
+func TestPublishForced(t *testing.T) {
+	l := newFakeLog()
+	ring := events.NewRing("h", 100, events.NewClock(time.Now))
+	soon := notice.ErrTooSoon{What: "stop rack", Profile: "audits", Earliest: time.Now().Add(time.Hour)}
+	foresee := func(time.Time, config.Config, config.Config, time.Time) error { return soon }
+	a, _ := l.host(WithForesee(foresee), WithEvents(ring))
+	s := config.Stop{
+		Name: "rack", Kind: config.StopRack, Domain: "d", Target: "r1", Reason: "power",
+		From: time.Now(), Until: time.Now().Add(time.Hour),
+	}
+	b, err := json.Marshal(s)
+	require.NoError(t, err)
+	q := ask("1", "ann", config.Item{Kind: config.KindStop, Name: "rack", JSON: b})
+	_, err = a.Publish(t.Context(), q)
+	var e notice.ErrTooSoon
+	require.ErrorAs(t, err, &e)
+	require.Equal(t, soon.Earliest, e.Earliest)
+	require.Empty(t, l.records)
+	q.Force = true
+	c := must(t, a, q)
+	require.True(t, c.Forced)
+	require.True(t, a.Config().Stops["rack"].Forced)
+	es, _ := ring.Find(events.Filter{})
+	var kinds []events.Kind
+	for _, x := range es {
+		kinds = append(kinds, x.Kind)
+	}
+	require.Contains(t, kinds, events.PromiseBroken)
+	require.Contains(t, kinds, events.StopAnnounced)
+}
+
+func TestStatus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ms := []Member{{"a1", "a", 5}, {"a2", "a", 5}, {"b1", "b", 5}}
+		p := New(WithMembers(func() []Member { return ms }))
+		p.State().Begin()
+		require.False(t, p.Status().Domains[0].Lags)
+		start := time.Now()
+		time.Sleep(time.Second)
+		ms = []Member{{"a1", "a", 6}, {"a2", "a", 5}, {"b1", "b", 6}}
+		p.Status()
+		time.Sleep(2 * time.Second)
+		s := p.Status()
+		require.Equal(t, uint64(6), s.Offset)
+		a, b := s.Domains[0], s.Domains[1]
+		require.Equal(t, uint64(5), a.Offset)
+		require.Equal(t, start, a.Since)
+		require.True(t, a.Lags)
+		require.Equal(t, 2*time.Second, a.Hosts[1].Behind)
+		require.Equal(t, uint64(6), b.Offset)
+		require.Equal(t, start.Add(time.Second), b.Since)
+		require.False(t, b.Lags)
+		require.Empty(t, s.Alarm)
+	})
+}
+
+func BenchmarkStatus(b *testing.B) {
+	for _, n := range []int{8, 33, 132} {
+		b.Run(fmt.Sprint("hosts=", n), func(b *testing.B) {
+			var ms []Member
+			for i := range n {
+				ms = append(ms, Member{Name: fmt.Sprint("h", i), Domain: fmt.Sprint("d", i%11), Offset: 7})
+			}
+			p := New(WithMembers(func() []Member { return ms }))
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Status()
+			}
+		})
+	}
+}
--- a/internal/state/config/change.go
+++ b/internal/state/config/change.go
@@ -42,6 +42,8 @@
 	From time.Time
 	// Apply is the id of the planned change that this one puts in force.
 	Apply string `json:",omitempty"`
+	// Forced says that the operator knew that it breaks a promised notice.
+	Forced bool `json:",omitempty"`
 	// Conflict is set when another change had won.
 	Conflict *ErrVersionConflict `json:",omitempty"`
 	// Problems are set when the change does not fit.
@@ -113,7 +115,7 @@
 
 // NewRecord returns the log record of a change.
 func NewRecord(c Change) *wire.Record {
-	w := &wire.ConfigChange{Operator: c.Operator, Reason: c.Reason, Apply: c.Apply}
+	w := &wire.ConfigChange{Operator: c.Operator, Reason: c.Reason, Apply: c.Apply, Forced: c.Forced}
 	if !c.From.IsZero() {
 		w.FromUnixMillis = c.From.UnixMilli()
 	}
@@ -138,6 +140,7 @@
 		Operator: w.GetOperator(),
 		Reason:   w.GetReason(),
 		Apply:    w.GetApply(),
+		Forced:   w.GetForced(),
 	}
 	if w.GetFromUnixMillis() != 0 {
 		c.From = time.UnixMilli(w.GetFromUnixMillis()).UTC()
--- a/internal/state/config/history.go
+++ b/internal/state/config/history.go
@@ -81,3 +81,10 @@
 	}
 	return out
 }
+
+// LastOperator returns who set or removed a resource last, or "" when that is no longer known.
+func (s *State) LastOperator(k Kind, name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.lastOperator(k, name)
+}
--- a/internal/state/config/notice.go
+++ b/internal/state/config/notice.go
@@ -33,6 +33,8 @@
 	// Slower is the expected completion time over the usual one.
 	Slower float64
 	Why    string
+	// Cause names what slows down, such as "Stop rack-7 at 812", so that the notice can be withdrawn with it.
+	Cause  string
 	CallBy time.Time
 	Issued time.Time
 	// Acked is when an operator confirmed the call; zero means not yet.
@@ -116,7 +118,7 @@
 	if err := json.Unmarshal(w.GetJson(), &n); err != nil {
 		return fmt.Errorf("issue notice %q: %w", w.GetId(), err)
 	}
-	if n.ID == "" || n.ID != w.GetId() || len(n.ID) > MaxText || len(n.Why) > MaxText {
+	if n.ID == "" || n.ID != w.GetId() || len(n.ID) > MaxText || len(n.Why) > MaxText || len(n.Cause) > MaxText {
 		return fmt.Errorf("issue notice %q: id or reason does not fit", w.GetId())
 	}
 	n.Issued = at
--- a/internal/state/config/snapshot.go
+++ b/internal/state/config/snapshot.go
@@ -26,6 +26,9 @@
 type snapshotJSON struct {
 	Config  Config
 	History []Change
+	// Newest and Oldest tell hosts that load the snapshot how long the records that they never saw will last.
+	Newest SnapshotMark
+	Oldest time.Time
 }
 
 // Snapshot returns the configuration in force and the newest changes, or ErrIncomplete.
@@ -35,7 +38,12 @@
 	if err := s.ready(); err != nil {
 		return nil, fmt.Errorf("take snapshot: %w", err)
 	}
-	b, err := encodeSnapshot(snapshotJSON{Config: s.config, History: s.history.changes})
+	b, err := encodeSnapshot(snapshotJSON{
+		Config:  s.config,
+		History: s.history.changes,
+		Newest:  s.newest,
+		Oldest:  s.oldest,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("take snapshot: %w", err)
 	}
@@ -49,6 +57,16 @@
 	return s.newest
 }
 
+// KeptSince returns when the oldest record was written that the configuration rests on; zero means that there is none.
+func (s *State) KeptSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.newest.Offset > 0 {
+		return s.newest.At
+	}
+	return s.oldest
+}
+
 // Load takes in the snapshot of a peer, or refuses it with ErrOlder when a newer configuration is in force.
 func (s *State) Load(w *wire.ConfigSnapshot) error {
 	s.mu.Lock()
@@ -73,6 +91,12 @@
 	for _, c := range j.History {
 		s.history.add(c)
 	}
+	if j.Newest.Offset > s.newest.Offset {
+		s.newest = j.Newest
+	}
+	if s.oldest.IsZero() || j.Oldest.Before(s.oldest) {
+		s.oldest = j.Oldest
+	}
 	s.next = w.GetOffset()
 	s.begun = true
 	if s.next >= s.hole {
--- a/internal/state/config/state.go
+++ b/internal/state/config/state.go
@@ -20,6 +20,7 @@
 type State struct {
 	alarm   func(Alarm)
 	changed func()
+	settled func(Change)
 	// revert lets older records in; it proves in tests that the guard is needed.
 	revert bool
 
@@ -35,8 +36,11 @@
 	short   bool
 	pending []entry
 	newest  SnapshotMark
+	// oldest is when the first record was written that was ever folded in.
+	oldest  time.Time
 	wake    chan struct{}
 	alarms  []Alarm
+	changes []Change
 }
 
 type entry struct {
@@ -58,11 +62,17 @@
 	return func(s *State) { s.changed = f }
 }
 
+// WithSettled sets a function that hears of every change with its verdict.
+func WithSettled(f func(Change)) Option {
+	return func(s *State) { s.settled = f }
+}
+
 // New returns a state that knows nothing yet.
 func New(opts ...Option) *State {
 	s := &State{
 		alarm:   func(Alarm) {},
 		changed: func() {},
+		settled: func(Change) {},
 		config:  newConfig(),
 		next:    1,
 		wake:    make(chan struct{}),
@@ -212,6 +222,9 @@
 // take folds in one record whose predecessors are all known.
 func (s *State) take(e entry) bool {
 	s.next = e.offset + 1
+	if s.oldest.IsZero() {
+		s.oldest = e.at
+	}
 	changed := false
 	switch b := e.record.GetBody().(type) {
 	case *wire.Record_Config:
@@ -259,6 +272,7 @@
 	}
 	s.config.Offset = e.offset + 1
 	s.history.add(ch)
+	s.changes = append(s.changes, ch)
 	return true
 }
 
@@ -268,8 +282,9 @@
 
 // unlock releases the state and then makes the calls that are due, so that these may read the state.
 func (s *State) unlock(changed bool) {
-	as := s.alarms
+	as, cs := s.alarms, s.changes
 	s.alarms = nil
+	s.changes = nil
 	if changed {
 		close(s.wake)
 		s.wake = make(chan struct{})
@@ -278,6 +293,9 @@
 	for _, a := range as {
 		s.alarm(a)
 	}
+	for _, c := range cs {
+		s.settled(c)
+	}
 	if changed {
 		s.changed()
 	}
