--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,9 @@
 
 tools: ## build the pinned formatter, linter and generator
 	.ci/tools
+
+demo: ## run a whole deployment on loopback; DEPLOYMENT=settlement picks the other one
+	@scripts/demo
+
+measure: ## replay the recorded traces through our planner and both baselines
+	@go test -run '^$$' -bench '^BenchmarkMeasure$$' -benchtime 1x ./internal/state/replay | grep -vE '^(goos|goarch|pkg|cpu|PASS)'
--- a/internal/state/plan/claim.go
+++ b/internal/state/plan/claim.go
@@ -38,10 +38,10 @@
 // take starts a job in a gang whose places, or others like them, are free now.
 func (p *Planner) take(e *entry, g *hold.Gang, d *Decisions) bool {
 	end := p.now.Add(p.runTime(e))
-	free := p.open(e, end, (*place.Site).Free)
+	free := p.open(e, end, (*place.Site).FreeForClaim)
 	if g.IsIdle() && e.job.Shape.Tasks == g.Need.Shape.Tasks {
 		q := place.Search{Shape: g.Need.Shape, Targets: p.scored()}
-		q.View = p.open(e, end, (*place.Site).FreeBoth)
+		q.View = p.open(e, end, (*place.Site).FreeBothForClaim)
 		if !p.keeper.Move(g, q) {
 			return p.takeInPlace(e, g, free, d)
 		}
@@ -93,7 +93,7 @@
 	if g.IsIdle() && e.job.Shape.Tasks == g.Need.Shape.Tasks {
 		c = p.cheapest(e, g, end)
 	} else {
-		c = p.clear(p.idlePlaces(e, g, end), e, anyBorrower)
+		c = p.clear(p.idlePlaces(e, g, end), e, (*place.Site).FreeForClaim, anyBorrower)
 	}
 	if !c.ok {
 		return false
@@ -103,15 +103,20 @@
 	}
 	g.Claim = e.job.ID
 	e.gang = g
+	p.await(e, c, fmt.Sprintf("%s claims guaranteed capacity that this job borrowed", e.label()))
+	clear(p.pass.failed)
+	return true
+}
+
+// await has the borrowers of a clearing stopped and keeps its sites for the job.
+func (p *Planner) await(e *entry, c clearing, reason string) {
 	e.want = c.sites
 	p.pend(e, 1)
 	for _, b := range c.stops {
-		p.doom(b, fmt.Sprintf("%s claims guaranteed capacity that this job borrowed", e.label()))
+		p.doom(b, reason)
 	}
 	racks, jobs := countBorrowed(p, c.sites)
 	e.why = why{code: whyReclaim, a: racks, b: jobs}
-	clear(p.pass.failed)
-	return true
 }
 
 func anyBorrower(*entry) bool { return true }
