--- a/internal/coordination/once/outcome.go
+++ b/internal/coordination/once/outcome.go
@@ -26,7 +26,7 @@
 	// Outcome is nil until the work has ended.
 	Outcome *wire.Outcome
 	// Free is set when the claimed attempt never ran, so that the key can be claimed anew.
-	Free  bool
+	Free bool
 }
 
 // Find returns what is known of a key.
--- /dev/null
+++ b/internal/coordination/policy/ack.go
@@ -0,0 +1,63 @@
+package policy
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/auburncleat/auburncleat/internal/state/config"
+)
+
+// ErrNoticeNotExist says that no notice has the id.
+type ErrNoticeNotExist struct {
+	ID string
+}
+
+// Error names the notice.
+func (e ErrNoticeNotExist) Error() string {
+	return fmt.Sprintf("notice %s does not exist", e.ID)
+}
+
+// Ack confirms that the clients of a notice were called.
+type Ack struct {
+	// ID makes a repeat idempotent.
+	ID       string
+	Notice   string
+	Operator string
+	Reason   string
+}
+
+// AckNotice records that the clients were called; a repeat leaves the first confirmation.
+func (p *Policy) AckNotice(ctx context.Context, a Ack) (config.Notice, error) {
+	n, ok := p.Config().Notices[a.Notice]
+	if !ok {
+		return n, fmt.Errorf("acknowledge: %w", ErrNoticeNotExist{ID: a.Notice})
+	}
+	if !n.Acked.IsZero() {
+		return n, nil
+	}
+	if err := p.check(); err != nil {
+		return n, fmt.Errorf("acknowledge notice %s: %w", a.Notice, err)
+	}
+	if _, err := p.append(ctx, config.NewAckRecord(a.ID, a.Notice, a.Operator, a.Reason)); err != nil {
+		return n, fmt.Errorf("acknowledge notice %s: %w", a.Notice, err)
+	}
+	return p.awaitAck(ctx, a)
+}
+
+func (p *Policy) awaitAck(ctx context.Context, a Ack) (config.Notice, error) {
+	bound := p.clock.After(p.foldWait)
+	for {
+		wake := p.state.Wake()
+		n := p.Config().Notices[a.Notice]
+		if !n.Acked.IsZero() {
+			return n, nil
+		}
+		select {
+		case <-wake:
+		case <-bound:
+			return n, fmt.Errorf("acknowledge notice %s: %w", a.Notice, ErrNotFolded)
+		case <-ctx.Done():
+			return n, fmt.Errorf("acknowledge notice %s: %w: %w", a.Notice, ErrNotFolded, ctx.Err())
+		}
+	}
+}
--- a/internal/coordination/policy/policy_test.go
+++ b/internal/coordination/policy/policy_test.go
@@ -56,6 +56,27 @@
 	})
 }
 
+// A host that has not read of a removal yet must not refuse to create the resource again.
+func TestPublishAfterUnseenRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		a, _ := l.host()
+		b, r := l.host()
+		must(t, a, ask("1", "ann", org(t, "registry", 1, 0)))
+		l.cut(r, true)
+		must(t, a, ask("2", "ann", config.Item{Kind: config.KindOrganisation, Name: "registry", Version: 1, Remove: true}))
+		done := make(chan error)
+		go func() {
+			_, err := b.Publish(context.Background(), ask("3", "bob", org(t, "registry", 9, 0)))
+			done <- err
+		}()
+		synctest.Wait()
+		l.cut(r, false)
+		require.NoError(t, <-done)
+		require.Equal(t, 9, weight(a, "registry"))
+	})
+}
+
 func TestPublishNotAcceptedBeforeFolded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newFakeLog()
@@ -136,14 +157,14 @@
 	require.Equal(t, a.Config(), fresh.Config())
 }
 
-// Records expire after a day; with rewriting switched off a host that starts then has no configuration.
+// Records expire after 24 minutes; with rewriting switched off a host that starts then has no configuration.
 func TestPolicyRetention(t *testing.T) {
 	for _, tt := range []struct {
 		name      string
 		retention time.Duration
 		isReady   bool
 	}{
-		{"rewritten", 24 * time.Hour, true},
+		{"rewritten", 24 * time.Minute, true},
 		{"never rewritten", 1000 * time.Hour, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -159,10 +180,10 @@
 				for _, p := range hosts {
 					go func() { _ = p.Run(ctx) }()
 				}
-				time.Sleep(72 * time.Hour)
+				time.Sleep(72 * time.Minute)
 				cancel()
 				synctest.Wait()
-				l.expire(24 * time.Hour)
+				l.expire(24 * time.Minute)
 				fresh, _ := l.host()
 				require.Equal(t, tt.isReady, fresh.State().Ready() == nil)
 				if tt.isReady {
--- a/internal/coordination/policy/status.go
+++ b/internal/coordination/policy/status.go
@@ -19,8 +19,8 @@
 	Offset uint64
 	Since  time.Time
 	Lags   bool
-	// Behind is for how long the host has lacked the newest configuration; zero when it has it.
-	Behind time.Duration `json:"-"`
+	// Behind is for how many nanoseconds in JSON the host has lacked the newest configuration; zero when it has it.
+	Behind time.Duration
 }
 
 // DomainStatus says which configuration all hosts of a failure domain have in force, and since when.
