Give operators their commands

Cause: operators drive the system by publishing, revising and retiring profiles and by announcing stops. Change: pkg/oper is a client that repeats a change under its id until a host knows what became of it; once an attempt may have had an effect only a verdict of the log counts. cleatctl profile, organisation, stop, notice and config status print tables within 100 columns or JSON, and exit with 0 done, 1 refused, 2 usage, 3 unknown outcome. Ruled out: comparing the versions of a repeat with the first attempt, as a repeat of revise names the version in force by then and was told that its id is taken (TestOperatorCommands). Proof: TestOperatorCommands runs every command against a policy on a log in memory; TestCreateChange shows that a refusal after a lost answer is not taken for the outcome.

--- a/cmd/cleatctl/config.go
+++ b/cmd/cleatctl/config.go
@@ -1,5 +1,6 @@
 package main
 
 type configCmd struct {
-	Check *configCheckCmd `arg:"subcommand:check" help:"check a settings file without starting anything"`
+	Status *configStatusCmd `arg:"subcommand:status" help:"show which configuration is in force where, and who lags"`
+	Check  *configCheckCmd  `arg:"subcommand:check" help:"check a settings file without starting anything"`
 }
--- a/cmd/cleatctl/exit.go
+++ b/cmd/cleatctl/exit.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"github.com/auburncleat/auburncleat/pkg/client"
+	"github.com/auburncleat/auburncleat/pkg/oper"
 	"github.com/pkg/errors"
 )
 
@@ -36,7 +37,7 @@
 		return exitDone
 	case errors.As(err, &u):
 		return exitUsage
-	case client.IsUnknown(err), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+	case client.IsUnknown(err), oper.IsUnknown(err), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return exitUnknown
 	default:
 		return exitRefused
--- a/cmd/cleatctl/main.go
+++ b/cmd/cleatctl/main.go
@@ -17,12 +17,16 @@
 
 // root lists the commands; a command is a struct with a Run method, and needs no other entry than its field here.
 type root struct {
-	Job      *jobCmd      `arg:"subcommand:job" help:"submit, show, cancel and list jobs, and fetch answers"`
-	Timeline *timelineCmd `arg:"subcommand:timeline" help:"merge the events of all processes"`
-	Hosts    *hostsCmd    `arg:"subcommand:hosts" help:"list entry hosts and who owns which failure domain"`
-	Workers  *workersCmd  `arg:"subcommand:workers" help:"list workers and what they hold"`
-	Config   *configCmd   `arg:"subcommand:config" help:"check settings"`
-	Build    *versionCmd  `arg:"subcommand:version" help:"show version and build"`
+	Job          *jobCmd          `arg:"subcommand:job" help:"submit, show, cancel and list jobs, and fetch answers"`
+	Timeline     *timelineCmd     `arg:"subcommand:timeline" help:"merge the events of all processes"`
+	Hosts        *hostsCmd        `arg:"subcommand:hosts" help:"list entry hosts and who owns which failure domain"`
+	Workers      *workersCmd      `arg:"subcommand:workers" help:"list workers and what they hold"`
+	Profile      *profileCmd      `arg:"subcommand:profile" help:"publish, revise, retire, list and compare profiles"`
+	Organisation *organisationCmd `arg:"subcommand:organisation" help:"set and list organisations"`
+	Stop         *stopCmd         `arg:"subcommand:stop" help:"announce, cancel and list planned stops"`
+	Notice       *noticeCmd       `arg:"subcommand:notice" help:"list and confirm slowdowns that clients have to hear of"`
+	Config       *configCmd       `arg:"subcommand:config" help:"show what is in force where, and check settings"`
+	Build        *versionCmd      `arg:"subcommand:version" help:"show version and build"`
 	options
 }
 
