--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -140,10 +141,9 @@
 		t.Run(name, func(t *testing.T) {
 			run(t, func(b *bench) {
 				b.net.Delay = func(netip.AddrPort, netip.AddrPort) time.Duration { return 20 * time.Millisecond }
-				x := b.start("x", "north")
+				x := b.start("x", "north", func(m *Members) { m.ignoresPause = mutate })
 				y := b.start("y", "north")
 				z := b.start("z", "north")
-				x.ignoresPause = mutate
 				b.sleep(3 * time.Second)
 				p := b.net.Pause(x.addr)
 				p.Stop()
@@ -210,6 +210,7 @@
 		b.sleep(2 * time.Second)
 		require.Equal(t, []string{"j", "x"}, j.names("north"))
 		require.Len(t, j.Workers(), 480)
+		t.Logf("the joining host received %d bytes in 2 s", b.net.Bytes(j.addr))
 		require.Equal(t, []string{"s"}, j.names("south"))
 		k := &host{addr: b.addr()}
 		o := b.run(k, "o", "south", []Option{WithSeeds(s.addr)})
@@ -223,8 +224,8 @@
 	for name, mutate := range map[string]bool{"list is a hint": false, "mutation trusts the list": true} {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(b *bench) {
-				x, y := b.start("x", "north"), b.start("y", "north")
-				x.trustsList = mutate
+				x := b.start("x", "north", func(m *Members) { m.trustsList = mutate })
+				y := b.start("y", "north")
 				b.list.Store(&port.Listing{Hosts: []port.Host{
 					{Name: "x", Domain: "north", Addr: x.addr},
 					{Name: "y", Domain: "north", Addr: y.addr},
@@ -342,6 +343,42 @@
 	})
 }
 
+func TestMembersTellTheOwnerOfChangedWorkers(t *testing.T) {
+	for name, mutate := range map[string]bool{"acknowledged": false, "mutation drops when sent": true} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(b *bench) {
+				var mu sync.Mutex
+				heard := make(map[string]int)
+				owner := b.start("o", "north", WithOwnership(func() Ownership {
+					return Ownership{Term: fleet.Term{Counter: 1, Host: "o"}, IsOwner: true}
+				}), WithChanged(func(w string) {
+					mu.Lock()
+					defer mu.Unlock()
+					heard[w]++
+				}))
+				helper := b.start("h", "north", func(m *Members) { m.dropsUnacked = mutate })
+				b.sleep(2 * time.Second)
+				helper.TellOwner("a")
+				b.sleep(400 * time.Millisecond)
+				require.Equal(t, map[string]int{"a": 1}, heard)
+				b.net.Silence(helper.addr, owner.addr, true)
+				for i := range 100 {
+					helper.TellOwner(fmt.Sprint("w", i))
+				}
+				b.sleep(time.Second)
+				b.net.Silence(helper.addr, owner.addr, false)
+				b.sleep(3 * time.Second)
+				if mutate {
+					require.Less(t, len(heard), 101, "changes are lost with the answers that carried them")
+					return
+				}
+				require.Len(t, heard, 101)
+				require.Empty(t, helper.changes.workers)
+			})
+		})
+	}
+}
+
 func TestMembersControlBytes(t *testing.T) {
 	for _, c := range []struct{ domains, hosts int }{{1, 3}, {1, 8}, {3, 3}, {11, 3}} {
 		run(t, func(b *bench) {
@@ -417,6 +454,59 @@
 	}
 }
 
+// BenchmarkDomains measures two seconds of digests of one of three hosts, by failure domains: those that it exchanges
+// itself and those that its peers pass on.
+func BenchmarkDomains(b *testing.B) {
+	for _, domains := range []int{3, 11, 33} {
+		b.Run(fmt.Sprintf("domains=%d", domains), func(b *testing.B) {
+			ms := benchMembers(3)
+			var far []*Members
+			for d := range domains - 1 {
+				a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(d), 1}), 4000)
+				m := New(WithSelf(fmt.Sprintf("far-%02d-host-0", d), fmt.Sprintf("far-%02d", d), a))
+				m.SetState(Ready)
+				far = append(far, m)
+			}
+			ctx := context.Background()
+			var size int
+			for b.Loop() {
+				for i, f := range far {
+					d := ms[i%3].digest(f.self.Domain)
+					var r wire.DigestReply
+					if err := f.Digest(ctx, d, &r); err != nil {
+						b.Fatal(err)
+					}
+					ms[i%3].takeDigest(r.GetDigest(), true)
+					if i%3 == 0 {
+						size += proto.Size(d) + proto.Size(&r)
+					}
+				}
+				size += relayed(ms[0], ms[1]) + relayed(ms[0], ms[2]) + relayed(ms[1], ms[0]) + relayed(ms[2], ms[0])
+			}
+			seconds := float64(b.N) * defaultDigestEvery.Seconds()
+			b.ReportMetric(float64(size)/seconds, "bytes/s")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/3/seconds/1e4, "%core")
+		})
+	}
+}
+
+// relayed passes on what from has heard to to, and returns the bytes.
+func relayed(from, to *Members) int {
+	size := 0
+	for {
+		from.mu.Lock()
+		ds := from.relayTo(from.peers[to.self.Name])
+		from.mu.Unlock()
+		for _, d := range ds {
+			size += proto.Size(d)
+		}
+		to.takeRelayed(ds)
+		if len(ds) < maxRelayed {
+			return size
+		}
+	}
+}
+
 func benchMembers(n int) []*Members {
 	var ms []*Members
 	for i := range n {
