Book a worker with its address, and read the list of workers under load

Cause: a worker that reported before the list was read entered the books without an address; every start then failed with 'has no address', each failure woke the next pass, and the busy inbox kept the list from being read for good. Change: the address comes with the booking; the list is read by time instead of by an idle inbox.

--- a/internal/coordination/sched/reign.go
+++ b/internal/coordination/sched/reign.go
@@ -36,6 +36,8 @@
 
 	// asking names workers that are asked until they answer; the scheduling goroutine touches it.
 	asking map[string]bool
+	// refreshed is when the list of workers was last read.
+	refreshed time.Time
 
 	// mu guards the fields below, which many goroutines share.
 	mu      sync.Mutex
@@ -78,10 +80,14 @@
 		r.drain()
 	case <-r.wake:
 	case <-r.s.clock.After(passInterval):
-		r.refreshWorkers()
 	case <-r.ctx.Done():
 		return
 	}
+	// A busy inbox must not keep the list of workers from being read again.
+	if r.s.clock.Since(r.refreshed) >= passInterval {
+		r.refreshed = r.now()
+		r.refreshWorkers()
+	}
 	if r.s.check() != nil {
 		return
 	}
--- a/internal/coordination/sched/worker.go
+++ b/internal/coordination/sched/worker.go
@@ -37,6 +37,7 @@
 // putWorker books a worker that answers in this term.
 func (r *reign) putWorker(w fleet.Worker) {
 	delete(r.asking, w.Name)
+	r.s.setAddr(w.Name, w.Addr)
 	r.planner.PutWorker(w)
 }
 
