Prove what is kept of jobs and answers, and say Refused only of what did not start

A host that is alone queues accepted jobs for the log at once rather than a second later. A full keeper drops acknowledged outcomes, the oldest first, and then refuses work. A job that runs for hours is written again after 6 h, before the log drops its record. OutcomeKind maps what is known of a start to what the caller hears; with a guess in place of Unknown its test counts wrong refusals, and with the copies off a new owner finds no job.

--- a/internal/coordination/keep/copy.go
+++ b/internal/coordination/keep/copy.go
@@ -13,8 +13,10 @@
 // copy hands a request to all live peers and returns once one of them has taken it.
 func (k *Keeper) copy(ctx context.Context, q *wire.KeepRequest) error {
 	ps := k.peers()
-	if len(ps) == 0 || k.copyOff {
-		// The flush of the next second takes the jobs to the log.
+	if len(ps) == 0 {
+		return k.copyToLog(q)
+	}
+	if k.copyOff {
 		return nil
 	}
 	results := make(chan error, len(ps))
@@ -33,6 +35,22 @@
 	return fmt.Errorf("%w: %w", ErrNoCopy, last)
 }
 
+// copyToLog queues the jobs of a host that is alone for the log at once.
+func (k *Keeper) copyToLog(q *wire.KeepRequest) error {
+	if len(q.GetJobs()) == 0 {
+		return nil
+	}
+	now := k.clock.Now()
+	k.mu.Lock()
+	for _, j := range q.GetJobs() {
+		if e, ok := k.entries[j.GetId()]; ok {
+			e.written = now
+		}
+	}
+	k.mu.Unlock()
+	return k.queueBatch(fleetTerm(q.GetTerm()), &wire.JobBatch{Domain: k.domain, Accepted: q.GetJobs()})
+}
+
 func (k *Keeper) copyTo(ctx context.Context, p Peer, q *wire.KeepRequest) error {
 	// The copies at the other peers go on when the first has answered.
 	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), callBound)
--- /dev/null
+++ b/internal/coordination/keep/keep_test.go
@@ -0,0 +1,301 @@
+package keep
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/gang"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/plan"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// hosts are keepers that call each other in memory; down names those that do not answer.
+type hosts struct {
+	keepers []*Keeper
+	mu      sync.Mutex
+	down    map[int]bool
+	records []*wire.Record
+	bytes   int
+}
+
+func newHosts(n int, opts ...Option) *hosts {
+	h := &hosts{down: map[int]bool{}}
+	for i := range n {
+		call := func(ctx context.Context, to netip.AddrPort, method string, q, r proto.Message) error {
+			return h.call(ctx, int(to.Port()), method, q, r)
+		}
+		base := []Option{
+			WithDomain("north-quay"),
+			WithPeers(func() []Peer { return h.peers(i) }, port.Peers{Call: call}),
+			WithQueue(h.queue),
+			WithOwner(func() (fleet.Term, bool) { return fleet.Term{Counter: 1}, i == 0 }),
+		}
+		h.keepers = append(h.keepers, New(append(base, opts...)...))
+	}
+	return h
+}
+
+func (h *hosts) peers(self int) []Peer {
+	var ps []Peer
+	for i := range h.keepers {
+		if i != self && !h.isDown(i) {
+			ps = append(ps, Peer{Addr: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i))})
+		}
+	}
+	return ps
+}
+
+func (h *hosts) isDown(i int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.down[i]
+}
+
+func (h *hosts) call(ctx context.Context, to int, method string, q, r proto.Message) error {
+	time.Sleep(time.Millisecond)
+	if h.isDown(to) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	k := h.keepers[to]
+	if method == "Peer.Kept" {
+		return k.ServeKept(ctx, &wire.Empty{}, r.(*wire.KeptReply))
+	}
+	x := proto.Clone(q).(*wire.KeepRequest)
+	h.mu.Lock()
+	h.bytes += proto.Size(x)
+	h.mu.Unlock()
+	return k.ServeKeep(ctx, x, &wire.Empty{})
+}
+
+func (h *hosts) queue(r *wire.Record) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.records = append(h.records, r)
+	return nil
+}
+
+func (h *hosts) kill(i int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.down[i] = true
+}
+
+func one(id string) []fleet.Job {
+	return []fleet.Job{{
+		ID: id, Organisation: "authority", Profile: "audit", Key: "k", RunTime: time.Minute, Attempt: 4097,
+		Shape:    fleet.Shape{Tasks: 2, Accelerators: 1, Processors: 3, Memory: fleet.Gigabyte, Adjacent: fleet.LevelRack},
+		Deadline: time.UnixMilli(1_900_000_000_000), Work: []byte("pots"), Domain: "north-quay", Progress: time.Second,
+	}}
+}
+
+func done(id, answer string) *wire.Outcome {
+	return &wire.Outcome{Job: id, Kind: string(fleet.Done), Answer: []byte(answer), AnswerBytes: int64(len(answer))}
+}
+
+var term = fleet.Term{Counter: 1, Host: "h0"}
+
+func TestAcceptedJobOutlivesItsOwner(t *testing.T) {
+	run := func(off bool) int {
+		n := 0
+		synctest.Test(t, func(t *testing.T) {
+			h := newHosts(3)
+			h.keepers[0].copyOff = off
+			require.NoError(t, h.keepers[0].Put(t.Context(), term, one("j1")))
+			h.kill(0)
+			js, err := h.keepers[2].Kept(t.Context())
+			require.NoError(t, err)
+			n = len(js)
+			if n == 1 {
+				require.Equal(t, one("j1")[0], js[0])
+			}
+			time.Sleep(time.Second)
+		})
+		return n
+	}
+	require.Equal(t, 1, run(false))
+	require.Zero(t, run(true), "the proof does not see that no copy was made")
+}
+
+func TestJobIsNotAcceptedWithoutCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts(2)
+		silent := func(ctx context.Context, _ netip.AddrPort, _ string, _, _ proto.Message) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		k := New(WithPeers(func() []Peer { return h.peers(0) }, port.Peers{Call: silent}))
+		require.ErrorIs(t, k.Put(t.Context(), term, one("j1")), ErrNoCopy)
+	})
+}
+
+func TestHostThatIsAloneQueuesForTheLogAtOnce(t *testing.T) {
+	h := newHosts(1)
+	require.NoError(t, h.keepers[0].Put(t.Context(), term, one("j1")))
+	require.Len(t, h.records, 1)
+	full := errors.New("backlog is full")
+	k := New(WithQueue(func(*wire.Record) error { return full }))
+	require.ErrorIs(t, k.Put(t.Context(), term, one("j1")), full)
+	fresh := newHosts(1).keepers[0]
+	fresh.Fold(1, time.Now(), h.records[0])
+	js, err := fresh.Kept(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, one("j1"), js)
+}
+
+func TestAnswerOutlivesItsOwnerUntilAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts(3)
+		a, b := h.keepers[0], h.keepers[1]
+		require.NoError(t, a.Put(t.Context(), term, one("j1")))
+		require.NoError(t, a.PutOutcome(t.Context(), term, done("j1", "whole answer")))
+		time.Sleep(time.Second)
+		h.kill(0)
+		js, err := b.Kept(t.Context())
+		require.NoError(t, err)
+		require.Empty(t, js)
+		o, ok := b.GetOutcome("j1")
+		require.True(t, ok)
+		require.Equal(t, "whole answer", string(o.GetAnswer()))
+		require.NoError(t, b.Ack(t.Context(), fleet.Term{Counter: 2}, []string{"j1"}))
+		o, ok = b.GetOutcome("j1")
+		require.True(t, ok)
+		require.Empty(t, o.GetAnswer())
+		require.Equal(t, int64(12), o.GetAnswerBytes())
+		require.ErrorIs(t, a.Put(t.Context(), term, one("j2")), port.ErrFenced)
+		time.Sleep(defaultLifetime + time.Second)
+		b.expire()
+		_, ok = b.GetOutcome("j1")
+		require.False(t, ok)
+	})
+}
+
+func TestFullKeeperRefusesWorkRatherThanAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := New(WithBytes(fleet.Bytes(3 * (entryBytes + 8))))
+		for i := range 3 {
+			id := fmt.Sprintf("j%d", i)
+			require.NoError(t, k.Put(t.Context(), term, one(id)))
+			require.NoError(t, k.PutOutcome(t.Context(), term, done(id, "answer")))
+			time.Sleep(time.Second)
+		}
+		require.ErrorIs(t, k.Put(t.Context(), term, one("j3")), ErrFull)
+		require.NoError(t, k.Ack(t.Context(), term, []string{"j0", "j1"}))
+		require.NoError(t, k.Put(t.Context(), term, one("j3")))
+		_, ok := k.GetOutcome("j0")
+		require.False(t, ok, "the oldest acknowledged one makes room")
+		_, ok = k.GetOutcome("j1")
+		require.True(t, ok)
+		o, _ := k.GetOutcome("j2")
+		require.Equal(t, "answer", string(o.GetAnswer()))
+	})
+}
+
+func TestLongJobsAreRewrittenAndBatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts(2)
+		k := h.keepers[0]
+		for i := range 60 {
+			require.NoError(t, k.Put(t.Context(), term, one(fmt.Sprintf("j%02d", i))))
+		}
+		time.Sleep(2 * time.Second)
+		k.flush()
+		require.Len(t, h.records, 1, "60 jobs in one append")
+		k.Fold(1, time.Now(), h.records[0])
+		time.Sleep(time.Hour)
+		k.flush()
+		require.Len(t, h.records, 1)
+		time.Sleep(rewriteAfter)
+		k.flush()
+		require.Len(t, h.records, 2)
+	})
+}
+
+func TestRefusedIsSaidOnlyOfWhatDidNotStart(t *testing.T) {
+	starts := []gang.State{gang.NotStarted, gang.Started, gang.Partly, gang.Unknown}
+	ends := []plan.Result{
+		plan.ResultDone, plan.ResultFailed, plan.ResultStopped, plan.ResultLost, plan.ResultNoStart,
+	}
+	wrong := func(guess bool) int {
+		n := 0
+		for _, s := range starts {
+			for _, e := range ends {
+				for _, cancelled := range []bool{false, true} {
+					kind := kindOf(s, e, cancelled, guess)
+					if kind == fleet.Refused && s != gang.NotStarted {
+						n++
+					}
+					require.Equal(t, s == gang.Started && e == plan.ResultDone, kind == fleet.Done)
+				}
+			}
+		}
+		return n
+	}
+	require.Zero(t, wrong(false))
+	require.NotZero(t, wrong(true), "the proof does not see a guess")
+	for _, c := range []struct {
+		start     gang.State
+		end       plan.Result
+		cancelled bool
+		want      fleet.OutcomeKind
+	}{
+		{gang.NotStarted, plan.ResultNoStart, false, fleet.Refused},
+		{gang.NotStarted, plan.ResultNoStart, true, fleet.Cancelled},
+		{gang.Started, plan.ResultDone, true, fleet.Done},
+		{gang.Started, plan.ResultStopped, true, fleet.Cancelled},
+		{gang.Started, plan.ResultStopped, false, fleet.Unknown},
+		{gang.Started, plan.ResultFailed, false, fleet.Unknown},
+		{gang.Started, plan.ResultLost, true, fleet.Unknown},
+		{gang.Partly, plan.ResultNoStart, false, fleet.Unknown},
+		{gang.Unknown, plan.ResultNoStart, true, fleet.Unknown},
+	} {
+		require.Equal(t, c.want, OutcomeKind(c.start, c.end, c.cancelled))
+	}
+}
+
+// BenchmarkPut shows the bytes to peers and the appends to the log for each job, by jobs in a second.
+func BenchmarkPut(b *testing.B) {
+	for _, n := range []int{1, 16, 64} {
+		b.Run(fmt.Sprintf("jobs=%d", n), func(b *testing.B) {
+			h := newHosts(2)
+			k := h.keepers[0]
+			// A host that answers at once leaves only the cost of the keeper itself.
+			k.call = port.Peers{Call: func(_ context.Context, _ netip.AddrPort, _ string, q, _ proto.Message) error {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				h.bytes += proto.Size(q)
+				return nil
+			}}
+			k.limit = 1 << 40
+			b.ReportAllocs()
+			for i := range b.N {
+				for j := range n {
+					_ = k.Put(b.Context(), term, one(fmt.Sprintf("j%d-%d", i, j)))
+				}
+				for _, e := range k.entries {
+					e.at = e.at.Add(-time.Minute)
+				}
+				k.flush()
+				clear(k.entries)
+			}
+			all := float64(b.N * n)
+			b.ReportMetric(float64(len(h.records))/all, "appends/job")
+			b.ReportMetric(float64(h.bytes)/all, "wireB/job")
+		})
+	}
+}
--- a/internal/coordination/keep/keeper.go
+++ b/internal/coordination/keep/keeper.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/clock"
@@ -44,6 +46,7 @@
 	acked   bool
 	// logged and endLogged say that the log holds the job and that it ended; written is when a record was last queued.
 	logged    bool
+	loggedAt  time.Time
 	endLogged bool
 	written   time.Time
 }
@@ -69,6 +72,7 @@
 	// copyOff turns the copies at peers off, for tests.
 	copyOff bool
 
+	batches atomic.Uint64
 	mu      sync.Mutex
 	term    fleet.Term
 	entries map[string]*kept
@@ -188,7 +192,7 @@
 func (k *Keeper) take(q *wire.KeepRequest) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	t := fleet.Term{Counter: q.GetTerm().GetCounter(), Host: q.GetTerm().GetHost()}
+	t := fleetTerm(q.GetTerm())
 	if t.Less(k.term) {
 		return fmt.Errorf("keep in term %s: %w", t, port.ErrFenced)
 	}
@@ -214,6 +218,9 @@
 		return nil
 	}
 	n := &kept{job: j, at: k.clock.Now()}
+	if fleet.Bytes(k.bytes+n.bytes()) > k.limit {
+		k.makeRoom(n.bytes())
+	}
 	if fleet.Bytes(k.bytes+n.bytes()) > k.limit {
 		return fmt.Errorf("keep %s beside %d bytes: %w", j.GetId(), k.bytes, ErrFull)
 	}
@@ -221,6 +228,23 @@
 	return nil
 }
 
+// makeRoom drops acknowledged outcomes, the oldest first; jobs and answers that nobody has acknowledged stay.
+func (k *Keeper) makeRoom(n int) {
+	var ids []string
+	for id, e := range k.entries {
+		if e.acked {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return k.entries[ids[i]].at.Before(k.entries[ids[j]].at) })
+	for _, id := range ids {
+		if fleet.Bytes(k.bytes+n) <= k.limit {
+			return
+		}
+		k.drop(id)
+	}
+}
+
 func (k *Keeper) takeOutcome(o *wire.Outcome) {
 	e := k.entries[o.GetJob()]
 	if e != nil && e.outcome != nil && e.outcome.GetKind() != string(fleet.Unknown) {
@@ -272,3 +296,7 @@
 func termToWire(t fleet.Term) *wire.Term {
 	return &wire.Term{Counter: t.Counter, Host: t.Host}
 }
+
+func fleetTerm(t *wire.Term) fleet.Term {
+	return fleet.Term{Counter: t.GetCounter(), Host: t.GetHost()}
+}
--- a/internal/coordination/keep/kept.go
+++ b/internal/coordination/keep/kept.go
@@ -48,9 +48,10 @@
 func (k *Keeper) foldAccepted(j *wire.Job, at time.Time) {
 	if e, ok := k.entries[j.GetId()]; ok {
 		e.logged = true
+		e.loggedAt = at
 		return
 	}
-	k.put(j.GetId(), &kept{job: j, at: at, logged: true})
+	k.put(j.GetId(), &kept{job: j, at: at, logged: true, loggedAt: at})
 }
 
 func (k *Keeper) foldEnded(id string) {
--- a/internal/coordination/keep/run.go
+++ b/internal/coordination/keep/run.go
@@ -15,6 +15,9 @@
 	batchJobs = 64
 	// writeAgain is the time after which a record that the log has not shown is queued again.
 	writeAgain = 30 * time.Second
+	// rewriteAfter is the age of its record after which a job that has not ended is written again; the log must keep
+	// records for twice as long at least.
+	rewriteAfter = 6 * time.Hour
 )
 
 // Run writes accepted and ended jobs to the log in batches, and drops outcomes that expired, until ctx ends.
@@ -36,15 +39,21 @@
 	if len(b.GetAccepted())+len(b.GetEnded()) == 0 {
 		return
 	}
+	// A batch that finds no room is due again after writeAgain.
+	_ = k.queueBatch(t, b)
+}
+
+func (k *Keeper) queueBatch(t fleet.Term, b *wire.JobBatch) error {
 	r := &wire.Record{
-		Id:   fmt.Sprintf("jobs/%s/%s/%d", k.domain, t, k.clock.Now().UnixMilli()),
+		Id:   fmt.Sprintf("jobs/%s/%s/%d/%d", k.domain, t, k.clock.Now().UnixMilli(), k.batches.Add(1)),
 		Body: &wire.Record_Jobs{Jobs: b},
 	}
-	if k.queue(r) != nil {
+	if err := k.queue(r); err != nil {
 		k.scope.Counter("keep_batches_refused").Inc(1)
-		return
+		return fmt.Errorf("queue %d jobs for the log: %w", len(b.GetAccepted())+len(b.GetEnded()), err)
 	}
 	k.scope.Counter("keep_batches").Inc(1)
+	return nil
 }
 
 // nextBatch collects what the log lacks.
@@ -76,7 +85,7 @@
 		return false
 	}
 	if e.outcome == nil {
-		return !e.logged
+		return !e.logged || now.Sub(e.loggedAt) > rewriteAfter
 	}
 	return e.logged && !e.endLogged
 }
