Keep claims outside the log only under a marker that the log holds

A marker that had reached the peers but not the log let claims stay outside it, while a host that read that log found no marker and took itself for whole: the key ran twice. Peers say which marker the log holds.

Ruled out: a fault of the fake log, which showed all 119 records to the host.

--- a/internal/coordination/once/history_test.go
+++ b/internal/coordination/once/history_test.go
@@ -231,7 +231,11 @@
 
 func TestHistoriesOfClaimsAreLinearizable(t *testing.T) {
 	all := 0
-	for s := range uint64(seeds) {
+	// With the last seed, calls and appends are so slow that the first marker reaches the peers but not the log.
+	for s := range uint64(seeds + 1) {
+		if s == seeds {
+			s = 1495
+		}
 		ok, n := history(t, s, mechanismsOff{})
 		require.True(t, ok, "seed %d", s)
 		all += n
--- a/internal/coordination/once/holders.go
+++ b/internal/coordination/once/holders.go
@@ -155,10 +155,11 @@
 	}
 	b.mu.Lock()
 	until := b.marks.until().Add(b.bounds.Skew)
-	grouped := len(b.marks.groups()) > 0
+	// A host that reads a log without any marker counts on it that no claim was kept outside.
+	grouped := b.marks.force != nil && !b.marks.vouched
 	b.mu.Unlock()
 	if !grouped && !b.off.group {
-		return fmt.Errorf("%w (%w)", ErrMemoryMissing{Why: "no marker names the hosts that hold the claims"}, cause)
+		return fmt.Errorf("%w (%w)", ErrMemoryMissing{Why: "no marker in the log names the hosts that hold the claims"}, cause)
 	}
 	if !b.off.marker && !b.clock.Now().After(until) {
 		return fmt.Errorf("%w (%w)", ErrMemoryMissing{Until: until, Why: "the log is down and its marker still holds"}, cause)
--- a/internal/coordination/once/memory.go
+++ b/internal/coordination/once/memory.go
@@ -72,6 +72,9 @@
 	for _, x := range r.GetOutcomes() {
 		b.acceptOutcome(x)
 	}
+	if m := r.GetLogged(); m != nil && isNewerMarker(b.marks.force, m) {
+		b.marks.fold(m)
+	}
 	if m := r.GetMarker(); m != nil {
 		b.marks.learn(m)
 	}
--- a/internal/coordination/once/serve.go
+++ b/internal/coordination/once/serve.go
@@ -61,6 +61,9 @@
 	}
 	r.Complete = b.memory.fetched || b.memory.isWhole(now)
 	r.Marker = b.marks.newest()
+	if !b.marks.vouched {
+		r.Logged = b.marks.force
+	}
 	return nil
 }
 
