Let the test network take what is written at once

Cause: with the race detector the daemon tests hung now and then. The relay slept for the link's delay between read and write, so that a writer held the lock of net/rpc's client while time stood still for it. Ruled out: the daemon's own locks; the dump shows one goroutine that waits for the lock of rpc.Client behind a pipe write.

--- a/internal/daemon/network_test.go
+++ b/internal/daemon/network_test.go
@@ -19,6 +19,7 @@
 	owners    map[netip.AddrPort]string
 	cut       map[[2]string]bool
 	relays    map[*relay]struct{}
+	closed    chan struct{}
 }
 
 func newNetwork() *network {
@@ -28,6 +29,7 @@
 		owners:    map[netip.AddrPort]string{},
 		cut:       map[[2]string]bool{},
 		relays:    map[*relay]struct{}{},
+		closed:    make(chan struct{}),
 	}
 }
 
@@ -72,9 +74,12 @@
 	cut := n.cut[[2]string{from, to}]
 	n.mu.Unlock()
 	if cut {
-		// A cut swallows the request to connect.
-		<-ctx.Done()
-		return nil, ctx.Err()
+		// A cut swallows the request to connect; some callers wait for it without a bound of their own.
+		select {
+		case <-ctx.Done():
+		case <-n.closed:
+		}
+		return nil, errRefused
 	}
 	if !ok {
 		return nil, errRefused
@@ -134,6 +139,7 @@
 func (n *network) close() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	close(n.closed)
 	for _, l := range n.listeners {
 		_ = l.Close()
 	}
@@ -149,13 +155,26 @@
 	silent    bool
 }
 
-const relayBuffer = 32 << 10
+const (
+	relayBuffer = 8 << 10
+	relayChunks = 1024
+)
+
+// chunk is what one read took in, and when it is due at the other end.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
 
 // pump moves bytes with the link's delay; bytes sent over a link that was ever cut are lost for good.
+//
+// Reading never waits for the delay, as a socket's buffer takes what is written at once.
 func (r *relay) pump(in, out net.Conn, from, to string) {
-	defer r.close()
-	b := make([]byte, relayBuffer)
+	chunks := make(chan chunk, relayChunks)
+	defer close(chunks)
+	go r.deliver(out, chunks)
 	for {
+		b := make([]byte, relayBuffer)
 		m, err := in.Read(b)
 		if err != nil {
 			return
@@ -163,8 +182,18 @@
 		if r.isSilent(from, to) {
 			continue
 		}
-		time.Sleep(r.n.delay(from, to))
-		if _, err := out.Write(b[:m]); err != nil {
+		chunks <- chunk{data: b[:m], due: time.Now().Add(r.n.delay(from, to))}
+	}
+}
+
+// deliver closes the connection once all that was read has arrived.
+func (r *relay) deliver(out net.Conn, chunks <-chan chunk) {
+	defer r.close()
+	for c := range chunks {
+		time.Sleep(time.Until(c.due))
+		if _, err := out.Write(c.data); err != nil {
+			for range chunks {
+			}
 			return
 		}
 	}
