--- a/internal/coordination/notice/effect.go
+++ b/internal/coordination/notice/effect.go
@@ -65,13 +65,17 @@
 // judge projects a scene and marks the hours in which a profile's promise is not kept.
 func (s *scene) judge(fits func([]fleet.Worker, []config.Profile) error) map[string][]verdict {
 	waits := s.project()
-	lost := newFitter(s, fits)
+	f := newFitter(s, fits)
+	lost := make([][]string, s.hours)
+	for n := range lost {
+		lost[n] = f.lost(s.hour(n))
+	}
 	out := map[string][]verdict{}
 	for name, ws := range waits {
 		vs := make([]verdict, len(ws))
 		for n, w := range ws {
 			p, ok := s.config(s.hour(n)).Profiles[name]
-			v := verdict{wait: w, isLost: lost.isLost(name, s.hour(n))}
+			v := verdict{wait: w, isLost: slices.Contains(lost[n], name)}
 			v.isSlow = ok && (w > p.WaitBound || v.isLost)
 			vs[n] = v
 		}
@@ -146,7 +150,8 @@
 	return &fitter{scene: s, fits: fits, known: map[string][]string{}}
 }
 
-func (f *fitter) isLost(profile string, t time.Time) bool {
+// lost returns the profiles whose guarantees do not fit in the hour of t.
+func (f *fitter) lost(t time.Time) []string {
 	c := f.scene.config(t)
 	id := strconv.FormatUint(versions(c), 10)
 	var stops []config.Stop
@@ -161,7 +166,7 @@
 		lost = f.find(c, stops)
 		f.known[id] = lost
 	}
-	return slices.Contains(lost, profile)
+	return lost
 }
 
 // versions tells configurations with different profiles apart.
--- a/internal/coordination/notice/notice_test.go
+++ b/internal/coordination/notice/notice_test.go
@@ -389,7 +389,7 @@
 }
 
 func BenchmarkForesee(b *testing.B) {
-	for _, profiles := range []int{10, 40} {
+	for _, profiles := range []int{10, 40, 160} {
 		b.Run(fmt.Sprint("profiles=", profiles), func(b *testing.B) {
 			c := guaranteedProfile(1)
 			for i := range profiles {
