Let the demo fail on every job whose end its caller never heard

Cause: a job that ends as Unknown after its deadline is lost for its caller, but the check passed over it.

--- a/cmd/cleatctl/workers.go
+++ b/cmd/cleatctl/workers.go
@@ -7,12 +7,14 @@
 	"maps"
 	"slices"
 
+	"github.com/auburncleat/auburncleat/internal/clock"
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
 )
 
 type workersCmd struct {
 	Domain string `arg:"--domain" help:"only workers of this failure domain"`
 	Rack   string `arg:"--rack" help:"only workers of this rack"`
+	Ready  int    `arg:"--ready" help:"wait until so many workers are booked and leased"`
 }
 
 // workerRow is one worker in the owner's books.
@@ -35,11 +37,14 @@
 
 // Run joins the books of all failure domains.
 func (x *workersCmd) Run(ctx context.Context, c *cli) error {
-	as, err := askAll[wire.WorkersReply](ctx, c, "/v1/workers")
+	rows, err := x.find(ctx, c)
 	if err != nil {
 		return err
 	}
-	rows := x.rows(as)
+	if x.Ready > 0 {
+		_, err := fmt.Fprintf(c.Out, "%d workers are ready\n", len(rows))
+		return err
+	}
 	if c.JSON {
 		return c.printJSON(rows)
 	}
@@ -52,6 +57,23 @@
 	return c.printTable([]string{"FAILURE DOMAIN", "RACK", "WORKER", "STATE", "SLOTS", "ACCELERATORS", "REASON"}, out)
 }
 
+// find lists the workers, with --ready not before there are enough.
+func (x *workersCmd) find(ctx context.Context, c *cli) ([]workerRow, error) {
+	for {
+		as, err := askAll[wire.WorkersReply](ctx, c, "/v1/workers")
+		if x.Ready == 0 && err != nil {
+			return nil, err
+		}
+		rows := x.rows(as)
+		if len(rows) >= x.Ready {
+			return rows, nil
+		}
+		if err := clock.System().Sleep(ctx, readyInterval); err != nil {
+			return nil, fmt.Errorf("%d of %d workers are ready: %w", len(rows), x.Ready, err)
+		}
+	}
+}
+
 // rows takes each worker from the books of the highest term.
 func (x *workersCmd) rows(as []asked[wire.WorkersReply]) []workerRow {
 	as = slices.DeleteFunc(slices.Clone(as), func(a asked[wire.WorkersReply]) bool { return a.Err != nil })
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -9,7 +9,7 @@
 
 // Check compares what the callers heard with what the workers started, and returns every contradiction.
 //
-// Nothing that is done may have been lost, nothing that is refused may have started, no key may have started twice,
+// No job may end as Unknown for its caller, nothing that is done may have been lost, nothing that is refused may have started, no key may have started twice,
 // no gang may have started in part, and every answer has to be the one that the job's tasks gave.
 func Check(r Report, starts []Start, l Load) []string {
 	c := checker{gangs: map[gang][]Start{}, keys: map[string]map[gang]bool{}, jobs: map[string]int{}}
@@ -63,6 +63,8 @@
 func (c *checker) ended(e Ended, l Load) {
 	started := c.jobs[e.Job]
 	switch {
+	case e.Kind == client.Unknown:
+		c.fault("lost: the caller never heard what became of %s", e.Reason)
 	case e.Kind == client.Refused && started > 0:
 		c.fault("%s was refused as not run, but %d tasks of it started", e.Job, started)
 	case e.Kind == client.Done && started == 0:
