--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -183,7 +183,7 @@
 		once.WithLog(d.stream.Append, d.stream.Queue, isLogDown),
 		once.WithCheck(d.owner.Check),
 		once.WithOwner(d.ownTerm),
-		once.WithListed(d.members.IsListed),
+		once.WithLogUp(d.stream.IsUp),
 		once.WithWorkers(d.outside.Workers, resolve),
 		once.WithRing(d.ring),
 		once.WithScope(d.scope),
