--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -101,6 +101,7 @@
 		member.WithOwnership(func() member.Ownership { return d.owner.Ownership() }),
 		member.WithHeard(func(m member.Member) { d.owner.Heard(m) }),
 		member.WithAck(func(sent time.Time, m member.Member) { d.owner.Acked(sent, m) }),
+		member.WithChanged(func(w string) { d.leases.Suspect(w) }),
 		member.WithConfigOffset(d.config.Next),
 		member.WithOffset(d.stream.Hint),
 		member.WithOnceComplete(func() bool { return d.book.IsComplete() }),
@@ -128,6 +129,7 @@
 		owner.WithScope(d.scope.SubScope("owner")),
 		owner.WithGain(func(ctx context.Context, t fleet.Term) { d.gain(ctx, t) }),
 		owner.WithLose(func(t fleet.Term) { d.lose(t) }),
+		owner.WithAnnounce(d.members.Announce),
 		owner.WithTimes(d.settings.Owner.Lease, d.settings.Membership.Suspect, claimWait, rankStep),
 	)
 	d.leases = lease.New(
@@ -139,6 +141,7 @@
 		lease.WithRing(d.ring),
 		lease.WithScope(d.scope.SubScope("lease")),
 		lease.WithDuration(d.settings.Worker.Lease),
+		lease.WithChanged(d.members.TellOwner),
 		lease.WithReport(func(r fleet.Report) { d.sched.ReportWorker(r) }),
 		lease.WithLost(func(w string, _ error) { d.sched.LoseWorker(w) }),
 		lease.WithFenced(d.owner.Observe),
