Back off after attempts that came to nothing; benchmarks

Change: 50 ms doubling to 5 s per job, Planner.Next, workers that did not start a job are avoided for it and counted by blame.

--- /dev/null
+++ b/internal/state/plan/bench_test.go
@@ -0,0 +1,117 @@
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/config"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+)
+
+// loaded returns a failure domain of the target's proportions: 23 of 24 slots taken by gangs, half of them borrowers.
+func loaded(b *testing.B, n, queued int) (*Planner, time.Time) {
+	lent := config.Profile{Name: "Lent", Urgency: config.Quiet, Stoppable: true, ReclaimBound: 2 * time.Second, WaitBound: time.Hour}
+	firm := config.Profile{Name: "Firm", Urgency: config.Normal, WaitBound: time.Hour}
+	vip := config.Profile{
+		Name: "Vip", Urgency: config.Urgent, WaitBound: 3600 * time.Millisecond,
+		Guarantees: guarantee("Fees", max(n/48, 1), fleet.Shape{Tasks: 128, Accelerators: 1, Adjacent: fleet.LevelDomain}),
+	}
+	p := New("north-quay")
+	p.Configure(profiles(lent, firm, vip))
+	for i := range n {
+		p.PutWorker(fleet.Worker{
+			Name: fmt.Sprintf("w%04d", i), Rack: fmt.Sprintf("r%03d", i/8), Domain: "north-quay",
+			Slots: 24, Accelerators: 24, Processors: 128, Memory: 512 * fleet.Gigabyte,
+		})
+	}
+	r := rand.New(rand.NewPCG(1, 2))
+	at := start
+	for tasks := 0; tasks < n*23; {
+		k := []int{1, 2, 4, 8, 16, 32}[r.IntN(6)]
+		tasks += k
+		p.submit(b, fmt.Sprintf("run%06d", tasks), []string{"Lent", "Firm"}[r.IntN(2)], k, at)
+	}
+	for range 20 {
+		at = at.Add(time.Second)
+		run(p, p.Pass(at), at)
+	}
+	for id, e := range p.jobs {
+		if e.isQueued() {
+			p.Cancel([]string{id})
+		}
+	}
+	for i := range queued {
+		p.submit(b, fmt.Sprintf("wait%06d", i), []string{"Lent", "Firm"}[r.IntN(2)], 1<<r.IntN(7), at)
+	}
+	return p, at.Add(10 * time.Minute)
+}
+
+func (p *Planner) submit(b *testing.B, id, profile string, tasks int, at time.Time) {
+	j := fleet.Job{
+		ID: id, Organisation: fmt.Sprintf("o%d", len(id)+tasks%5), Profile: profile, Submitted: at, RunTime: time.Hour,
+		Shape: fleet.Shape{Tasks: tasks, Accelerators: 1, Processors: 1, Memory: fleet.Gigabyte, Adjacent: fleet.LevelRack},
+	}
+	if err := p.Submit(j); err != nil {
+		b.Fatal(err)
+	}
+}
+
+var sizes = []int{120, 480, 1920, 5300}
+
+// BenchmarkPass measures a full pass with a thousand queued jobs on a full failure domain.
+func BenchmarkPass(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			p, at := loaded(b, n, 1000)
+			run(p, p.Pass(at), at)
+			for b.Loop() {
+				at = at.Add(time.Millisecond)
+				p.Pass(at)
+			}
+			b.ReportMetric(float64(p.total.Slots), "slots")
+		})
+	}
+}
+
+// BenchmarkPlaceGang measures the search for a gang of 128 on an empty failure domain.
+func BenchmarkPlaceGang(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			p, at := loaded(b, n, 0)
+			for id := range p.jobs {
+				p.Ended(Ended{Job: id, Result: ResultStopped, At: at})
+			}
+			p.Pass(at)
+			p.targets = p.findTargets(nil)
+			e := p.newEntry(fleet.Job{ID: "g", Profile: "Firm", RunTime: time.Hour, Shape: fleet.Shape{
+				Tasks: 128, Accelerators: 1, Processors: 1, Memory: fleet.Gigabyte, Adjacent: fleet.LevelDomain,
+			}})
+			for b.Loop() {
+				if s, _ := p.findSites(e); s == nil {
+					b.Fatal("no room")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkReclaim measures the plan that frees a guaranteed gang of 128 from borrowers.
+func BenchmarkReclaim(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			p, at := loaded(b, n, 0)
+			p.Pass(at)
+			e := p.newEntry(fleet.Job{ID: "g", Organisation: "Fees", Profile: "Vip", Shape: fleet.Shape{
+				Tasks: 128, Accelerators: 1, Adjacent: fleet.LevelDomain,
+			}})
+			g := p.keeper.Find("Fees", "Vip", e.shape)[0]
+			for b.Loop() {
+				if c := p.cheapest(e, g, at); !c.ok {
+					b.Fatal("no plan")
+				}
+			}
+		})
+	}
+}
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -33,8 +33,13 @@
 	// spot is the rack where a blocked gang is planned to start.
 	spot  *place.Rack
 	avoid []string
+	// shy are workers that did not start the job.
+	shy []string
 	// tries counts the starts under this owner.
 	tries int
+	// backoff grows with attempts in a row that came to nothing; the job waits until after.
+	backoff time.Duration
+	after   time.Time
 	// peak is the most memory seen of a task, and outgrown what the job should be planned with instead.
 	peak      fleet.Bytes
 	outgrown  fleet.Bytes
@@ -192,6 +197,7 @@
 	e.doomed = ""
 	e.job.Progress = max(e.job.Progress, x.Progress)
 	p.enqueue(e)
+	p.postpone(e, x)
 	p.giveUp(e)
 }
 
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -124,6 +124,10 @@
 		d.Refusals = append(d.Refusals, Refusal{Job: e.job.ID, Reason: "its deadline passed before a start", Ran: e.hasRun()})
 		return
 	}
+	if p.now.Before(e.after) {
+		e.why = why{code: whyBackoff}
+		return
+	}
 	if p.claim(e, d) {
 		return
 	}
--- a/internal/state/plan/planner_test.go
+++ b/internal/state/plan/planner_test.go
@@ -263,3 +263,16 @@
 	}
 	t.Fatal("never refused")
 }
+
+func TestNoStartBacksOffToAnotherWorker(t *testing.T) {
+	p := planner(t, workers(1, 4), profiles(audit))
+	require.NoError(t, p.Submit(job("j", "Gear", "Audit", shape(1, 1, fleet.LevelWorker))))
+	d := p.Pass(start)
+	first := d.Starts[0].Placement[0].Worker
+	p.Ended(Ended{Job: "j", Result: ResultNoStart, Workers: []string{first}, At: start, Requeue: true})
+	require.Empty(t, p.Pass(start.Add(minBackoff/2)).Starts)
+	require.Equal(t, start.Add(minBackoff), p.Next(start))
+	d = p.Pass(start.Add(minBackoff))
+	require.Len(t, d.Starts, 1)
+	require.NotEqual(t, first, d.Starts[0].Placement[0].Worker)
+}
--- a/internal/state/plan/status.go
+++ b/internal/state/plan/status.go
@@ -20,6 +20,7 @@
 	whyQuota
 	whyReclaim
 	whyHeld
+	whyBackoff
 )
 
 // why is the reason of the last pass, rendered only when someone asks.
@@ -76,6 +77,8 @@
 	case whyHeld:
 		return fmt.Sprintf("waits for %s; held back for it: %s from %s on", wants(s), number(e.why.a, "rack"), e.why.text),
 			fmt.Sprintf("running work in rack %s to end", e.why.text)
+	case whyBackoff:
+		return fmt.Sprintf("its last attempt came to nothing; tried again after %s", e.backoff), "the time to try again"
 	default:
 	}
 	if e.why.text != "" {
--- a/internal/state/plan/trust.go
+++ b/internal/state/plan/trust.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/blame"
@@ -36,12 +37,59 @@
 		p.blame.Lost(e.job.ID, ps, at, p.books.Len())
 	case ResultStopped:
 	}
-	e.avoid = p.blame.Avoid(e.job.ID)
+	if x.Result == ResultLost || x.Result == ResultNoStart {
+		e.shy = append(e.shy, x.Workers...)
+	}
+	e.avoid = slices.Concat(p.blame.Avoid(e.job.ID), e.shy)
 	if 2*len(e.avoid) > p.books.Len() {
-		e.avoid = nil
+		e.avoid, e.shy = nil, nil
+	}
+}
+
+const (
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 5 * time.Second
+)
+
+// postpone lets a job whose attempt came to nothing wait, twice as long each time in a row.
+func (p *Planner) postpone(e *entry, x Ended) {
+	if x.Result == ResultStopped || x.Result == ResultDone {
+		e.backoff = 0
+		return
+	}
+	e.backoff = min(max(2*e.backoff, minBackoff), maxBackoff)
+	e.after = p.now.Add(e.backoff)
+	if x.At.After(p.now) {
+		e.after = x.At.Add(e.backoff)
 	}
 }
 
+// Next returns the earliest time at which a pass may decide something that none before could, if nothing else changes;
+// it is zero while no job waits.
+func (p *Planner) Next(now time.Time) time.Time {
+	var next time.Time
+	sooner := func(t time.Time) {
+		if t.After(now) && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	if p.waiting == 0 {
+		return next
+	}
+	sooner(now.Add(maxPause))
+	for _, e := range p.jobs {
+		if e.isQueued() {
+			sooner(e.after)
+			sooner(e.expected)
+			sooner(e.job.Deadline)
+		}
+	}
+	return next
+}
+
+// maxPause is the longest time between two passes while jobs wait.
+const maxPause = 5 * time.Second
+
 func (p *Planner) placesOf(workers []string) []blame.Place {
 	var ps []blame.Place
 	for _, n := range workers {
