Serve operators from the daemon: publishing, notices, drain state

Cause: policy, notices and the operators' handlers stood alone. Change: the daemon folds the configuration through policy, answers operators on a listener of its own, checks guarantees against the workers of all failure domains, and issues the notices of the failure domain that it owns. A log that was read from its start and is empty now counts as the whole configuration, so that a new deployment becomes ready before the first change.

--- a/internal/coordination/member/listed.go
+++ b/internal/coordination/member/listed.go
@@ -1,5 +1,7 @@
 package member
 
+import "github.com/auburncleat/auburncleat/internal/state/fleet"
+
 // IsListed reports whether the platform's newest list names a host; it is true while no list has been read.
 func (m *Members) IsListed(name string) bool {
 	m.mu.Lock()
@@ -14,3 +16,14 @@
 	}
 	return false
 }
+
+// AllWorkers returns the workers of all failure domains, as the platform's newest list named them.
+func (m *Members) AllWorkers() []fleet.Worker {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ws := make([]fleet.Worker, 0, len(m.listing.workers))
+	for _, w := range m.listing.workers {
+		ws = append(ws, w.Worker)
+	}
+	return ws
+}
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -9,8 +9,10 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/keep"
 	"github.com/auburncleat/auburncleat/internal/coordination/lease"
 	"github.com/auburncleat/auburncleat/internal/coordination/member"
+	"github.com/auburncleat/auburncleat/internal/coordination/notice"
 	"github.com/auburncleat/auburncleat/internal/coordination/once"
 	"github.com/auburncleat/auburncleat/internal/coordination/owner"
+	"github.com/auburncleat/auburncleat/internal/coordination/policy"
 	"github.com/auburncleat/auburncleat/internal/coordination/route"
 	"github.com/auburncleat/auburncleat/internal/coordination/sched"
 	"github.com/auburncleat/auburncleat/internal/coordination/stream"
@@ -29,31 +31,53 @@
 	d.stamps = events.NewClock(d.clock.Now)
 	d.ring = events.NewRing(h.Name, d.settings.Timeline.Events, d.stamps)
 	d.pool = peer.NewPool(peer.WithDial(d.outside.Dial), peer.WithClock(d.clock), peer.WithScope(d.scope))
-	d.buildConfig()
+	d.buildPolicy()
 	d.buildStream()
 	d.buildMembers()
 	d.buildOwner()
 	d.buildWork()
 	d.buildSched()
 	d.buildRouter()
-	d.stream.Subscribe(d.config.Fold)
+	d.stream.Subscribe(d.policy.Fold)
+	d.stream.Subscribe(d.notices.Fold)
 	d.stream.Subscribe(d.owner.Fold)
 	d.stream.Subscribe(d.book.Fold)
 	d.stream.Subscribe(d.keeper.Fold)
 	return nil
 }
 
-func (d *Daemon) buildConfig() {
-	d.config = config.New(
-		config.WithAlarm(d.noteAlarm),
-		config.WithChanged(d.noteConfig),
+func (d *Daemon) buildPolicy() {
+	d.policy = policy.New(
+		policy.WithAppend(d.appendRecord, func(err error) bool { return errors.Is(err, stream.ErrLogDown) }),
+		policy.WithFits(fitsGuarantees, func() []fleet.Worker { return d.members.AllWorkers() }),
+		policy.WithMembers(d.policyMembers),
+		policy.WithForesee(func(now time.Time, before, after config.Config, from time.Time) error {
+			return d.notices.Foresee(now, before, after, from)
+		}),
+		policy.WithForecast(func() ([]byte, error) { return d.notices.Load().Encode() }),
+		policy.WithRank(d.rank),
+		policy.WithChanged(d.noteConfig),
+		policy.WithClock(d.clock),
+		policy.WithEvents(d.ring),
+		policy.WithScope(d.scope),
+	)
+	d.config = d.policy.State()
+	d.notices = notice.New(
+		notice.WithConfig(d.policy.Config),
+		notice.WithWorkers(func() []fleet.Worker { return d.members.AllWorkers() }),
+		notice.WithFits(fitsGuarantees),
+		notice.WithAppend(d.appendRecord),
+		notice.WithMine(d.isOwnDomain),
+		notice.WithTasks(d.countTasks),
+		notice.WithClock(d.clock),
+		notice.WithEvents(d.ring),
+		notice.WithScope(d.scope),
 	)
 }
 
-func (d *Daemon) noteAlarm(a config.Alarm) {
-	d.scope.Counter("config_alarms").Inc(1)
-	d.ring.Add(events.Event{Kind: events.ConfigAlarm, Text: a.Text})
-	d.log.Warn("configuration alarm", "Text", a.Text)
+// appendRecord reaches the stream, which is built after its users.
+func (d *Daemon) appendRecord(ctx context.Context, r *wire.Record) (uint64, error) {
+	return d.stream.Append(ctx, r)
 }
 
 func (d *Daemon) noteConfig() {
@@ -77,6 +101,7 @@
 		stream.WithBatchDelay(s.BatchDelay),
 		stream.WithAppendGap(time.Second/time.Duration(s.Rate)),
 		stream.WithSnapshot(d.takeSnapshot, d.loadSnapshot),
+		stream.WithSnapshot(d.notices.TakeSnapshot, d.notices.LoadSnapshot),
 		stream.WithGap(d.noteGap),
 	)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,8 +14,10 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/keep"
 	"github.com/auburncleat/auburncleat/internal/coordination/lease"
 	"github.com/auburncleat/auburncleat/internal/coordination/member"
+	"github.com/auburncleat/auburncleat/internal/coordination/notice"
 	"github.com/auburncleat/auburncleat/internal/coordination/once"
 	"github.com/auburncleat/auburncleat/internal/coordination/owner"
+	"github.com/auburncleat/auburncleat/internal/coordination/policy"
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/coordination/route"
 	"github.com/auburncleat/auburncleat/internal/coordination/sched"
@@ -54,7 +56,9 @@
 	members *member.Members
 	owner   *owner.Owner
 	leases  *lease.Leases
+	policy  *policy.Policy
 	config  *config.State
+	notices *notice.Notices
 	gangs   *gang.Gangs
 	book    *once.Book
 	keeper  *keep.Keeper
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/auburncleat/auburncleat/internal/coordination/member"
 	"github.com/auburncleat/auburncleat/internal/transport/entry"
+	"github.com/auburncleat/auburncleat/internal/transport/oper"
 	"github.com/auburncleat/auburncleat/internal/transport/peer"
 	"github.com/auburncleat/auburncleat/internal/transport/status"
 	"github.com/oklog/run"
@@ -66,6 +67,8 @@
 	d.add(g, d.members.Run)
 	d.add(g, d.stream.Run)
 	d.add(g, d.owner.Run)
+	d.add(g, d.policy.Run)
+	d.add(g, d.notices.Run)
 	d.add(g, d.leases.Run)
 	d.add(g, d.book.Run)
 	d.add(g, d.keeper.Run)
@@ -107,7 +110,14 @@
 const joinInterval = 100 * time.Millisecond
 
 func (d *Daemon) isJoined(ctx context.Context) bool {
-	if d.config.Ready() != nil || !d.stream.IsCaughtUp() {
+	if !d.stream.IsCaughtUp() {
+		return false
+	}
+	if !d.skippedLog.Load() && d.logFirst.Load() == 1 {
+		// The log was read from its start, so that an empty one is the whole configuration.
+		d.config.Begin()
+	}
+	if d.config.Ready() != nil {
 		return false
 	}
 	if !d.hasClaims {
@@ -185,6 +195,15 @@
 		Workers: d.findWorkers,
 		Name:    d.settings.Host.Name,
 	}
+	o := &oper.Server{
+		Policy:    d.policy,
+		Keys:      oper.NewKeys(d.settings.Operators.KeyFile),
+		StopState: d.notices.StopState,
+		Scope:     d.scope,
+	}
+	if err := d.addHTTP(g, "operators", l.Operator, o.Handler()); err != nil {
+		return err
+	}
 	return d.addHTTP(g, "status", l.Status, s.Handler())
 }
 
