--- a/internal/coordination/owner/owner_test.go
+++ b/internal/coordination/owner/owner_test.go
@@ -237,6 +237,31 @@
 	})
 }
 
+func TestOwnerHelpersRenewOnlyForALiveOwner(t *testing.T) {
+	run(t, func(b *bench) {
+		for _, n := range names(3) {
+			b.start(n)
+		}
+		b.sleep(3 * time.Second)
+		helper := b.hosts[2]
+		old, isAlive := helper.owner.LeaseTerm()
+		require.True(t, isAlive)
+		require.Equal(t, b.hosts[0].owner.Term(), old)
+		b.kill(b.hosts[0])
+		b.sleep(950 * time.Millisecond)
+		term, isAlive := helper.owner.LeaseTerm()
+		require.False(t, isAlive && term == old, "not for an owner that is silent")
+		b.sleep(time.Second)
+		term, isAlive = helper.owner.LeaseTerm()
+		require.True(t, isAlive)
+		require.Equal(t, "host-1", term.Host)
+		helper.pause.Stop()
+		b.sleep(10 * time.Second)
+		_, isAlive = helper.owner.LeaseTerm()
+		require.False(t, isAlive, "a woken helper has to hear the owner first")
+	})
+}
+
 func TestOwnerLeavingHandsOver(t *testing.T) {
 	run(t, func(b *bench) {
 		for _, n := range names(3) {
--- a/internal/coordination/stream/read.go
+++ b/internal/coordination/stream/read.go
@@ -227,7 +227,7 @@
 		return false
 	}
 	_, isRepeat := s.ids.find(w.GetId())
-	isRepeat = isRepeat && !s.keepsRepeats
+	isRepeat = isRepeat && w.GetId() != "" && !s.keepsRepeats
 	s.mu.Unlock()
 	switch {
 	case err != nil:
@@ -251,6 +251,8 @@
 	s.next = r.Offset + 1
 	s.known = max(s.known, s.next)
 	s.history.add(r)
-	s.ids.add(id, r.Offset)
-	s.finish(id, r.Offset)
+	if id != "" {
+		s.ids.add(id, r.Offset)
+		s.finish(id, r.Offset)
+	}
 }
--- a/internal/coordination/stream/stream_test.go
+++ b/internal/coordination/stream/stream_test.go
@@ -165,6 +165,19 @@
 	return e
 }
 
+func TestStreamRecordsWithoutIDAreNotFolded(t *testing.T) {
+	run(t, func(b *bench) {
+		x := b.start()
+		_, err := x.Append(b.ctx, &wire.Record{})
+		require.ErrorIs(t, err, ErrNoID)
+		for range 2 {
+			_, _ = b.log.Port().Append(b.ctx, [][]byte{{}, {0xff}})
+		}
+		b.sleep(time.Second)
+		require.Equal(t, []uint64{1, 3}, x.offs, "one that cannot be read is passed over, the others are delivered")
+	})
+}
+
 func TestStreamAppendWhileDownIsNeverWritten(t *testing.T) {
 	run(t, func(b *bench) {
 		x := b.start()
@@ -312,6 +325,35 @@
 	})
 }
 
+func TestStreamPausedBeyondTheRetentionLoadsSnapshot(t *testing.T) {
+	run(t, func(b *bench) {
+		x := b.start()
+		p := &nettest.Pause{}
+		l := b.log.Port()
+		read := l.Read
+		l.Read = func(ctx context.Context, from uint64, limit int, wait time.Duration) (port.Page, error) {
+			if err := p.Wait(ctx); err != nil {
+				return port.Page{}, err
+			}
+			return read(ctx, from, limit, wait)
+		}
+		y := b.start(WithLog(l), WithClock(p.Clock()))
+		b.append(x, "a")
+		require.Equal(t, []string{"a"}, y.ids)
+		p.Stop()
+		b.sleep(10 * time.Second)
+		b.append(x, "b", "c", "d")
+		b.log.Expire(4)
+		b.sleep(time.Hour)
+		p.Resume()
+		b.sleep(10 * time.Second)
+		require.Equal(t, []string{"snapshot [a b c d]"}, y.ids)
+		require.Empty(t, y.gaps)
+		b.append(x, "e")
+		require.Equal(t, []string{"snapshot [a b c d]", "e"}, y.ids)
+	})
+}
+
 func TestStreamTellsGapWhenNobodyHasSnapshot(t *testing.T) {
 	run(t, func(b *bench) {
 		x := b.start()
