Answer those that ask a book that cannot open from its last try, and prove commit and peers by mutation

Each submission with a key opened the book anew while claims might be missing, one after the other, each for up to 2.4 s. The failure now answers for half a second. With the barrier off tasks run before the commit; with the peers off a claim is held by one host of three while the others do not read the log.

--- a/internal/coordination/gang/start_test.go
+++ b/internal/coordination/gang/start_test.go
@@ -92,16 +92,22 @@
 }
 
 func TestNothingRunsUnlessCommitted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(2)
-		g := gangs(f)
-		no := errors.New("key is claimed")
-		a, err := g.Start(t.Context(), term, job(4), f.place(4, 2), func(context.Context) error { return no })
-		require.ErrorIs(t, err, no)
-		require.Equal(t, NotStarted, a.State)
-		require.Zero(t, f.started())
-		require.Zero(t, f.held())
-	})
+	run := func(off mechanismsOff) (started int) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(2)
+			g := gangs(f)
+			g.off = off
+			no := errors.New("key is claimed")
+			a, err := g.Start(t.Context(), term, job(4), f.place(4, 2), func(context.Context) error { return no })
+			require.ErrorIs(t, err, no)
+			require.Equal(t, NotStarted, a.State)
+			require.Zero(t, f.held())
+			started = f.started()
+		})
+		return started
+	}
+	require.Zero(t, run(mechanismsOff{}))
+	require.NotZero(t, run(mechanismsOff{barrier: true}), "the proof does not see a start before the commit")
 }
 
 // startAnswerLost starts a gang of which one worker's answers to a start are lost.
--- a/internal/coordination/once/book.go
+++ b/internal/coordination/once/book.go
@@ -83,6 +83,7 @@
 	mu      sync.Mutex
 	term    fleet.Term
 	opened  fleet.Term
+	failed  failedOpen
 	entries map[id]*entry
 	bytes   int64
 	marks   marks
--- a/internal/coordination/once/claim_test.go
+++ b/internal/coordination/once/claim_test.go
@@ -36,19 +36,57 @@
 	return errors.As(err, &m)
 }
 
-func TestClaimIsHeldByPeersAndLogBeforeItStarts(t *testing.T) {
-	for s := range uint64(seeds) {
-		inCluster(t, s, mechanismsOff{}, func(c *fakeCluster, a, b, d *fakeHost) {
-			require.NoError(t, a.claim("j1", "k"))
-			for _, h := range []*fakeHost{a, b, d} {
-				x, ok := h.book.Find("authority", "k")
-				require.True(t, ok)
+// holdersOf claims a key and returns how many hosts, and how many records of the log, hold it at once.
+func holdersOf(t *testing.T, seed uint64, off mechanismsOff) (hosts, records int) {
+	inCluster(t, seed, off, func(c *fakeCluster, a, b, d *fakeHost) {
+		// The other hosts do not read the log now, so that they hold what the owner hands them only.
+		b.setLog(false)
+		d.setLog(false)
+		require.NoError(t, a.claim("j1", "k"))
+		for _, h := range []*fakeHost{a, b, d} {
+			x, ok := h.book.Find("authority", "k")
+			if ok {
+				hosts++
 				require.Equal(t, "j1", x.Job)
 				require.Equal(t, []string{"w1", "w2"}, x.Workers)
 			}
-			require.NotNil(t, c.log.records[len(c.log.records)-1].rec.GetClaim())
-		})
+		}
+		for _, r := range c.log.records {
+			if r.rec.GetClaim() != nil {
+				records++
+			}
+		}
+	})
+	return hosts, records
+}
+
+func TestClaimIsHeldByPeersAndLogBeforeItStarts(t *testing.T) {
+	for s := range uint64(seeds) {
+		hosts, records := holdersOf(t, s, mechanismsOff{})
+		require.Equal(t, 3, hosts)
+		require.Equal(t, 1, records)
 	}
+	hosts, _ := holdersOf(t, 1, mechanismsOff{peers: true, group: true, memory: true})
+	require.Less(t, hosts, 3, "the proof does not see that peers are left out")
+}
+
+func TestBookThatCannotOpenAsksAgainLater(t *testing.T) {
+	inCluster(t, 1, mechanismsOff{}, func(c *fakeCluster, _, b, _ *fakeHost) {
+		c.setLog(false)
+		c.setCut(func(string, string) bool { return true })
+		began := time.Now()
+		n := b.own(2)
+		require.True(t, isMissing(b.book.Open(c.t.Context(), n)))
+		took := time.Since(began)
+		began = time.Now()
+		for range 10 {
+			require.True(t, isMissing(b.book.Open(c.t.Context(), n)))
+		}
+		require.Less(t, time.Since(began), took+time.Millisecond, "ten callers wait no longer than one")
+		c.setCut(func(string, string) bool { return false })
+		time.Sleep(2 * openAgain)
+		require.NoError(t, b.book.Open(c.t.Context(), n))
+	})
 }
 
 func TestRepeatGetsTheFirstAnswerAfterOwnerChanges(t *testing.T) {
--- a/internal/coordination/once/memory.go
+++ b/internal/coordination/once/memory.go
@@ -96,6 +96,26 @@
 	if err != nil || opened {
 		return err
 	}
+	if err := b.open(ctx, t); err != nil {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.failed = failedOpen{term: t, at: b.clock.Now(), err: err}
+		return err
+	}
+	return nil
+}
+
+// openAgain is the time for which a failure to open the book answers all that ask.
+const openAgain = 500 * time.Millisecond
+
+// failedOpen is the last failure to open the book.
+type failedOpen struct {
+	term fleet.Term
+	at   time.Time
+	err  error
+}
+
+func (b *Book) open(ctx context.Context, t fleet.Term) error {
 	hs, err := b.spread(ctx, &wire.ClaimRequest{Term: termOf(t)})
 	if err != nil {
 		return fmt.Errorf("open claims: %w", err)
@@ -127,6 +147,9 @@
 		return false, ErrTermPassed{Term: b.term}
 	}
 	b.term = t
+	if b.failed.term == t && b.clock.Since(b.failed.at) < openAgain {
+		return false, b.failed.err
+	}
 	return b.opened == t, nil
 }
 
