Keep the listed workers of all failure domains

Cause: publishing a guarantee was refused for every failure domain but the host's own: the list of workers was cut down to that when it was read. After: all are kept, and only the own ones are scheduled and passed to joiners.

--- a/internal/coordination/member/listing.go
+++ b/internal/coordination/member/listing.go
@@ -40,7 +40,9 @@
 	defer m.mu.Unlock()
 	var ws []fleet.Worker
 	for _, w := range m.listing.workers {
-		ws = append(ws, w.Worker)
+		if w.Domain == m.self.Domain {
+			ws = append(ws, w.Worker)
+		}
 	}
 	return ws
 }
@@ -77,9 +79,7 @@
 	}
 	next := listing{at: at, hosts: l.Hosts, workers: make(map[string]listedWorker), leaving: make(map[string]bool)}
 	for _, w := range l.Workers {
-		if w.Domain == m.self.Domain {
-			next.workers[w.Name] = listedWorker{Worker: w, lastListed: at}
-		}
+		next.workers[w.Name] = listedWorker{Worker: w, lastListed: at}
 	}
 	for name, w := range m.listing.workers {
 		if _, ok := next.workers[name]; !ok && at.Sub(w.lastListed) < keepWorker {
@@ -156,7 +156,9 @@
 		}
 	}
 	for _, w := range m.listing.workers {
-		l.Workers = append(l.Workers, wireWorker(w.Worker))
+		if w.Domain == m.self.Domain {
+			l.Workers = append(l.Workers, wireWorker(w.Worker))
+		}
 	}
 	return l
 }
