Do not lose a started gang to a report from before its start

Cause: in the demo a registration ended as Unknown 0.3 ms after its start. The run is followed from before its prepare; a report that another gang on the same worker asked for in between lacked the tasks, marked them missing, and the start kept that mark. Change: the start restarts the view of all tasks. Before: TestReportBeforeTheStartDoesNotLoseTasks fails. After: it passes.

--- a/internal/coordination/gang/run.go
+++ b/internal/coordination/gang/run.go
@@ -93,11 +93,14 @@
 	}
 }
 
-// begin restarts the run's age when its start is sent.
+// begin restarts the run when its start is sent; what was reported until then says nothing of it.
 func (r *run) begin(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.added = now
+	for i := range r.tasks {
+		r.tasks[i] = taskView{worker: r.tasks[i].worker, state: fleet.TaskRunning}
+	}
 	for _, w := range r.workers {
 		w.asked = now
 	}
