Answer a repeated key also after the first caller has acknowledged

Before: TestRepeatedKeyGetsTheAnswerAfterAnAcknowledgement fails with an unexpected EOF. After: it passes.

--- a/internal/coordination/once/outcome.go
+++ b/internal/coordination/once/outcome.go
@@ -40,6 +40,18 @@
 	return claimedOf(e), true
 }
 
+// FindOutcome returns the outcome of a job that holds a key, if that has ended.
+func (b *Book) FindOutcome(job string) (*wire.Outcome, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, e := range b.entries {
+		if e.claim.GetJob() == job && e.outcome != nil && !e.isFree() {
+			return e.outcome.GetOutcome(), true
+		}
+	}
+	return nil, false
+}
+
 // FindOpen returns the claims whose outcome is not known, which a new owner resolves.
 func (b *Book) FindOpen() []Claimed {
 	b.mu.Lock()
--- a/internal/coordination/sched/outcome.go
+++ b/internal/coordination/sched/outcome.go
@@ -19,9 +19,16 @@
 	RetryAfter time.Duration
 }
 
-// outcome returns the outcome of a job that this host or its peers keep.
+// outcome returns how a job ended; the book answers for keys after the first caller has acknowledged the answer.
 func (s *Sched) outcome(id string) (*wire.Outcome, bool) {
-	return s.keeper.GetOutcome(id)
+	o, ok := s.keeper.GetOutcome(id)
+	if ok && (o.GetAnswerBytes() == 0 || len(o.GetAnswer()) > 0) {
+		return o, true
+	}
+	if b, found := s.book.FindOutcome(id); found {
+		return b, true
+	}
+	return o, ok
 }
 
 // end keeps the outcome of a job and tells those who await it; Done outcomes were kept with their answers before.
--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -74,6 +74,18 @@
 	})
 }
 
+func TestRepeatedKeyGetsTheAnswerAfterAnAcknowledgement(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		q := registration(keyOf("east", 8))
+		_, v := c.submit("west-1", q)
+		c.await("west-1", v.Job, 10*time.Second)
+		first := c.answer("west-1", v.Job)
+		require.NotEmpty(t, first)
+		c.call("west-1", http.MethodPost, "/v1/jobs/ack", []byte(`{"Jobs":["`+v.Job+`"]}`))
+		require.Equal(t, first, c.answer("north-1", v.Job))
+	})
+}
+
 func TestRunningWorkOutlivesItsOwner(t *testing.T) {
 	inCluster(t, func(c *cluster) {
 		q := registration(keyOf("east", 3))
