--- a/internal/coordination/notice/load.go
+++ b/internal/coordination/notice/load.go
@@ -95,7 +95,7 @@
 		l.series[k] = s
 	}
 	s.advance(hourOf(at))
-	s.Sum += work
+	s.Sum = min(s.Sum+max(0, work), sampleLimit)
 	if _, ok := s.Organisations[org]; ok || len(s.Organisations) < organisationLimit {
 		s.Organisations[org] = s.Hour
 	}
--- a/internal/coordination/notice/notice_test.go
+++ b/internal/coordination/notice/notice_test.go
@@ -303,12 +303,21 @@
 	six := start.Add(21*24*time.Hour + 6*time.Hour)
 	require.InDelta(t, 16, l.Expect(k, six, 0), 0.01)
 	require.Zero(t, l.Expect(k, six.Add(time.Hour), 0))
-	b, err := l.Encode()
+	b, err := l.Encode(0)
 	require.NoError(t, err)
 	o := NewLoad()
 	require.NoError(t, o.Decode(b))
 	require.Equal(t, l.Expect(k, six, 1), o.Expect(k, six, 1))
 	require.Equal(t, []string{"o"}, o.FindOrganisations(k))
+	for i := range 200 {
+		l.Add(Key{Profile: fmt.Sprint(i), Domain: "d"}, "o", six, float64(i))
+	}
+	b, err = l.Encode(1000)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(b), 1000)
+	o = NewLoad()
+	require.NoError(t, o.Decode(b))
+	require.True(t, o.HasProfile("p"), "the profile that offers most is kept")
 }
 
 // shareNaive hands out the capacity crumb by crumb to whoever comes first.
@@ -376,7 +385,7 @@
 func FuzzDecodeLoad(f *testing.F) {
 	l := NewLoad()
 	l.Add(Key{"p", "d"}, "o", time.Unix(0, 0), 1)
-	b, err := l.Encode()
+	b, err := l.Encode(0)
 	require.NoError(f, err)
 	f.Add(b)
 	f.Fuzz(func(t *testing.T, b []byte) {
@@ -384,6 +393,8 @@
 		if x.Decode(b) == nil {
 			x.Add(Key{"p", "d"}, "o", time.Unix(1e6, 0), 1)
 			x.Expect(Key{"p", "d"}, time.Unix(1e6, 0), 1)
+			_, err := x.Encode(0)
+			require.NoError(t, err)
 		}
 	})
 }
@@ -407,3 +418,25 @@
 		})
 	}
 }
+
+func BenchmarkEncodeLoad(b *testing.B) {
+	for _, n := range []int{50, 550} {
+		b.Run(fmt.Sprint("series=", n), func(b *testing.B) {
+			l := NewLoad()
+			for i := range n {
+				for h := range 14 * hoursOfDay {
+					x := float64(i%7+1) * (10 + float64((h*7919+i*104729)%1000)/300)
+					l.Add(Key{fmt.Sprint("p", i%50), fmt.Sprint("d", i/50)}, "o", time.Unix(int64(h)*3600, 0), x)
+				}
+			}
+			size := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				e, err := l.Encode(0)
+				require.NoError(b, err)
+				size = len(e)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
--- a/internal/coordination/notice/notices.go
+++ b/internal/coordination/notice/notices.go
@@ -27,6 +27,8 @@
 	// defaultSpread is how many mean deviations above its mean the load is expected.
 	defaultSpread = 0.25
 	appendBound   = 10 * time.Second
+	// forecastBytes bounds what a snapshot in the log carries of the load.
+	forecastBytes = 128 << 10
 )
 
 // Notices foresees slowdowns of the failure domains that this host looks after, and issues notices through the log.
@@ -146,9 +148,14 @@
 	}
 }
 
+// Forecast renders what was learned for a snapshot in the log, which has to stay small.
+func (n *Notices) Forecast() ([]byte, error) {
+	return n.load.Encode(forecastBytes)
+}
+
 // TakeSnapshot fills in the forecast's part of a reply to a peer.
 func (n *Notices) TakeSnapshot(r *wire.SnapshotReply) error {
-	b, err := n.load.Encode()
+	b, err := n.load.Encode(0)
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/policy/policy.go
+++ b/internal/coordination/policy/policy.go
@@ -145,6 +145,11 @@
 	return func(p *Policy) { p.scope = s }
 }
 
+// WithFoldWait bounds how long a change waits for records that this host has not read yet.
+func WithFoldWait(d time.Duration) Option {
+	return func(p *Policy) { p.foldWait = d }
+}
+
 // WithRetention sets how long the log keeps records at least; a snapshot is rewritten four times in that time.
 func WithRetention(d time.Duration) Option {
 	return func(p *Policy) { p.retention = d }
--- a/internal/state/config/diff_test.go
+++ b/internal/state/config/diff_test.go
@@ -97,3 +97,26 @@
 		})
 	}
 }
+
+// The history of 1024 changes is part of each snapshot.
+func BenchmarkSnapshotHistory(b *testing.B) {
+	for _, n := range []int{256, 1024} {
+		b.Run(fmt.Sprint("changes=", n), func(b *testing.B) {
+			s := bigState(b, 50)
+			v := s.Config().Profiles["profile0"].Version
+			for o := s.Next(); o < uint64(n); o++ {
+				p := benchProfile(0)
+				p.WaitBound = time.Duration(o) * time.Second
+				s.Fold(o, at(o), change(fmt.Sprint("c", o*7919), "ann", profileItem(b, p, v)))
+				v = o
+			}
+			size := 0
+			for b.Loop() {
+				w, err := s.Snapshot()
+				require.NoError(b, err)
+				size = len(w.GetData())
+			}
+			b.ReportMetric(float64(size), "snapshot-bytes")
+		})
+	}
+}
--- a/internal/transport/oper/server_test.go
+++ b/internal/transport/oper/server_test.go
@@ -39,7 +39,8 @@
 		p.Fold(offset, time.Now(), r)
 		return offset, nil
 	}
-	p = policy.New(policy.WithAppend(appendRecord, func(err error) bool { return errors.Is(err, stream.ErrLogDown) }))
+	isUnsent := func(err error) bool { return errors.Is(err, stream.ErrLogDown) }
+	p = policy.New(policy.WithAppend(appendRecord, isUnsent), policy.WithFoldWait(time.Millisecond))
 	p.State().Begin()
 	path := filepath.Join(t.TempDir(), "keys")
 	writeKeys(t, path, "# operators\nann "+testKey+"\n", 0o600, time.Unix(1, 0))
