--- a/internal/coordination/policy/keep.go
+++ b/internal/coordination/policy/keep.go
@@ -16,6 +16,8 @@
 	turn = 2 * time.Second
 	// snapshotsKept is how many snapshots are written in the time that the log keeps a record.
 	snapshotsKept = 4
+	// rewritePause is how long a snapshot that could not be written waits for the next attempt.
+	rewritePause = time.Minute
 	// keepBound ends an append of the keeper.
 	keepBound = 10 * time.Second
 )
@@ -40,10 +42,11 @@
 	if err := p.applyPlanned(c); err != nil {
 		p.scope.Counter("config_apply_errors").Inc(1)
 	}
-	if !p.isSnapshotDue() {
+	if p.clock.Now().Before(p.rewriteAfter) || !p.isSnapshotDue() {
 		return
 	}
 	if err := p.rewrite(c); err != nil {
+		p.rewriteAfter = p.clock.Now().Add(rewritePause)
 		p.scope.Counter("config_snapshot_errors").Inc(1)
 	}
 }
--- a/internal/coordination/policy/policy.go
+++ b/internal/coordination/policy/policy.go
@@ -84,6 +84,8 @@
 	foldWait  time.Duration
 	retention time.Duration
 	inForce   inForce
+	// rewriteAfter is the earliest time of the next snapshot; only Run uses it.
+	rewriteAfter time.Time
 }
 
 // Option configures a Policy.
--- a/internal/coordination/policy/policy_test.go
+++ b/internal/coordination/policy/policy_test.go
@@ -198,6 +198,30 @@
 	}
 }
 
+// A snapshot costs work, so a log that is down must not be asked every second.
+func TestPolicyRetentionOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		taken := 0
+		a, _ := l.host(WithRetention(4*time.Minute), WithForecast(func() ([]byte, error) {
+			taken++
+			return nil, nil
+		}))
+		must(t, a, ask("1", "ann", org(t, "registry", 7, 0)))
+		ctx, cancel := context.WithCancel(t.Context())
+		l.isDown = true
+		go func() { _ = a.Run(ctx) }()
+		time.Sleep(11 * time.Minute)
+		require.Equal(t, 10, taken)
+		l.mu.Lock()
+		l.isDown = false
+		l.mu.Unlock()
+		time.Sleep(time.Minute + time.Second)
+		require.Len(t, l.records, 2)
+		cancel()
+	})
+}
+
 func TestPolicyPlannedChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newFakeLog()
