Read the log of a test only once its hosts have ended, and bound the daemon's forecast

Cause: TestPolicyRetentionOutage read records while a host still ran (race detector); the daemon called Load().Encode, which takes a limit now.

--- a/internal/coordination/policy/policy_test.go
+++ b/internal/coordination/policy/policy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -202,9 +203,9 @@
 func TestPolicyRetentionOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newFakeLog()
-		taken := 0
+		var taken atomic.Int32
 		a, _ := l.host(WithRetention(4*time.Minute), WithForecast(func() ([]byte, error) {
-			taken++
+			taken.Add(1)
 			return nil, nil
 		}))
 		must(t, a, ask("1", "ann", org(t, "registry", 7, 0)))
@@ -212,13 +213,14 @@
 		l.isDown = true
 		go func() { _ = a.Run(ctx) }()
 		time.Sleep(11 * time.Minute)
-		require.Equal(t, 10, taken)
+		require.Equal(t, int32(10), taken.Load())
 		l.mu.Lock()
 		l.isDown = false
 		l.mu.Unlock()
 		time.Sleep(time.Minute + time.Second)
-		require.Len(t, l.records, 2)
 		cancel()
+		synctest.Wait()
+		require.Len(t, l.records, 2)
 	})
 }
 
@@ -238,8 +240,9 @@
 		require.Equal(t, 1, weight(b, "registry"))
 		time.Sleep(10 * time.Second)
 		require.Equal(t, 2, weight(b, "registry"))
-		require.Len(t, l.records, 3)
 		cancel()
+		synctest.Wait()
+		require.Len(t, l.records, 3)
 	})
 }
 
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -54,7 +54,7 @@
 		policy.WithForesee(func(now time.Time, before, after config.Config, from time.Time) error {
 			return d.notices.Foresee(now, before, after, from)
 		}),
-		policy.WithForecast(func() ([]byte, error) { return d.notices.Load().Encode() }),
+		policy.WithForecast(func() ([]byte, error) { return d.notices.Forecast() }),
 		policy.WithRank(d.rank),
 		policy.WithChanged(d.noteConfig),
 		policy.WithClock(d.clock),
