--- a/internal/coordination/policy/policy_test.go
+++ b/internal/coordination/policy/policy_test.go
@@ -212,12 +212,12 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		l.isDown = true
 		go func() { _ = a.Run(ctx) }()
-		time.Sleep(11 * time.Minute)
+		time.Sleep(10*time.Minute + 30*time.Second)
 		require.Equal(t, int32(10), taken.Load())
 		l.mu.Lock()
 		l.isDown = false
 		l.mu.Unlock()
-		time.Sleep(time.Minute + time.Second)
+		time.Sleep(time.Minute)
 		cancel()
 		synctest.Wait()
 		require.Len(t, l.records, 2)
