Serve operators from the daemon, and let make demo pass

Cause: the commands of operators had nobody to talk to; a log without records left every host without configuration, so that the first profile could not be published; a repeat of a key found its answer dropped by the acknowledgement of the first caller; a job that could not be placed until the deadline was Unknown to a caller that gave up first. Without it TestJobEndsBeforeItsCallerGivesUp and TestAnswerOfKeyIsNotDropped fail. Not mended: internal/daemon's tests fail about every other run with 'blocked goroutines remain', also without this.

--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -36,26 +36,13 @@
 	d.buildWork()
 	d.buildSched()
 	d.buildRouter()
-	d.stream.Subscribe(d.config.Fold)
+	d.stream.Subscribe(d.policy.Fold)
 	d.stream.Subscribe(d.owner.Fold)
 	d.stream.Subscribe(d.book.Fold)
 	d.stream.Subscribe(d.keeper.Fold)
 	return nil
 }
 
-func (d *Daemon) buildConfig() {
-	d.config = config.New(
-		config.WithAlarm(d.noteAlarm),
-		config.WithChanged(d.noteConfig),
-	)
-}
-
-func (d *Daemon) noteAlarm(a config.Alarm) {
-	d.scope.Counter("config_alarms").Inc(1)
-	d.ring.Add(events.Event{Kind: events.ConfigAlarm, Text: a.Text})
-	d.log.Warn("configuration alarm", "Text", a.Text)
-}
-
 func (d *Daemon) noteConfig() {
 	c := d.config.Config()
 	d.scope.Gauge("config_offset").Update(float64(c.Offset))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/member"
 	"github.com/auburncleat/auburncleat/internal/coordination/once"
 	"github.com/auburncleat/auburncleat/internal/coordination/owner"
+	"github.com/auburncleat/auburncleat/internal/coordination/policy"
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/coordination/route"
 	"github.com/auburncleat/auburncleat/internal/coordination/sched"
@@ -54,6 +55,7 @@
 	members *member.Members
 	owner   *owner.Owner
 	leases  *lease.Leases
+	policy  *policy.Policy
 	config  *config.State
 	gangs   *gang.Gangs
 	book    *once.Book
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -66,6 +66,7 @@
 	d.add(g, d.members.Run)
 	d.add(g, d.stream.Run)
 	d.add(g, d.owner.Run)
+	d.add(g, d.policy.Run)
 	d.add(g, d.leases.Run)
 	d.add(g, d.book.Run)
 	d.add(g, d.keeper.Run)
@@ -107,7 +108,12 @@
 const joinInterval = 100 * time.Millisecond
 
 func (d *Daemon) isJoined(ctx context.Context) bool {
-	if d.config.Ready() != nil || !d.stream.IsCaughtUp() {
+	if !d.stream.IsCaughtUp() {
+		return false
+	}
+	// A log without records is a configuration without profiles, which operators may change.
+	d.config.Begin()
+	if d.config.Ready() != nil {
 		return false
 	}
 	if !d.hasClaims {
@@ -141,6 +147,9 @@
 	if s := d.members.Self().State; s != member.Ready {
 		return string(s)
 	}
+	if len(d.config.Config().Profiles) == 0 {
+		return "no configuration: no profile is published"
+	}
 	return ""
 }
 
@@ -177,6 +186,9 @@
 	if err := d.addHTTP(g, "callers", l.Caller, e.Handler()); err != nil {
 		return err
 	}
+	if err := d.addHTTP(g, "operators", l.Operator, d.operators().Handler()); err != nil {
+		return err
+	}
 	s := &status.Server{
 		Ready:   d.notReady,
 		Metrics: d.metrics,
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
@@ -221,3 +222,39 @@
 		require.Equal(t, 2*time.Second, time.Since(start))
 	})
 }
+
+func TestJobEndsBeforeItsCallerGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var q struct{ DeadlineMillis int64 }
+		read := func(w http.ResponseWriter, r *http.Request) {
+			_ = json.NewDecoder(r.Body).Decode(&q)
+			say(202, `{"Job":"j"}`)(w, r)
+		}
+		// The hosts refuse at the deadline that they were told.
+		late := func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(time.Duration(q.DeadlineMillis) * time.Millisecond)
+			say(200, `{"Job":"j","Outcome":{"Kind":"Refused","Reason":"deadline passed before a start"}}`)(w, r)
+		}
+		s := &script{steps: []http.HandlerFunc{read, late}}
+		c := client.New([]netip.AddrPort{one}, dialed(map[netip.AddrPort]http.Handler{one: s}), client.WithTimeout(900*time.Millisecond))
+		defer c.Close()
+		_, err := c.Run(t.Context(), order)
+		require.True(t, client.IsRefused(err), "%v", err)
+	})
+}
+
+func TestAnswerOfKeyIsNotDropped(t *testing.T) {
+	for _, key := range []string{"", "k"} {
+		synctest.Test(t, func(t *testing.T) {
+			right := answer("x", 1, xxhash.Sum64String("x"))
+			s := &script{steps: []http.HandlerFunc{say(200, done("x")), right, say(200, `{}`)}}
+			c := client.New([]netip.AddrPort{one}, dialed(map[netip.AddrPort]http.Handler{one: s}))
+			defer c.Close()
+			j := order
+			j.Key = key
+			_, err := c.Run(t.Context(), j)
+			require.NoError(t, err)
+			require.Equal(t, key == "", len(s.seen) == 3)
+		})
+	}
+}
--- a/pkg/client/submit.go
+++ b/pkg/client/submit.go
@@ -10,6 +10,12 @@
 	"github.com/pkg/errors"
 )
 
+// The caller's time that is kept back from the job's deadline: a share of it, and at most a margin.
+const (
+	deadlineShare  = 10
+	deadlineMargin = time.Second
+)
+
 // submission is the body of a request to run a job.
 type submission struct {
 	Organisation   string
@@ -51,7 +57,9 @@
 		Work:          j.Work,
 	}
 	if d, ok := ctx.Deadline(); ok {
-		q.DeadlineMillis = max(1, d.Sub(c.clock.Now()).Milliseconds())
+		left := d.Sub(c.clock.Now())
+		// The hosts give up before the caller does, so that the caller still hears that the job did not run.
+		q.DeadlineMillis = max(1, (left - min(left/deadlineShare, deadlineMargin)).Milliseconds())
 	}
 	return rest.Request{
 		Method: http.MethodPost,
@@ -107,10 +115,10 @@
 	if err != nil {
 		return Result{}, err
 	}
-	return c.finish(ctx, t)
+	return c.finish(ctx, j, t)
 }
 
-func (c *Client) finish(ctx context.Context, t Ticket) (Result, error) {
+func (c *Client) finish(ctx context.Context, j Job, t Ticket) (Result, error) {
 	o := t.Outcome
 	if o == nil {
 		x, err := c.Wait(ctx, t.Job)
@@ -126,7 +134,10 @@
 	if err != nil {
 		return Result{Outcome: *o}, err
 	}
-	// An answer that stays unacknowledged only expires later.
-	_ = c.Ack(ctx, o.Job)
+	if j.Key == "" {
+		// An answer that stays unacknowledged only expires later.
+		_ = c.Ack(ctx, o.Job)
+	}
+	// The answer of a key stays, since a repeat of the key has to get it too.
 	return Result{Outcome: *o, Answer: a}, nil
 }
