--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -230,9 +230,9 @@
 			_ = json.NewDecoder(r.Body).Decode(&q)
 			say(202, `{"Job":"j"}`)(w, r)
 		}
-		// The hosts refuse at the deadline that they were told.
+		// The hosts refuse shortly after the deadline that they were told.
 		late := func(w http.ResponseWriter, r *http.Request) {
-			time.Sleep(time.Duration(q.DeadlineMillis) * time.Millisecond)
+			time.Sleep(time.Duration(q.DeadlineMillis)*time.Millisecond + 50*time.Millisecond)
 			say(200, `{"Job":"j","Outcome":{"Kind":"Refused","Reason":"deadline passed before a start"}}`)(w, r)
 		}
 		s := &script{steps: []http.HandlerFunc{read, late}}
