--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -9,8 +9,10 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/keep"
 	"github.com/auburncleat/auburncleat/internal/coordination/lease"
 	"github.com/auburncleat/auburncleat/internal/coordination/member"
+	"github.com/auburncleat/auburncleat/internal/coordination/notice"
 	"github.com/auburncleat/auburncleat/internal/coordination/once"
 	"github.com/auburncleat/auburncleat/internal/coordination/owner"
+	"github.com/auburncleat/auburncleat/internal/coordination/policy"
 	"github.com/auburncleat/auburncleat/internal/coordination/route"
 	"github.com/auburncleat/auburncleat/internal/coordination/sched"
 	"github.com/auburncleat/auburncleat/internal/coordination/stream"
@@ -29,7 +31,7 @@
 	d.stamps = events.NewClock(d.clock.Now)
 	d.ring = events.NewRing(h.Name, d.settings.Timeline.Events, d.stamps)
 	d.pool = peer.NewPool(peer.WithDial(d.outside.Dial), peer.WithClock(d.clock), peer.WithScope(d.scope))
-	d.buildConfig()
+	d.buildPolicy()
 	d.buildStream()
 	d.buildMembers()
 	d.buildOwner()
@@ -37,12 +39,47 @@
 	d.buildSched()
 	d.buildRouter()
 	d.stream.Subscribe(d.policy.Fold)
+	d.stream.Subscribe(d.notices.Fold)
 	d.stream.Subscribe(d.owner.Fold)
 	d.stream.Subscribe(d.book.Fold)
 	d.stream.Subscribe(d.keeper.Fold)
 	return nil
 }
 
+func (d *Daemon) buildPolicy() {
+	d.policy = policy.New(
+		policy.WithAppend(d.appendRecord, func(err error) bool { return errors.Is(err, stream.ErrLogDown) }),
+		policy.WithFits(fitsGuarantees, func() []fleet.Worker { return d.members.AllWorkers() }),
+		policy.WithMembers(d.policyMembers),
+		policy.WithForesee(func(now time.Time, before, after config.Config, from time.Time) error {
+			return d.notices.Foresee(now, before, after, from)
+		}),
+		policy.WithForecast(func() ([]byte, error) { return d.notices.Load().Encode() }),
+		policy.WithRank(d.rank),
+		policy.WithChanged(d.noteConfig),
+		policy.WithClock(d.clock),
+		policy.WithEvents(d.ring),
+		policy.WithScope(d.scope),
+	)
+	d.config = d.policy.State()
+	d.notices = notice.New(
+		notice.WithConfig(d.policy.Config),
+		notice.WithWorkers(func() []fleet.Worker { return d.members.AllWorkers() }),
+		notice.WithFits(fitsGuarantees),
+		notice.WithAppend(d.appendRecord),
+		notice.WithMine(d.isOwnDomain),
+		notice.WithTasks(d.countTasks),
+		notice.WithClock(d.clock),
+		notice.WithEvents(d.ring),
+		notice.WithScope(d.scope),
+	)
+}
+
+// appendRecord reaches the stream, which is built after its users.
+func (d *Daemon) appendRecord(ctx context.Context, r *wire.Record) (uint64, error) {
+	return d.stream.Append(ctx, r)
+}
+
 func (d *Daemon) noteConfig() {
 	c := d.config.Config()
 	d.scope.Gauge("config_offset").Update(float64(c.Offset))
@@ -64,6 +101,7 @@
 		stream.WithBatchDelay(s.BatchDelay),
 		stream.WithAppendGap(time.Second/time.Duration(s.Rate)),
 		stream.WithSnapshot(d.takeSnapshot, d.loadSnapshot),
+		stream.WithSnapshot(d.notices.TakeSnapshot, d.notices.LoadSnapshot),
 		stream.WithGap(d.noteGap),
 	)
 }
@@ -88,6 +126,7 @@
 		member.WithOwnership(func() member.Ownership { return d.owner.Ownership() }),
 		member.WithHeard(func(m member.Member) { d.owner.Heard(m) }),
 		member.WithAck(func(sent time.Time, m member.Member) { d.owner.Acked(sent, m) }),
+		member.WithChanged(func(w string) { d.leases.Suspect(w) }),
 		member.WithConfigOffset(d.config.Next),
 		member.WithOffset(d.stream.Hint),
 		member.WithOnceComplete(func() bool { return d.book.IsComplete() }),
@@ -115,6 +154,7 @@
 		owner.WithScope(d.scope.SubScope("owner")),
 		owner.WithGain(func(ctx context.Context, t fleet.Term) { d.gain(ctx, t) }),
 		owner.WithLose(func(t fleet.Term) { d.lose(t) }),
+		owner.WithAnnounce(d.members.Announce),
 		owner.WithTimes(d.settings.Owner.Lease, d.settings.Membership.Suspect, claimWait, rankStep),
 	)
 	d.leases = lease.New(
@@ -126,6 +166,7 @@
 		lease.WithRing(d.ring),
 		lease.WithScope(d.scope.SubScope("lease")),
 		lease.WithDuration(d.settings.Worker.Lease),
+		lease.WithChanged(d.members.TellOwner),
 		lease.WithReport(func(r fleet.Report) { d.sched.ReportWorker(r) }),
 		lease.WithLost(func(w string, _ error) { d.sched.LoseWorker(w) }),
 		lease.WithFenced(d.owner.Observe),
@@ -170,7 +211,7 @@
 		once.WithLog(d.stream.Append, d.stream.Queue, isLogDown),
 		once.WithCheck(d.owner.Check),
 		once.WithOwner(d.ownTerm),
-		once.WithListed(d.members.IsListed),
+		once.WithLogUp(d.stream.IsUp),
 		once.WithWorkers(d.outside.Workers, resolve),
 		once.WithRing(d.ring),
 		once.WithScope(d.scope),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/keep"
 	"github.com/auburncleat/auburncleat/internal/coordination/lease"
 	"github.com/auburncleat/auburncleat/internal/coordination/member"
+	"github.com/auburncleat/auburncleat/internal/coordination/notice"
 	"github.com/auburncleat/auburncleat/internal/coordination/once"
 	"github.com/auburncleat/auburncleat/internal/coordination/owner"
 	"github.com/auburncleat/auburncleat/internal/coordination/policy"
@@ -57,6 +58,7 @@
 	leases  *lease.Leases
 	policy  *policy.Policy
 	config  *config.State
+	notices *notice.Notices
 	gangs   *gang.Gangs
 	book    *once.Book
 	keeper  *keep.Keeper
--- a/internal/daemon/policy.go
+++ b/internal/daemon/policy.go
@@ -2,47 +2,47 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/policy"
-	"github.com/auburncleat/auburncleat/internal/coordination/stream"
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
-	"github.com/auburncleat/auburncleat/internal/transport/oper"
+	"github.com/auburncleat/auburncleat/internal/state/config"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/plan"
 	"github.com/pkg/errors"
 )
 
-// buildConfig makes the fold of the configuration and the way in which operators change it.
-func (d *Daemon) buildConfig() {
-	d.policy = policy.New(
-		policy.WithClock(d.clock),
-		policy.WithEvents(d.ring),
-		policy.WithScope(d.scope),
-		policy.WithChanged(d.noteConfig),
-		policy.WithAppend(d.appendChange, isUnsent),
-		policy.WithMembers(d.policyMembers),
-		policy.WithRank(d.rank),
-	)
-	d.config = d.policy.State()
-}
-
-func (d *Daemon) appendChange(ctx context.Context, r *wire.Record) (uint64, error) {
-	return d.stream.Append(ctx, r)
-}
+// errUnfit is wrapped around the guarantees that cannot be held together.
+var errUnfit = errors.New("guarantees do not fit the workers")
 
-// isUnsent reports whether a record that failed to be appended never will be in the log.
-func isUnsent(err error) bool {
-	return errors.Is(err, stream.ErrLogDown) || errors.Is(err, stream.ErrNoID)
+// fitsGuarantees returns an error that lists the guarantees which the workers cannot hold together.
+func fitsGuarantees(ws []fleet.Worker, ps []config.Profile) error {
+	by := map[string]config.Profile{}
+	for _, p := range ps {
+		by[p.Name] = p
+	}
+	us := plan.FitsGuarantees(ws, by)
+	if len(us) == 0 {
+		return nil
+	}
+	var texts []string
+	for _, u := range us {
+		texts = append(texts, u.String())
+	}
+	return fmt.Errorf("%w: %s", errUnfit, strings.Join(texts, "; "))
 }
 
-// policyMembers lists the live hosts of all failure domains with the configuration that they have in force.
+// policyMembers lists all live hosts with the configuration that they have in force.
 func (d *Daemon) policyMembers() []policy.Member {
-	var ms []policy.Member
+	var out []policy.Member
 	for _, h := range d.hostViews() {
-		ms = append(ms, policy.Member{Name: h.Name, Domain: h.Domain, Offset: h.ConfigOffset})
+		out = append(out, policy.Member{Name: h.Name, Domain: h.Domain, Offset: h.ConfigOffset})
 	}
-	return ms
+	return out
 }
 
-// rank is the place of this host among all live ones, by name.
+// rank returns the place of this host among the live ones of all failure domains, by name.
 func (d *Daemon) rank() int {
 	n := 0
 	for _, h := range d.hostViews() {
@@ -53,11 +53,35 @@
 	return n
 }
 
-// operators returns the handler for operators.
-func (d *Daemon) operators() *oper.Server {
-	return &oper.Server{
-		Policy: d.policy,
-		Keys:   oper.NewKeys(d.settings.Operators.KeyFile),
-		Scope:  d.scope,
+// isOwnDomain reports whether this host owns the failure domain.
+func (d *Daemon) isOwnDomain(domain string) bool {
+	return domain == d.settings.Host.Domain && d.owner.Check() == nil
+}
+
+// countTasks returns how many tasks still run on the target of a planned stop.
+func (d *Daemon) countTasks(ctx context.Context, s config.Stop) (int, error) {
+	r, err := d.router.FindWorkers(ctx, s.Domain)
+	if err != nil {
+		return 0, fmt.Errorf("count tasks under stop %s: %w", s.Name, err)
+	}
+	n := 0
+	for _, w := range r.GetWorkers() {
+		if isTarget(s, w) {
+			n += int(w.GetSlotsUsed())
+		}
+	}
+	return n, nil
+}
+
+func isTarget(s config.Stop, w *wire.WorkerStatus) bool {
+	switch s.Kind {
+	case "Worker":
+		return w.GetName() == s.Target
+	case "Rack":
+		return w.GetRack() == s.Target
+	case "Domain":
+		return true
+	default:
+		return false
 	}
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/auburncleat/auburncleat/internal/coordination/member"
 	"github.com/auburncleat/auburncleat/internal/transport/entry"
+	"github.com/auburncleat/auburncleat/internal/transport/oper"
 	"github.com/auburncleat/auburncleat/internal/transport/peer"
 	"github.com/auburncleat/auburncleat/internal/transport/status"
 	"github.com/oklog/run"
@@ -67,6 +68,7 @@
 	d.add(g, d.stream.Run)
 	d.add(g, d.owner.Run)
 	d.add(g, d.policy.Run)
+	d.add(g, d.notices.Run)
 	d.add(g, d.leases.Run)
 	d.add(g, d.book.Run)
 	d.add(g, d.keeper.Run)
@@ -111,8 +113,10 @@
 	if !d.stream.IsCaughtUp() {
 		return false
 	}
-	// A log without records is a configuration without profiles, which operators may change.
-	d.config.Begin()
+	if !d.skippedLog.Load() && d.logFirst.Load() == 1 {
+		// The log was read from its start, so that an empty one is the whole configuration.
+		d.config.Begin()
+	}
 	if d.config.Ready() != nil {
 		return false
 	}
@@ -186,9 +190,6 @@
 	if err := d.addHTTP(g, "callers", l.Caller, e.Handler()); err != nil {
 		return err
 	}
-	if err := d.addHTTP(g, "operators", l.Operator, d.operators().Handler()); err != nil {
-		return err
-	}
 	s := &status.Server{
 		Ready:   d.notReady,
 		Metrics: d.metrics,
@@ -197,6 +198,15 @@
 		Workers: d.findWorkers,
 		Name:    d.settings.Host.Name,
 	}
+	o := &oper.Server{
+		Policy:    d.policy,
+		Keys:      oper.NewKeys(d.settings.Operators.KeyFile),
+		StopState: d.notices.StopState,
+		Scope:     d.scope,
+	}
+	if err := d.addHTTP(g, "operators", l.Operator, o.Handler()); err != nil {
+		return err
+	}
 	return d.addHTTP(g, "status", l.Status, s.Handler())
 }
 
