--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -151,6 +151,9 @@
 	if s := d.members.Self().State; s != member.Ready {
 		return string(s)
 	}
+	if len(d.config.Config().Profiles) == 0 {
+		return "no configuration: no profile is published"
+	}
 	return ""
 }
 
