--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -48,6 +48,8 @@
 	onChanged func(string)
 	// renewsAlways renews also when the owner is not known to live; only tests set it.
 	renewsAlways bool
+	// tellsOnce names a lost worker only once; only tests set it.
+	tellsOnce bool
 	// ignoresBudget renews every worker each second; only tests set it.
 	ignoresBudget bool
 
--- a/internal/coordination/lease/renew.go
+++ b/internal/coordination/lease/renew.go
@@ -126,11 +126,15 @@
 		gap = min(l.interval(), firstWithin)
 	}
 	e.due = l.clock.Now().Add(gap)
+	isLost := e.isLost
 	l.mu.Unlock()
+	if isLost && !l.tellsOnce || isNews {
+		// Each time, since the owner may reach a worker that this host cannot, and then renews it in its place.
+		l.onChanged(worker)
+	}
 	if isNews {
 		l.scope.Counter("workers_lost").Inc(1)
 		l.addEvent(events.WorkerDown, worker, err.Error())
-		l.onChanged(worker)
 		l.onLost(worker, fmt.Errorf("renew lease of %s: %w", worker, err))
 	}
 	l.release(e)
--- /dev/null
+++ b/internal/coordination/nettest/both.go
@@ -0,0 +1,10 @@
+package nettest
+
+import "testing"
+
+// Both runs f as it is and with the mutation that turns the mechanism off.
+func Both(t *testing.T, mechanism, mutation string, f func(t *testing.T, mutate bool)) {
+	t.Helper()
+	t.Run(mechanism, func(t *testing.T) { f(t, false) })
+	t.Run("mutation "+mutation, func(t *testing.T) { f(t, true) })
+}
