--- a/internal/state/plan/status.go
+++ b/internal/state/plan/status.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/state/blame"
 	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/place"
@@ -19,6 +20,7 @@
 	whyQuota
 	whyReclaim
 	whyHeld
+	whyBackoff
 )
 
 // why is the reason of the last pass, rendered only when someone asks.
@@ -75,6 +77,8 @@
 	case whyHeld:
 		return fmt.Sprintf("waits for %s; held back for it: %s from %s on", wants(s), number(e.why.a, "rack"), e.why.text),
 			fmt.Sprintf("running work in rack %s to end", e.why.text)
+	case whyBackoff:
+		return fmt.Sprintf("its last attempt came to nothing; tried again after %s", e.backoff), "the time to try again"
 	default:
 	}
 	if e.why.text != "" {
@@ -125,16 +129,24 @@
 
 // States of a worker in the planner's books.
 const (
-	WorkerReady   = "Ready"
-	WorkerLeaving = "Leaving"
+	WorkerReady       = "Ready"
+	WorkerLeaving     = "Leaving"
+	WorkerQuarantined = string(blame.Quarantined)
+	WorkerProbation   = string(blame.Probation)
 )
 
 func (p *Planner) view(s *place.Site) WorkerView {
 	v := WorkerView{Worker: s.Worker, State: WorkerReady, SlotsUsed: s.Used.Slots, AcceleratorsUsed: s.Used.Accelerators}
 	var rs []string
-	if s.Closed {
+	st, why := p.blame.State(s.Worker.Name, p.now)
+	switch {
+	case st != blame.Good:
+		v.State = string(st)
+		rs = append(rs, why)
+	case s.Closed:
 		v.State = WorkerLeaving
 		rs = append(rs, "takes no new work")
+	default:
 	}
 	if !s.StopFrom.IsZero() {
 		rs = append(rs, "takes no work that would outlive the planned stop at "+s.StopFrom.UTC().Format(time.RFC3339))
