Order by wait against the bound, lowered by excess share; hold back for large gangs only

Cause: large gangs waited longer than under the baselines, since their organisation's share put them behind small jobs and small blocked jobs used up what may be held back. Change: wait against the bound times the fair share over the excess share; capacity is held back only for gangs of at least a quarter of the largest queued. TestLargeGangIsNotStarved: without capacity held back the gang never starts.

--- a/internal/state/plan/back.go
+++ b/internal/state/plan/back.go
@@ -9,12 +9,19 @@
 	"github.com/auburncleat/auburncleat/internal/state/place"
 )
 
+// largePart is the largest queued gang over the smallest for which capacity is held back.
+const largePart = 4
+
 // stickiness is the part of the wait by which a new spot must be earlier than the former one.
 const stickiness = 0.1
 
 // holdBack plans the start of a blocked gang and holds its sites back from work that would still run then.
 func (p *Planner) holdBack(e *entry) {
-	if p.pass.heads >= max(len(p.books.Racks())/racksPerHead, 1) {
+	if p.greedy || p.pass.heads >= max(len(p.books.Racks())/racksPerHead, 1) {
+		return
+	}
+	// Small gangs find room by themselves, and would use up what may be held back.
+	if largePart*e.shape.TotalAccelerators() < p.pass.largest {
 		return
 	}
 	sites, at := p.earliest(e)
--- a/internal/state/plan/order.go
+++ b/internal/state/plan/order.go
@@ -43,8 +43,8 @@
 	late float64
 }
 
-// order returns the queued jobs by urgency. Within one, the organisation with the least weighted share comes first,
-// where the wait of its first job against its bound counts as credit; within an organisation the longest such wait.
+// order returns the queued jobs by urgency, then by wait against the bound of the profile, where the waits of an
+// organisation count less the more it has over its weighted fair share.
 func (p *Planner) order() []*entry {
 	os := make([]ordered, 0, p.waiting)
 	for _, e := range p.jobs {
@@ -83,11 +83,16 @@
 	jobs   []ordered
 }
 
-// key is the weighted share, lowered by the wait of the first job.
-func (l *line) key() float64 {
-	return l.use / l.weight / (1 + l.jobs[0].late)
+// key is the wait of the first job against its bound, lowered while the organisation has more than its fair share.
+func (l *line) key(weights float64) float64 {
+	fair := l.weight / weights
+	x := min(1, fair/max(l.use, fair))
+	return (l.jobs[0].late + newcomer) * x
 }
 
+// newcomer is the wait, in bounds, that every job starts with, so that fair share orders also new ones.
+const newcomer = 0.05
+
 // interleave appends the jobs of one rank, one organisation's turn after the other.
 func (p *Planner) interleave(out []*entry, os []ordered, use map[string]float64) []*entry {
 	by := map[string]*line{}
@@ -102,10 +107,11 @@
 		}
 		l.jobs = append(l.jobs, o)
 	}
+	weights := p.sharedWeights(ls)
 	for len(ls) > 0 {
 		k := 0
 		for i, l := range ls {
-			if c := cmp.Compare(l.key(), ls[k].key()); c < 0 || c == 0 && l.jobs[0].late > ls[k].jobs[0].late {
+			if l.key(weights) > ls[k].key(weights) {
 				k = i
 			}
 		}
@@ -122,6 +128,20 @@
 	return out
 }
 
+// sharedWeights adds up the weights of all organisations that run or wait.
+func (p *Planner) sharedWeights(ls []*line) float64 {
+	x := 0.0
+	for o := range p.usage {
+		x += p.orgWeight(o)
+	}
+	for _, l := range ls {
+		if _, ok := p.usage[l.org]; !ok {
+			x += l.weight
+		}
+	}
+	return x
+}
+
 // share returns the largest part of any resource of the failure domain that u takes.
 func (p *Planner) share(u place.Room) float64 {
 	t := p.total
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -30,6 +30,8 @@
 	tries  int
 	heads  int
 	moves  int
+	// largest is the number of accelerators of the largest queued gang.
+	largest int
 }
 
 // Pass decides what to start, stop and refuse now.
@@ -42,6 +44,9 @@
 	p.rependent()
 	queue := p.order()
 	p.targets = p.findTargets(queue)
+	for _, e := range queue {
+		p.pass.largest = max(p.pass.largest, e.shape.TotalAccelerators())
+	}
 	var d Decisions
 	for _, e := range queue {
 		p.decide(e, &d)
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -47,6 +47,8 @@
 	pass      passNotes
 	// unproved starts unstoppable work without regard to guarantees, so that tests show that they would notice.
 	unproved bool
+	// greedy holds nothing back for blocked gangs, so that tests show that they would starve.
+	greedy bool
 }
 
 // Option changes how a planner is built.
--- a/internal/state/plan/planner_test.go
+++ b/internal/state/plan/planner_test.go
@@ -276,3 +276,43 @@
 	require.Len(t, d.Starts, 1)
 	require.NotEqual(t, first, d.Starts[0].Placement[0].Worker)
 }
+
+// waitOfGang returns how long a gang of a whole rack waits while small jobs of another organisation keep arriving.
+func waitOfGang(t *testing.T, greedy bool) time.Duration {
+	p := planner(t, workers(1, 8), profiles(config.Profile{Name: "Firm", Urgency: config.Normal, WaitBound: 10 * time.Minute}))
+	p.greedy = greedy
+	ends := map[string]time.Time{}
+	for i := range 240 {
+		at := start.Add(time.Duration(i) * 30 * time.Second)
+		for id, end := range ends {
+			if !at.Before(end) {
+				p.Ended(Ended{Job: id, Result: ResultDone, At: at})
+				delete(ends, id)
+			}
+		}
+		for k := range 3 {
+			j := job(fmt.Sprintf("s%d-%d", i, k), "Gear", "Firm", shape(2, 1, fleet.LevelWorker))
+			j.Submitted, j.RunTime = at, 5*time.Minute
+			require.NoError(t, p.Submit(j))
+		}
+		if i == 20 {
+			j := job("gang", "Press", "Firm", shape(64, 1, fleet.LevelRack))
+			j.Submitted = at
+			require.NoError(t, p.Submit(j))
+		}
+		d := p.Pass(at)
+		run(p, d, at)
+		for _, s := range d.Starts {
+			if s.Job.ID == "gang" {
+				return at.Sub(s.Job.Submitted)
+			}
+			ends[s.Job.ID] = at.Add(5 * time.Minute)
+		}
+	}
+	return time.Hour
+}
+
+func TestLargeGangIsNotStarved(t *testing.T) {
+	require.LessOrEqual(t, waitOfGang(t, false), 15*time.Minute)
+	require.Equal(t, time.Hour, waitOfGang(t, true), "without capacity held back it never starts")
+}
--- a/internal/state/replay/record_test.go
+++ b/internal/state/replay/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -83,8 +84,13 @@
 	}
 }
 
+func (c *recorder) trace(name string) Trace {
+	slices.SortStableFunc(c.events, func(x, y events.Event) int { return cmp.Compare(x.At, y.At) })
+	return Trace{Name: name, Events: c.events}
+}
+
 func (c *recorder) write(t *testing.T, name string) {
-	slices.SortStableFunc(c.events, func(x, y events.Event) int { return int(int64(x.At) - int64(y.At)) })
+	c.trace(name)
 	var b bytes.Buffer
 	for _, e := range c.events {
 		line := struct {
@@ -153,7 +159,7 @@
 }
 
 // settlement sets up the fee service: urgent receipts, matching that can be stopped, and batches of large gangs.
-func settlement(seed uint64, stoppable bool) *recorder {
+func settlement(seed uint64, stoppable bool, racks int) *recorder {
 	c := newRecorder(seed)
 	c.profile(config.Profile{
 		Name: "Receipt", Urgency: config.Urgent, WaitBound: 3600 * time.Millisecond, Once: true,
@@ -172,7 +178,7 @@
 		c.config.Organisations[o] = config.Organisation{Name: o, Weight: 4 - i}
 	}
 	c.configure()
-	c.fleet(2, 8, 64, 128*fleet.Gigabyte)
+	c.fleet(racks, 8, 64, 128*fleet.Gigabyte)
 	return c
 }
 
@@ -208,7 +214,7 @@
 
 // batches records a working day of matching and large gangs; firm ones cannot be stopped.
 func batches(stoppable bool) *recorder {
-	c := settlement(3, stoppable)
+	c := settlement(3, stoppable, 2)
 	c.stream(0, 6*time.Hour, 60*time.Second, func(at time.Duration) { c.matching(at, 1) })
 	c.stream(10*time.Minute, 6*time.Hour, 40*time.Minute, func(at time.Duration) { c.batch(at, 32, 1) })
 	c.stream(20*time.Minute, 6*time.Hour, 80*time.Minute, func(at time.Duration) { c.batch(at, 40, 1) })
@@ -216,6 +222,23 @@
 	return c
 }
 
+// wide records a larger failure domain of sixteen racks that is nine tenths full; it is measured, not kept.
+func wide() *recorder {
+	c := settlement(8, true, 16)
+	c.stream(0, 4*time.Hour, 16*time.Second, func(at time.Duration) {
+		s := gang(4+c.r.IntN(20), 1, 4, 8*fleet.Gigabyte, fleet.LevelRack)
+		t := c.between(3*time.Minute, 20*time.Minute)
+		c.job(at, []string{"Fees", "Waivers", "Library", "Press"}[c.r.IntN(4)], "Matching", s, t, Truth{Ran: t})
+	})
+	c.stream(10*time.Minute, 4*time.Hour, 10*time.Minute, func(at time.Duration) { c.batch(at, 48, 1) })
+	c.stream(20*time.Minute, 4*time.Hour, 40*time.Minute, func(at time.Duration) {
+		t := c.between(20*time.Minute, 70*time.Minute)
+		c.job(at, "Fees", "Batch", gang(128, 1, 4, 8*fleet.Gigabyte, fleet.LevelDomain), t, Truth{Ran: t})
+	})
+	c.stream(0, 4*time.Hour, time.Minute, c.receipt)
+	return c
+}
+
 var recordings = map[string]func() *recorder{
 	"tide": func() *recorder {
 		c := authority(1)
@@ -234,14 +257,14 @@
 	"batch": func() *recorder { return batches(true) },
 	"firm":  func() *recorder { return batches(false) },
 	"wrong": func() *recorder {
-		c := settlement(4, true)
+		c := settlement(4, true, 2)
 		c.stream(0, 4*time.Hour, 35*time.Second, func(at time.Duration) { c.matching(at, 10) })
 		c.stream(10*time.Minute, 4*time.Hour, 30*time.Minute, func(at time.Duration) { c.batch(at, 32, 10) })
 		c.stream(0, 4*time.Hour, 4*time.Minute, c.receipt)
 		return c
 	},
 	"cancels": func() *recorder {
-		c := settlement(5, true)
+		c := settlement(5, true, 2)
 		var ids []string
 		for i := range 900 {
 			ids = append(ids, c.matching(time.Duration(i)*time.Millisecond, 1))
--- a/internal/state/replay/replay_test.go
+++ b/internal/state/replay/replay_test.go
@@ -44,7 +44,7 @@
 func BenchmarkMeasure(b *testing.B) {
 	for b.Loop() {
 		var rs []Report
-		for _, tr := range traces(b) {
+		for _, tr := range append(traces(b), wide().trace("wide")) {
 			for _, make := range policies(domainName(b, tr)) {
 				r, err := Play(tr, make)
 				require.NoError(b, err)
