--- a/internal/coordination/sched/attempt.go
+++ b/internal/coordination/sched/attempt.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/gang"
+	"github.com/auburncleat/auburncleat/internal/coordination/keep"
+	"github.com/auburncleat/auburncleat/internal/coordination/once"
 	"github.com/auburncleat/auburncleat/internal/state/events"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/plan"
@@ -83,27 +85,29 @@
 	if r.ctx.Err() != nil {
 		return
 	}
-	if g.State == gang.NotStarted {
-		r.releaseClaim(a)
-		r.finish(a, plan.Ended{
-			Job:      a.job.ID,
-			Result:   plan.ResultNoStart,
-			Workers:  blamed(err),
-			Progress: a.job.Progress,
-			Requeue:  true,
-		}, Outcome{Kind: fleet.Refused, Reason: err.Error()})
+	x := plan.Ended{Job: a.job.ID, Result: plan.ResultLost, Progress: a.job.Progress, Requeue: true}
+	if g.State != gang.NotStarted {
+		if g.State == gang.Partly {
+			x.Result = plan.ResultFailed
+		}
+		x.Workers = g.Unsure
+		r.finish(a, g.State, x, err.Error())
 		return
 	}
-	var unsure gang.ErrStartUnknown
-	var partly gang.ErrPartlyStarted
-	x := plan.Ended{Job: a.job.ID, Result: plan.ResultLost, Progress: a.job.Progress, Requeue: true}
+	x.Result = plan.ResultNoStart
+	x.Workers = blamed(err)
+	var claimed once.ErrClaimed
+	var conflict once.ErrKeyConflict
 	switch {
-	case errors.As(err, &unsure):
-		x.Workers = unsure.Workers
-	case errors.As(err, &partly):
-		x.Result = plan.ResultFailed
+	case errors.As(err, &claimed):
+		r.yield(a, x, claimed)
+		return
+	case errors.As(err, &conflict):
+		x.Requeue = false
+	default:
+		r.releaseClaim(a)
 	}
-	r.finish(a, x, Outcome{Kind: fleet.Unknown, Reason: err.Error()})
+	r.finish(a, gang.NotStarted, x, err.Error())
 }
 
 func blamed(err error) []string {
@@ -132,7 +136,7 @@
 		r.collect(a, x)
 		return
 	}
-	r.finish(a, x, Outcome{Kind: fleet.Unknown, Reason: e.Reason})
+	r.finish(a, gang.Started, x, e.Reason)
 }
 
 // collect keeps the whole answer at this host and its peers before the workers may forget it.
@@ -143,7 +147,7 @@
 			return r.keepDone(ctx, a, b)
 		})
 		if err == nil {
-			r.finish(a, x, Outcome{Kind: fleet.Done})
+			r.finish(a, gang.Started, x, "")
 			return
 		}
 		if r.ctx.Err() != nil || r.s.clock.Sleep(r.ctx, collectPause) != nil {
@@ -152,39 +156,27 @@
 	}
 	x.Result = plan.ResultLost
 	x.Requeue = true
-	r.finish(a, x, Outcome{Kind: fleet.Unknown, Reason: fmt.Sprintf("answer cannot be collected: %v", err)})
+	r.finish(a, gang.Started, x, fmt.Sprintf("answer cannot be collected: %v", err))
 }
 
 // finish books the end of an attempt, and ends the job unless another attempt may follow.
-func (r *reign) finish(a *attempt, x plan.Ended, o Outcome) {
+func (r *reign) finish(a *attempt, start gang.State, x plan.Ended, reason string) {
 	x.At = r.now()
 	_ = r.do(r.ctx, func() {
 		delete(r.attempts, x.Job)
-		if a.cancelled && o.Kind != fleet.Done {
+		isTwice := a.job.IsOnce() && start != gang.NotStarted
+		if a.cancelled || isTwice {
 			x.Requeue = false
-			o = cancelledOutcome(x, o)
 		}
-		if a.job.IsOnce() && x.Result != plan.ResultNoStart {
-			x.Requeue = false
-		}
-		if !x.Requeue {
-			r.planner.Ended(x)
-			r.end(a.job, o)
+		r.planner.Ended(x)
+		if x.Requeue {
+			r.note(events.JobStopped, a.job, fmt.Sprintf("%s: %s", x.Result, reason))
 			return
 		}
-		r.note(events.JobStopped, a.job, fmt.Sprintf("%s: %s", x.Result, o.Reason))
-		r.planner.Ended(x)
+		r.end(a.job, Outcome{Kind: keep.OutcomeKind(start, x.Result, a.cancelled), Reason: reason})
 	})
 }
 
-// cancelledOutcome says Refused of work that never ran.
-func cancelledOutcome(x plan.Ended, o Outcome) Outcome {
-	if x.Result == plan.ResultNoStart {
-		return Outcome{Kind: fleet.Refused, Reason: "cancelled before it started"}
-	}
-	return Outcome{Kind: fleet.Cancelled, Reason: "cancelled while it ran: " + o.Reason}
-}
-
 // reclaim stops a borrower, which is queued again with its progress.
 func (r *reign) reclaim(x plan.Stop) {
 	a, ok := r.attempts[x.Job]
--- a/internal/coordination/sched/claim.go
+++ b/internal/coordination/sched/claim.go
@@ -7,6 +7,7 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/gang"
 	"github.com/auburncleat/auburncleat/internal/coordination/once"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/plan"
 )
 
 // resolveRetry separates the questions to workers that leave a claim unclear.
@@ -29,6 +30,25 @@
 	_ = r.s.book.Release(r.ctx, r.term, j)
 }
 
+// yield leaves a job whose key an earlier attempt holds: its end, once known, is the end of this job too.
+func (r *reign) yield(a *attempt, x plan.Ended, claimed once.ErrClaimed) {
+	x.At = r.now()
+	x.Requeue = false
+	_ = r.do(r.ctx, func() {
+		delete(r.attempts, a.job.ID)
+		r.planner.Ended(x)
+	})
+	if claimed.Outcome != nil {
+		// The first outcome of the key is kept for this job as well.
+		_ = r.s.keeper.PutOutcome(r.ctx, r.term, claimed.Outcome)
+		r.notify(a.job.ID)
+		return
+	}
+	if c, ok := r.s.book.Find(a.job.Organisation, a.job.Key); ok {
+		r.tasks.Go(func() { r.askUnclear([]once.Claimed{c}) })
+	}
+}
+
 // resolveClaims decides for each job with an open claim of a former owner whether it may start again.
 func (r *reign) resolveClaims(jobs map[string]fleet.Job) {
 	var unclear []once.Claimed
--- a/internal/coordination/sched/reign.go
+++ b/internal/coordination/sched/reign.go
@@ -150,6 +150,15 @@
 	}
 }
 
+func (r *reign) isReady() bool {
+	select {
+	case <-r.ready:
+		return true
+	default:
+		return false
+	}
+}
+
 func (r *reign) pass() {
 	now := r.s.clock.Now()
 	w := r.s.scope.Timer("sched_pass").Start()
--- a/internal/coordination/sched/sched.go
+++ b/internal/coordination/sched/sched.go
@@ -184,15 +184,23 @@
 	}
 }
 
-// ReportWorker takes the report of a lease renewal.
+// ReportWorker takes the report of a lease renewal, and stops tasks in it that belong to no attempt.
 func (s *Sched) ReportWorker(p fleet.Report) {
-	if r, err := s.current(); err == nil {
-		r.post(func() { r.putWorker(p.Worker) })
+	r, err := s.current()
+	if err != nil {
+		return
 	}
+	r.post(func() {
+		r.putWorker(p.Worker)
+		if r.isReady() {
+			r.tasks.Go(func() { r.sweep(p) })
+		}
+	})
 }
 
-// LoseWorker takes a worker that no longer answers out of the books.
+// LoseWorker takes a worker that no longer answers out of the books, and ends its gangs.
 func (s *Sched) LoseWorker(name string) {
+	s.gangs.Lost(name)
 	if r, err := s.current(); err == nil {
 		r.post(func() { r.dropWorker(name) })
 	}
--- a/internal/coordination/sched/worker.go
+++ b/internal/coordination/sched/worker.go
@@ -46,6 +46,16 @@
 	r.planner.DropWorker(name)
 }
 
+// sweep stops and forgets what an abort left behind on a worker.
+func (r *reign) sweep(p fleet.Report) {
+	n, err := r.s.gangs.Sweep(r.ctx, r.term, p.Worker.Name, p)
+	if err != nil {
+		r.s.scope.Counter("sched_sweeps_failed").Inc(1)
+		return
+	}
+	r.s.scope.Counter("sched_tasks_swept").Inc(int64(n))
+}
+
 // Workers lists the books of the failure domain.
 func (s *Sched) Workers(ctx context.Context, _ *wire.Empty, reply *wire.WorkersReply) error {
 	r, err := s.ready(ctx)
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -196,6 +196,10 @@
 		gang.WithClock(d.clock),
 		gang.WithCheck(d.owner.Check),
 		gang.WithResolve(resolve),
+		gang.WithSettled(func(t fleet.TaskRef) bool {
+			_, ok := d.keeper.GetOutcome(t.Job)
+			return ok
+		}),
 		gang.WithRing(d.ring),
 		gang.WithScope(d.scope),
 	)
--- a/internal/daemon/failure_test.go
+++ b/internal/daemon/failure_test.go
@@ -142,3 +142,59 @@
 		c.requireOnce(run.Job, 2)
 	})
 }
+
+func TestDomainCutOffServesItsOwnWork(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		// The first marker names the hosts that hold the claims; without it no claim is kept outside the log.
+		time.Sleep(5 * time.Second)
+		for _, name := range []string{"east-1", "east-2", "east-3"} {
+			c.net.setCut(name, platformName, true)
+			for o, h := range c.hosts {
+				if h.daemon.settings.Host.Domain != "east" {
+					c.net.setCut(name, o, true)
+				}
+			}
+		}
+		status, v := c.submit("east-2", entry.JobRequest{
+			Organisation: "quay", Profile: "audit", Work: work(time.Second, 10), Shape: shapeOf(4),
+		})
+		require.Equal(t, http.StatusAccepted, status)
+		require.Equal(t, string(fleet.Done), c.await("east-2", v.Job, 20*time.Second).GetKind())
+
+		// Once the marker has lapsed, the hosts of the failure domain keep claims among themselves.
+		time.Sleep(20 * time.Second)
+		status, v = c.submit("east-2", registration(keyOf("east", 4)))
+		require.Equal(t, http.StatusAccepted, status, "%v", v.Outcome)
+		require.Equal(t, string(fleet.Done), c.await("east-2", v.Job, 20*time.Second).GetKind())
+		c.requireOnce(v.Job, 2)
+
+		// A key whose home cannot be reached may have been used before the cut.
+		status, v = c.submit("east-2", registration(keyOf("west", 5)))
+		require.Equal(t, http.StatusGatewayTimeout, status)
+		require.Equal(t, string(fleet.Unknown), v.Outcome.GetKind())
+	})
+}
+
+func TestLostWorkerEndsItsWholeGang(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		_, v := c.submit("east-1", entry.JobRequest{
+			Organisation: "quay", Profile: "audit", Work: work(time.Minute, 10), Shape: shapeOf(16), RunTimeMillis: 60000,
+		})
+		c.started(v.Job, 5*time.Second)
+		var lost string
+		for name, w := range c.workers {
+			if len(w.Starts()) > 0 {
+				lost = name
+			}
+		}
+		c.net.reset(lost)
+		c.eventually(30*time.Second, "second attempt of "+v.Job, func() bool {
+			attempts := map[int]int{}
+			for ref := range c.starts(v.Job) {
+				attempts[ref.Attempt]++
+			}
+			return len(attempts) == 2
+		})
+		require.Equal(t, string(fleet.Done), c.await("east-1", v.Job, 3*time.Minute).GetKind())
+	})
+}
