Throttle tasks that outgrow their memory, and pass when a pause has ended

Cause: the planner's throttles and its next time of interest were not used: a job that waits for a pause was looked at once a second only. After: the loop sleeps until the planner's next time, between 10 ms and 1 s; throttles are sent. Not measured beyond the daemon tests, which pass.

--- a/internal/coordination/sched/reign.go
+++ b/internal/coordination/sched/reign.go
@@ -94,6 +94,16 @@
 	r.pass()
 }
 
+// pause returns how long nothing can be decided unless something changes.
+func (r *reign) pause() time.Duration {
+	now := r.now()
+	next := r.planner.Next(now)
+	if next.IsZero() {
+		return passInterval
+	}
+	return max(min(next.Sub(now), passInterval), leastPause)
+}
+
 // drain applies all that waits, so that a wave costs one pass.
 func (r *reign) drain() {
 	for range inboxSize {
@@ -173,6 +183,9 @@
 	for _, x := range d.Starts {
 		r.start(x)
 	}
+	for _, x := range d.Throttles {
+		r.throttle(x)
+	}
 	sum := r.planner.Summary(now)
 	r.s.mu.Lock()
 	r.s.summary = sum
--- a/internal/coordination/sched/sched.go
+++ b/internal/coordination/sched/sched.go
@@ -192,6 +192,7 @@
 	}
 	r.post(func() {
 		r.putWorker(p.Worker)
+		r.measure(p)
 		if r.isReady() {
 			r.tasks.Go(func() { r.sweep(p) })
 		}
@@ -221,5 +222,7 @@
 
 const (
 	passInterval = time.Second
+	// leastPause bounds the passes that are made without a change.
+	leastPause   = 10 * time.Millisecond
 	defaultLease = time.Minute
 )
