--- /dev/null
+++ b/tests/doc.go
@@ -0,0 +1,2 @@
+// Package tests runs the real programs on loopback addresses and makes them fail.
+package tests
