--- a/internal/state/blame/blame.go
+++ b/internal/state/blame/blame.go
@@ -23,6 +23,10 @@
 	minRackJobs = 5
 	// rackFactor is how much more jobs must point to a rack than to all others.
 	rackFactor = 4
+	// rampTime is how long a worker that joins or returns stays on probation unless a job succeeds sooner.
+	rampTime = 2 * time.Minute
+	// maxRamp is the part of all workers that may be on probation because they are new.
+	maxRamp = 0.25
 	// maxShare is the part of all workers that may be quarantined one by one.
 	maxShare = 0.5
 )
@@ -57,6 +61,8 @@
 	term  time.Duration
 	why   string
 	gone  bool
+	// ramp ends a probation by time, for a worker with no failures.
+	ramp bool
 }
 
 type job struct {
@@ -184,6 +190,7 @@
 func (b *Book) quarantine(w *worker, at time.Time, why string) {
 	w.term = min(max(2*w.term, firstQuarantine), maxQuarantine)
 	w.state = Quarantined
+	w.ramp = false
 	w.until = at.Add(w.term)
 	w.why = why
 }
@@ -260,7 +267,7 @@
 		}
 		clear(w.fails)
 		if w.state == Probation {
-			w.state, w.term = Good, 0
+			w.state, w.term, w.ramp = Good, 0, false
 		}
 	}
 	if j := b.jobs[id]; j != nil {
@@ -339,12 +346,31 @@
 	if w.state == Quarantined && !at.Before(w.until) {
 		w.state = Probation
 	}
+	if w.ramp && !at.Before(w.until) {
+		w.state, w.ramp = Good, false
+	}
 	if w.state == Good {
 		return Good, ""
 	}
 	return w.state, w.why
 }
 
+// Ramp puts a worker that joins or returns on probation, unless much of the fleet is new.
+func (b *Book) Ramp(p Place, at time.Time, all int) {
+	n := 1
+	for _, w := range b.workers {
+		if w.state == Probation && w.ramp && at.Before(w.until) {
+			n++
+		}
+	}
+	w := b.get(p)
+	if w.state != Good || float64(n) > maxRamp*float64(all) {
+		return
+	}
+	w.state, w.ramp, w.until = Probation, true, at.Add(rampTime)
+	w.why = "joined lately and takes one job at a time until one succeeds"
+}
+
 // Drop forgets a worker that left; one that is quarantined is remembered until its time is over.
 func (b *Book) Drop(name string, at time.Time) {
 	if w := b.workers[name]; w != nil {
--- a/internal/state/blame/blame_test.go
+++ b/internal/state/blame/blame_test.go
@@ -223,6 +223,25 @@
 	}
 }
 
+func TestNewWorkersStartOnProbation(t *testing.T) {
+	b := New()
+	for i := range 3 {
+		b.Ramp(Place{name(i), "r"}, start, 8)
+	}
+	is := func(i int, at time.Duration) State {
+		st, _ := b.State(name(i), start.Add(at))
+		return st
+	}
+	require.Equal(t, Probation, is(0, 0))
+	require.Equal(t, Good, is(2, 0), "no more than a quarter of the fleet at a time")
+	b.Succeeded("j", []string{name(0)}, start, 8)
+	require.Equal(t, Good, is(0, 0))
+	require.Equal(t, Good, is(1, rampTime), "without work the probation ends by time")
+	b.Ramp(Place{name(3), "r"}, start, 8)
+	b.Failed("k", []Place{{name(3), "r"}}, start, 8, nil)
+	require.Equal(t, Quarantined, is(3, rampTime), "one failure is enough while on probation")
+}
+
 func BenchmarkFailed(b *testing.B) {
 	for _, n := range []int{480, 5300} {
 		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
--- a/internal/state/plan/back.go
+++ b/internal/state/plan/back.go
@@ -17,7 +17,7 @@
 
 // holdBack plans the start of a blocked gang and holds its sites back from work that would still run then.
 func (p *Planner) holdBack(e *entry) {
-	if p.greedy || p.pass.heads >= max(len(p.books.Racks())/racksPerHead, 1) {
+	if p.greedy || p.pass.heads >= min(max(len(p.books.Racks())/racksPerHead, 1), maxHeads) {
 		return
 	}
 	// Small gangs find room by themselves, and would use up what may be held back.
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -12,6 +12,8 @@
 const (
 	// racksPerHead bounds the blocked gangs for which capacity is held back at a time; more would starve backfill.
 	racksPerHead = 8
+	// maxHeads bounds them in a large failure domain.
+	maxHeads = 8
 	// maxRoomTries bounds the searches that move reservations in one pass.
 	maxRoomTries = 16
 	// maxTargets bounds the shapes that fragmentation is measured against.
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -141,10 +141,14 @@
 
 // PutWorker adds a worker or updates what is known of it.
 func (p *Planner) PutWorker(w fleet.Worker) {
+	isNew := p.books.Get(w.Name) == nil
 	if !p.books.Put(w) {
 		return
 	}
 	p.fleet[w.Name] = w
+	if isNew && !p.now.IsZero() {
+		p.blame.Ramp(blame.Place{Worker: w.Name, Rack: w.Rack}, p.now, p.books.Len())
+	}
 	p.books.Get(w.Name).Closed = w.Leaving
 	p.changed()
 }
