Let guarantees use workers that joined lately

Cause: a worker on probation held no reservation, so that its return left a guarantee unkept for up to two minutes, and a new owner that passed before its workers were listed put a quarter of them on probation. Change: joining is apart from probation after failures; it binds only work outside guarantees, and not in the first minute. TestReturningWorkerStillKeepsGuarantees.

--- a/internal/state/blame/blame.go
+++ b/internal/state/blame/blame.go
@@ -371,6 +371,12 @@
 	w.why = "joined lately and takes one job at a time until one succeeds"
 }
 
+// IsRamping reports whether a worker is on probation only because it joined lately.
+func (b *Book) IsRamping(name string) bool {
+	w := b.workers[name]
+	return w != nil && w.state == Probation && w.ramp
+}
+
 // Drop forgets a worker that left; one that is quarantined is remembered until its time is over.
 func (b *Book) Drop(name string, at time.Time) {
 	if w := b.workers[name]; w != nil {
--- a/internal/state/hold/repair.go
+++ b/internal/state/hold/repair.go
@@ -10,7 +10,7 @@
 
 // steady is the room for reservations on workers that stay.
 func steady(s *place.Site) place.Room {
-	if s.Closed || s.Probe || !s.StopFrom.IsZero() {
+	if s.Closed || s.Probe || s.Joined || !s.StopFrom.IsZero() {
 		return place.Room{}
 	}
 	return s.FreeHard()
--- a/internal/state/place/books.go
+++ b/internal/state/place/books.go
@@ -26,8 +26,10 @@
 	StopFrom time.Time
 	// HeldFrom is when a blocked gang is planned to start here; zero means none.
 	HeldFrom time.Time
-	// Probe limits a site to one task at a time, to test it.
+	// Probe limits a site to one job at a time, to test it.
 	Probe bool
+	// Joined does the same to a site without failures that joined lately; guarantees may use it if they need it.
+	Joined bool
 
 	rack *Rack
 	n    int
--- a/internal/state/plan/claim.go
+++ b/internal/state/plan/claim.go
@@ -41,7 +41,12 @@
 	free := p.open(e, end, (*place.Site).FreeForClaim)
 	if g.IsIdle() && e.shape.Tasks == g.Need.Shape.Tasks {
 		q := place.Search{Shape: g.Need.Shape, Targets: p.scored()}
-		q.View = p.open(e, end, (*place.Site).FreeBothForClaim)
+		q.View = p.open(e, end, func(s *place.Site) place.Room {
+			if s.Joined {
+				return place.Room{}
+			}
+			return s.FreeBothForClaim()
+		})
 		if !p.keeper.Move(g, q) {
 			return p.takeInPlace(e, g, free, d)
 		}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -40,6 +40,9 @@
 func (p *Planner) Pass(now time.Time) Decisions {
 	p.rounds.note(now)
 	p.now = now
+	if p.born.IsZero() {
+		p.born = now
+	}
 	p.pass = passNotes{failed: map[failure]time.Duration{}}
 	p.refresh()
 	p.repair()
@@ -80,10 +83,9 @@
 					from = x.From
 				}
 			}
-			bad, probe := p.trust(s)
-			closed = closed || bad
-			p.dirty = p.dirty || closed != s.Closed || probe != s.Probe || from.IsZero() != s.StopFrom.IsZero()
-			s.Closed, s.Probe, s.StopFrom, s.HeldFrom = closed, probe, from, time.Time{}
+			closed = p.trust(s) || closed
+			p.dirty = p.dirty || closed != s.Closed || from.IsZero() != s.StopFrom.IsZero()
+			s.Closed, s.StopFrom, s.HeldFrom = closed, from, time.Time{}
 			if !closed {
 				p.total = p.total.Plus(s.Capacity)
 			}
@@ -184,6 +186,9 @@
 		if !s.HeldFrom.IsZero() && end.After(s.HeldFrom) {
 			return place.Room{}
 		}
+		if s.Joined && (len(p.on[s]) > 0 || e.job.IsOnce()) {
+			return place.Room{}
+		}
 		return open(s)
 	}
 }
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -43,6 +43,7 @@
 	guess     *guess.Book
 	dirty     bool
 	now       time.Time
+	born      time.Time
 	targets   []place.Target
 	pass      passNotes
 	// unproved starts unstoppable work without regard to guarantees, so that tests show that they would notice.
@@ -146,7 +147,7 @@
 		return
 	}
 	p.fleet[w.Name] = w
-	if isNew && !p.now.IsZero() {
+	if isNew && p.isSettled() {
 		p.blame.Ramp(blame.Place{Worker: w.Name, Rack: w.Rack}, p.now, p.books.Len())
 	}
 	p.books.Get(w.Name).Closed = w.Leaving
--- a/internal/state/plan/planner_test.go
+++ b/internal/state/plan/planner_test.go
@@ -316,3 +316,17 @@
 	require.LessOrEqual(t, waitOfGang(t, false), 15*time.Minute)
 	require.Equal(t, time.Hour, waitOfGang(t, true), "without capacity held back it never starts")
 }
+
+func TestReturningWorkerStillKeepsGuarantees(t *testing.T) {
+	p := planner(t, workers(1, 8), profiles(audit, recon))
+	p.Pass(start)
+	p.DropWorker("w000")
+	p.Pass(start.Add(2 * time.Minute))
+	require.Len(t, p.UnkeptGuarantees(), 1)
+	p.PutWorker(workers(1, 8)[0])
+	require.NoError(t, p.Submit(job("big", "CW", "Recon", shape(64, 1, fleet.LevelRack))))
+	d := p.Pass(start.Add(3 * time.Minute))
+	require.Equal(t, WorkerProbation, p.FindWorkers()[0].State)
+	require.Empty(t, p.UnkeptGuarantees())
+	require.Len(t, d.Starts, 1)
+}
--- a/internal/state/plan/trust.go
+++ b/internal/state/plan/trust.go
@@ -128,8 +128,20 @@
 	return e.profile.RunTime
 }
 
-// trust closes a site or puts it on probation as the evidence says.
-func (p *Planner) trust(s *place.Site) (closed, probe bool) {
+// trust brings a site up to date with the evidence and reports whether that closes it.
+func (p *Planner) trust(s *place.Site) bool {
 	st, _ := p.blame.State(s.Worker.Name, p.now)
-	return st == blame.Quarantined, st == blame.Probation
+	joined := p.blame.IsRamping(s.Worker.Name)
+	probe := st == blame.Probation && !joined
+	p.dirty = p.dirty || probe != s.Probe || joined != s.Joined
+	s.Probe, s.Joined = probe, joined
+	return st == blame.Quarantined
+}
+
+// settledAfter is the age of a planner from which a worker that it did not know counts as one that joined lately.
+const settledAfter = time.Minute
+
+// isSettled reports whether the planner has known its workers for a while.
+func (p *Planner) isSettled() bool {
+	return !p.born.IsZero() && p.now.Sub(p.born) >= settledAfter
 }
