Start heartbeats at once, and call no claim vacant that is under way

A heartbeat between the reading of an own claim and the gain said that its term has no owner.

Change: a heartbeat goes out when a peer comes up; while a claim is under way nothing is said of it; a worker that is suspected during a renewal is asked once more after it.

--- a/internal/coordination/lease/lease.go
+++ b/internal/coordination/lease/lease.go
@@ -69,6 +69,8 @@
 	failures int
 	isLost   bool
 	isBusy   bool
+	// isAgain is set when the worker was suspected while a renewal was under way, which may have read it before.
+	isAgain bool
 	// sum identifies the tasks of the last report.
 	sum uint64
 	// isGuest is set while another host's worker is only to be asked once, because it is suspected.
@@ -166,6 +168,7 @@
 	}
 	if !e.isLost && e.failures == 0 {
 		e.due = l.clock.Now()
+		e.isAgain = e.isBusy
 	}
 }
 
--- a/internal/coordination/lease/renew.go
+++ b/internal/coordination/lease/renew.go
@@ -144,6 +144,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e.isBusy = false
+	if e.isAgain {
+		e.isAgain = false
+		e.due = l.clock.Now()
+	}
 }
 
 func (l *Leases) addEvent(k events.Kind, worker, text string) {
--- a/internal/coordination/member/contact.go
+++ b/internal/coordination/member/contact.go
@@ -28,6 +28,8 @@
 	// lastSign is when the address was last heard from or listed.
 	lastSign time.Time
 	stop     context.CancelFunc
+	// wake ends the wait for the next heartbeat, since the host at the address has just come up.
+	wake chan struct{}
 }
 
 // watchLoop starts and stops the goroutines of contacts and domains, and turns silence into suspicion and removal.
@@ -74,7 +76,7 @@
 		if len(m.contacts) >= maxContacts {
 			return nil
 		}
-		c = &contact{addr: a}
+		c = &contact{addr: a, wake: make(chan struct{}, 1)}
 		m.contacts[a] = c
 	}
 	if domain != "" {
@@ -109,11 +111,18 @@
 		if isNear && c.stop == nil {
 			cc, stop := context.WithCancel(ctx)
 			c.stop = stop
-			m.tasks.Go(func() { m.beatLoop(cc, a) })
+			m.tasks.Go(func() { m.beatLoop(cc, a, c.wake) })
 		}
 	}
 }
 
+func (c *contact) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (m *Members) forget(a netip.AddrPort, c *contact) {
 	delete(m.contacts, a)
 	if p := m.peers[c.name]; p != nil && p.Addr == a {
@@ -122,14 +131,19 @@
 }
 
 // beatLoop sends heartbeats to one address until ctx ends.
-func (m *Members) beatLoop(ctx context.Context, a netip.AddrPort) {
+func (m *Members) beatLoop(ctx context.Context, a netip.AddrPort, wake <-chan struct{}) {
 	for ctx.Err() == nil {
 		start := m.clock.Now()
 		isTurn, pace := m.turn(a)
 		if isTurn {
 			m.beat(ctx, a)
+			_, pace = m.turn(a)
+		}
+		select {
+		case <-m.clock.After(pace - m.clock.Since(start)):
+		case <-wake:
+		case <-ctx.Done():
 		}
-		_ = m.clock.Sleep(ctx, pace-m.clock.Since(start))
 	}
 }
 
--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -105,7 +105,9 @@
 	isUp := isNew || p.isRemoved
 	p.isRemoved = false
 	p.IsSuspect = false
-	m.learn(p.Addr, p.Name, p.Domain, now)
+	if c := m.learn(p.Addr, p.Name, p.Domain, now); c != nil && isUp {
+		c.wakeUp()
+	}
 	s := m.snapshot(p)
 	m.mu.Unlock()
 	if isUp {
--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -14,6 +14,7 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/nettest"
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/events"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
@@ -143,6 +144,36 @@
 	})
 }
 
+func TestMembersStartWithoutSuspicion(t *testing.T) {
+	run(t, func(b *bench) {
+		var all []netip.AddrPort
+		for i := range 4 {
+			all = append(all, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 4000))
+		}
+		for i := range 4 {
+			ring := events.NewRing("h", 100, events.NewClock(time.Now))
+			b.start(fmt.Sprint("h", i), "north", WithRing(ring), WithSeeds(all...))
+			b.sleep(40 * time.Millisecond)
+		}
+		b.sleep(10 * time.Second)
+		b.kill(b.hosts[3])
+		b.sleep(5 * time.Second)
+		h := &host{addr: b.hosts[3].addr}
+		b.run(h, "h3", "north", []Option{WithSeeds(all...)})
+		b.sleep(10 * time.Second)
+		for _, h := range b.hosts[:3] {
+			es, _ := h.ring.Find(events.Filter{})
+			suspects := 0
+			for _, e := range es {
+				if e.Kind == events.MemberSuspect {
+					suspects++
+				}
+			}
+			require.Equal(t, 1, suspects, "only the host that was killed, and not again once it is back: %v", es)
+		}
+	})
+}
+
 func TestMembersPausedHostSuspectsNobody(t *testing.T) {
 	runBoth(t, "pause is noticed", "ignores the pause", func(t *testing.T, b *bench, mutate bool) {
 		b.net.Delay = func(netip.AddrPort, netip.AddrPort) time.Duration { return 20 * time.Millisecond }
--- a/internal/coordination/owner/claim.go
+++ b/internal/coordination/owner/claim.go
@@ -138,7 +138,9 @@
 	o.mu.Lock()
 	t := fleet.Term{Counter: o.top.Counter + 1, Host: o.host}
 	r := o.record(t)
+	o.isClaiming = true
 	o.mu.Unlock()
+	defer o.endClaim()
 	o.scope.Counter("claims").Inc(1)
 	isAgreed, isWritten := o.claimInLog(ctx, t, r)
 	if isWritten && !isAgreed && !o.ignoresOrder {
@@ -160,6 +162,12 @@
 	o.addEvent(events.OwnerChanged, fmt.Sprintf("this host owns %s in term %s", o.domain, t))
 }
 
+func (o *Owner) endClaim() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.isClaiming = false
+}
+
 // isBeaten reports whether another term or the earlier owner stands against t; without the log any claim of the
 // same counter does.
 func (o *Owner) isBeaten(t fleet.Term, isAgreed bool) bool {
--- a/internal/coordination/owner/owner.go
+++ b/internal/coordination/owner/owner.go
@@ -76,10 +76,12 @@
 	stop      context.CancelFunc
 	lost      []fleet.Term
 	// woke is when the host started or last woke from a pause.
-	woke      time.Time
-	started   time.Time
-	claims    int
-	refreshed time.Time
+	woke    time.Time
+	started time.Time
+	claims  int
+	// isClaiming is set while a claim is under way, which may be read before this host knows that it has won.
+	isClaiming bool
+	refreshed  time.Time
 }
 
 // New returns an owner that owns nothing yet.
@@ -163,6 +165,9 @@
 func (o *Owner) Ownership() member.Ownership {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.isClaiming && o.top.Host == o.host && o.mine.IsZero() {
+		return member.Ownership{}
+	}
 	w := member.Ownership{Term: o.top, IsOwner: !o.mine.IsZero(), Heard: o.heard}
 	isHeld := o.hold > o.suspectAfter && o.isOwnerAlive()
 	if w.IsOwner || isHeld {
--- a/internal/coordination/owner/owner_test.go
+++ b/internal/coordination/owner/owner_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/auburncleat/auburncleat/internal/coordination/member"
 	"github.com/auburncleat/auburncleat/internal/coordination/nettest"
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/stretchr/testify/require"
 )
@@ -282,6 +284,24 @@
 	})
 }
 
+func TestOwnerDoesNotCallItsOwnClaimVacant(t *testing.T) {
+	var said member.Ownership
+	var o *Owner
+	o = New(WithSelf("a", "north"),
+		WithMembers(func() member.Member { return member.Member{Name: "a", State: member.Ready} },
+			func() []member.Member { return nil }),
+		WithLog(func(_ context.Context, r *wire.Record) (uint64, error) {
+			o.Fold(1, time.Time{}, r)
+			said = o.Ownership()
+			return 1, nil
+		}, nil, func() bool { return true }))
+	o.claim(t.Context())
+	require.NoError(t, o.Check())
+	require.Zero(t, said, "a peer would take it for an owner that does not act")
+	require.Equal(t, member.Ownership{Term: fleet.Term{Counter: 1, Host: "a"}, IsOwner: true},
+		member.Ownership{Term: o.Ownership().Term, IsOwner: o.Ownership().IsOwner})
+}
+
 func TestOwnerJoiningHostDoesNotClaim(t *testing.T) {
 	run(t, func(b *bench) {
 		x := b.start("a")
--- a/internal/daemon/network_test.go
+++ b/internal/daemon/network_test.go
@@ -190,7 +190,10 @@
 func (r *relay) deliver(out net.Conn, chunks <-chan chunk) {
 	defer r.close()
 	for c := range chunks {
-		time.Sleep(time.Until(c.due))
+		select {
+		case <-time.After(time.Until(c.due)):
+		case <-r.n.closed:
+		}
 		if _, err := out.Write(c.data); err != nil {
 			for range chunks {
 			}
