Forget reports on a gang from before its start was sent

Cause: a report that was asked for after an attempt was known here, and that the worker made before it had prepared the tasks, marked them as missing; the watch then ended the gang as lost at the instant of its start. Change: begin forgets that tasks were missing. Without it TestReportFromBeforeThePrepareDoesNotEndTheGang ends as Lost: worker lost or its lease lapsed.

--- a/internal/coordination/gang/run.go
+++ b/internal/coordination/gang/run.go
@@ -93,11 +93,14 @@
 	}
 }
 
-// begin restarts the run's age when its start is sent.
+// begin restarts the run's age when its start is sent, and forgets reports from before, which lacked its tasks.
 func (r *run) begin(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.added = now
+	for i := range r.tasks {
+		r.tasks[i].missing = false
+	}
 	for _, w := range r.workers {
 		w.asked = now
 	}
--- a/internal/coordination/gang/watch_test.go
+++ b/internal/coordination/gang/watch_test.go
@@ -1,6 +1,7 @@
 package gang
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -275,3 +276,22 @@
 		require.EqualValues(t, 6<<20, large.Bytes)
 	})
 }
+
+// TestReportFromBeforeThePrepareDoesNotEndTheGang hands in a report that was asked for once the attempt was known here,
+// and that the worker made before it had the tasks.
+func TestReportFromBeforeThePrepareDoesNotEndTheGang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1)
+		g := gangs(f)
+		place := f.place(1, 1)
+		stale := func(context.Context) error {
+			g.Observe(place[0].Worker, fleet.Report{Term: term}, time.Now())
+			return nil
+		}
+		a, err := g.Start(t.Context(), term, job(1), place, stale)
+		require.NoError(t, err)
+		e, err := g.Watch(t.Context(), a)
+		require.NoError(t, err)
+		require.Equal(t, plan.ResultDone, e.Result, e.Reason)
+	})
+}
