--- a/internal/coordination/policy/policy_test.go
+++ b/internal/coordination/policy/policy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -198,6 +199,31 @@
 	}
 }
 
+// A snapshot costs work, so a log that is down must not be asked every second.
+func TestPolicyRetentionOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		var taken atomic.Int32
+		a, _ := l.host(WithRetention(4*time.Minute), WithForecast(func() ([]byte, error) {
+			taken.Add(1)
+			return nil, nil
+		}))
+		must(t, a, ask("1", "ann", org(t, "registry", 7, 0)))
+		ctx, cancel := context.WithCancel(t.Context())
+		l.isDown = true
+		go func() { _ = a.Run(ctx) }()
+		time.Sleep(10*time.Minute + 30*time.Second)
+		require.Equal(t, int32(10), taken.Load())
+		l.mu.Lock()
+		l.isDown = false
+		l.mu.Unlock()
+		time.Sleep(time.Minute)
+		cancel()
+		synctest.Wait()
+		require.Len(t, l.records, 2)
+	})
+}
+
 func TestPolicyPlannedChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newFakeLog()
@@ -214,8 +240,9 @@
 		require.Equal(t, 1, weight(b, "registry"))
 		time.Sleep(10 * time.Second)
 		require.Equal(t, 2, weight(b, "registry"))
-		require.Len(t, l.records, 3)
 		cancel()
+		synctest.Wait()
+		require.Len(t, l.records, 3)
 	})
 }
 
