Find an owner whose digest came without its members

Cause: one run in ten of the path test could not reach another failure domain for ten seconds. Members of a failure domain are passed on to peers once, and again after 20 s; that heartbeat was lost while connections were made. Ruled out: the owner (it served others), the retry budget. Change: new members are passed on three times, and an owner that the members lack is looked up among all hosts that lists and digests have named.

--- a/internal/coordination/member/digest.go
+++ b/internal/coordination/member/digest.go
@@ -15,6 +15,8 @@
 	digestTimeout = time.Second
 	// relayMembersEvery is how often members are repeated to a peer, which may have missed them.
 	relayMembersEvery = 20 * time.Second
+	// relayMembersTimes is how often new members are sent at first, since a heartbeat can be lost.
+	relayMembersTimes = 3
 	maxRelayed        = 4
 )
 
@@ -34,6 +36,8 @@
 	heard   time.Time
 	sum     uint64
 	members time.Time
+	// times counts how often the members of sum were sent.
+	times int
 }
 
 // learnDomains makes a view of each failure domain that contacts name, with their hosts until a digest comes.
--- a/internal/coordination/member/listed.go
+++ b/internal/coordination/member/listed.go
@@ -1,6 +1,10 @@
 package member
 
-import "github.com/auburncleat/auburncleat/internal/state/fleet"
+import (
+	"net/netip"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+)
 
 // IsListed reports whether the platform's newest list names a host; it is true while no list has been read.
 func (m *Members) IsListed(name string) bool {
@@ -27,3 +31,15 @@
 	}
 	return ws
 }
+
+// FindAddr returns the address of a host that a list, a digest or a heartbeat has named.
+func (m *Members) FindAddr(name string) (netip.AddrPort, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for a, c := range m.contacts {
+		if c.name == name {
+			return a, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
--- a/internal/coordination/member/relay.go
+++ b/internal/coordination/member/relay.go
@@ -23,10 +23,14 @@
 		}
 		d := v.digest()
 		r.heard = v.firstHand
-		if r.sum == v.sum && now.Sub(r.members) < relayMembersEvery {
+		if r.sum != v.sum {
+			r.sum = v.sum
+			r.times = 0
+		}
+		if r.times >= relayMembersTimes && now.Sub(r.members) < relayMembersEvery {
 			d.Members = nil
 		} else {
-			r.sum = v.sum
+			r.times++
 			r.members = now
 		}
 		p.relayed[domain] = r
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -28,19 +28,20 @@
 	}
 	for _, v := range d.members.FindDomains() {
 		if v.Domain == domain {
-			return ownerOf(v)
+			return d.ownerOf(v)
 		}
 	}
 	return netip.AddrPort{}, false
 }
 
-func ownerOf(v member.DomainView) (netip.AddrPort, bool) {
+// ownerOf prefers the digest's members, which can lag behind its term when a relay was lost.
+func (d *Daemon) ownerOf(v member.DomainView) (netip.AddrPort, bool) {
 	for _, m := range v.Members {
 		if m.Name == v.Term.Host {
 			return m.Addr, true
 		}
 	}
-	return netip.AddrPort{}, false
+	return d.members.FindAddr(v.Term.Host)
 }
 
 func (d *Daemon) views() []route.View {
