Say Unknown of a job that was given up after an attempt that may have run

Cause: the planner marks such refusals; the scheduler told the caller that the job did not run. Change: the mark turns the outcome into Unknown.

--- a/internal/coordination/sched/reign.go
+++ b/internal/coordination/sched/reign.go
@@ -200,7 +200,11 @@
 		job = j.Job
 		r.planner.Ended(plan.Ended{Job: x.Job, Result: plan.ResultNoStart, At: r.s.clock.Now()})
 	}
-	r.end(job, Outcome{Kind: fleet.Refused, Reason: x.Reason, RetryAfter: x.RetryAfter})
+	o := Outcome{Kind: fleet.Refused, Reason: x.Reason, RetryAfter: x.RetryAfter}
+	if x.Ran {
+		o.Kind = fleet.Unknown
+	}
+	r.end(job, o)
 }
 
 func (r *reign) note(k events.Kind, j fleet.Job, text string) {
