Look at what a change slows down as soon as it is in force

Cause: notices were looked for once a minute only, so a stop announced 15 s ahead under a promise of 10 s was over before anybody could be called, and the demo showed no notice.

--- a/internal/coordination/notice/notices.go
+++ b/internal/coordination/notice/notices.go
@@ -33,6 +33,8 @@
 
 // Notices foresees slowdowns of the failure domains that this host looks after, and issues notices through the log.
 type Notices struct {
+	// wake holds a value when another configuration is in force.
+	wake    chan struct{}
 	config  func() config.Config
 	workers func() []fleet.Worker
 	fits    func([]fleet.Worker, []config.Profile) error
@@ -110,6 +112,7 @@
 		runTime: func(_, _ string, d time.Duration) time.Duration { return d },
 		backlog: func(string) map[string]float64 { return nil },
 		clock:   clock.System(),
+		wake:    make(chan struct{}, 1),
 		events:  events.NewRing("", 1, events.NewClock(clock.System().Now)),
 		scope:   tally.NoopScope,
 		load:    NewLoad(),
@@ -169,11 +172,22 @@
 	return nil
 }
 
+// Changed tells that another configuration is in force, so that what it causes is issued at once.
+func (n *Notices) Changed() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run issues the notices that are due, until ctx ends.
 func (n *Notices) Run(ctx context.Context) error {
 	for {
-		if err := n.clock.Sleep(ctx, defaultInterval); err != nil {
-			return fmt.Errorf("issue notices: %w", err)
+		select {
+		case <-n.wake:
+		case <-n.clock.After(defaultInterval):
+		case <-ctx.Done():
+			return fmt.Errorf("issue notices: %w", ctx.Err())
 		}
 		n.watchStops(ctx)
 		if err := n.pass(ctx); err != nil {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -84,6 +84,9 @@
 	c := d.config.Config()
 	d.scope.Gauge("config_offset").Update(float64(c.Offset))
 	d.ring.Add(events.Event{Kind: events.ConfigInForce, Text: offsetText(c.Offset)})
+	if d.notices != nil {
+		d.notices.Changed()
+	}
 	if d.sched != nil {
 		d.sched.Reconfigure()
 	}
