Let a leaving host serve its peers and itself until its requests have ended

Cause: the handlers of the peer server saw the context that SIGTERM ends, so that from the first moment of a graceful shutdown every call to the leaving owner, also its own, failed with 'context canceled', which is not retried. An answer that was being read was cut short: of 2 MB, 1.5 MB were sent (the trace of the router's error named Owner.Await at the leaving host itself). Ruled out: the bound of the HTTP shutdown (8 s; the cut came after 60 ms), the next owner lacking the answer. Change: the peer server has a context of its own, which ends as the last of the group. Left: an answer beyond 4 MB over all tasks ends as Unknown, as its reason says; not part of this change.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -26,7 +26,10 @@
 // Run serves until ctx ends, and then finishes the requests in flight within the shutdown bound.
 func (d *Daemon) Run(ctx context.Context) error {
 	var g run.Group
-	p, err := peer.NewServer(ctx, d.peerHandlers())
+	// Calls of peers, and of this host to itself, end only after the requests that need them.
+	served, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	p, err := peer.NewServer(served, d.peerHandlers())
 	if err != nil {
 		return fmt.Errorf("make peer server: %w", err)
 	}
@@ -36,7 +39,7 @@
 	}
 	d.addStop(ctx, &g)
 	d.addParts(&g)
-	if err := d.addPeerServer(&g, p); err != nil {
+	if err := d.addPeerServer(&g, p, stop); err != nil {
 		return err
 	}
 	return g.Run()
@@ -157,12 +160,13 @@
 	return ""
 }
 
-func (d *Daemon) addPeerServer(g *run.Group, p *peer.Server) error {
+func (d *Daemon) addPeerServer(g *run.Group, p *peer.Server, stop func()) error {
 	l, err := d.listen("peer", d.settings.Listen.Peer)
 	if err != nil {
 		return err
 	}
 	g.Add(func() error { return p.Serve(l) }, func(error) {
+		stop()
 		_ = l.Close()
 		p.Close()
 	})
