Name the setting whose address is in use

Cause: 'listen for callers at ...' left the operator to find out which key of the INI file holds the address. Ruled out: checking the addresses before the start, which would race with whoever takes them.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -161,7 +161,7 @@
 }
 
 func (d *Daemon) addPeerServer(g *run.Group, p *peer.Server, stop func()) error {
-	l, err := d.listen("peer", d.settings.Listen.Peer)
+	l, err := d.listen("Peer", d.settings.Listen.Peer)
 	if err != nil {
 		return err
 	}
@@ -173,10 +173,11 @@
 	return nil
 }
 
-func (d *Daemon) listen(name string, a netip.AddrPort) (net.Listener, error) {
+// listen opens an address; an error names the setting that holds it.
+func (d *Daemon) listen(key string, a netip.AddrPort) (net.Listener, error) {
 	l, err := d.outside.Listen(a)
 	if err != nil {
-		return nil, fmt.Errorf("listen for %s at %s: %w", name, a, err)
+		return nil, fmt.Errorf("[Listen] %s: %w", key, err)
 	}
 	return l, nil
 }
@@ -191,7 +192,7 @@
 		entry.WithRequests(d.settings.Limits.Connections),
 		entry.WithDraining(d.drain.isLeaving),
 	)
-	if err := d.addHTTP(g, "callers", l.Caller, e.Handler()); err != nil {
+	if err := d.addHTTP(g, "Caller", l.Caller, e.Handler()); err != nil {
 		return err
 	}
 	s := &status.Server{
@@ -208,14 +209,14 @@
 		StopState: d.notices.StopState,
 		Scope:     d.scope,
 	}
-	if err := d.addHTTP(g, "operators", l.Operator, o.Handler()); err != nil {
+	if err := d.addHTTP(g, "Operator", l.Operator, o.Handler()); err != nil {
 		return err
 	}
-	return d.addHTTP(g, "status", l.Status, s.Handler())
+	return d.addHTTP(g, "Status", l.Status, s.Handler())
 }
 
-func (d *Daemon) addHTTP(g *run.Group, name string, a netip.AddrPort, h http.Handler) error {
-	l, err := d.listen(name, a)
+func (d *Daemon) addHTTP(g *run.Group, key string, a netip.AddrPort, h http.Handler) error {
+	l, err := d.listen(key, a)
 	if err != nil {
 		return err
 	}
@@ -227,7 +228,7 @@
 	}
 	g.Add(func() error {
 		if err := s.Serve(newLimitListener(l, d.settings.Limits.Connections)); err != http.ErrServerClosed {
-			return fmt.Errorf("serve %s: %w", name, err)
+			return fmt.Errorf("serve [Listen] %s: %w", key, err)
 		}
 		return nil
 	}, func(error) {
