--- a/internal/daemon/network_test.go
+++ b/internal/daemon/network_test.go
@@ -20,6 +20,8 @@
 	cut       map[[2]string]bool
 	relays    map[*relay]struct{}
 	closed    chan struct{}
+	// sent counts the bytes that each process has written.
+	sent map[string]int64
 }
 
 func newNetwork() *network {
@@ -30,6 +32,7 @@
 		cut:       map[[2]string]bool{},
 		relays:    map[*relay]struct{}{},
 		closed:    make(chan struct{}),
+		sent:      map[string]int64{},
 	}
 }
 
@@ -166,6 +169,12 @@
 	due  time.Time
 }
 
+func (n *network) count(from string, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent[from] += int64(bytes)
+}
+
 // pump moves bytes with the link's delay; bytes sent over a link that was ever cut are lost for good.
 //
 // Reading never waits for the delay, as a socket's buffer takes what is written at once.
@@ -179,6 +188,7 @@
 		if err != nil {
 			return
 		}
+		r.n.count(from, m)
 		if r.isSilent(from, to) {
 			continue
 		}
