--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -26,7 +26,10 @@
 // Run serves until ctx ends, and then finishes the requests in flight within the shutdown bound.
 func (d *Daemon) Run(ctx context.Context) error {
 	var g run.Group
-	p, err := peer.NewServer(ctx, d.peerHandlers())
+	// Calls of peers, and of this host to itself, end only after the requests that need them.
+	served, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	p, err := peer.NewServer(served, d.peerHandlers())
 	if err != nil {
 		return fmt.Errorf("make peer server: %w", err)
 	}
@@ -36,7 +39,7 @@
 	}
 	d.addStop(ctx, &g)
 	d.addParts(&g)
-	if err := d.addPeerServer(&g, p); err != nil {
+	if err := d.addPeerServer(&g, p, stop); err != nil {
 		return err
 	}
 	return g.Run()
@@ -157,22 +160,24 @@
 	return ""
 }
 
-func (d *Daemon) addPeerServer(g *run.Group, p *peer.Server) error {
-	l, err := d.listen("peer", d.settings.Listen.Peer)
+func (d *Daemon) addPeerServer(g *run.Group, p *peer.Server, stop func()) error {
+	l, err := d.listen("Peer", d.settings.Listen.Peer)
 	if err != nil {
 		return err
 	}
 	g.Add(func() error { return p.Serve(l) }, func(error) {
+		stop()
 		_ = l.Close()
 		p.Close()
 	})
 	return nil
 }
 
-func (d *Daemon) listen(name string, a netip.AddrPort) (net.Listener, error) {
+// listen opens an address; an error names the setting that holds it.
+func (d *Daemon) listen(key string, a netip.AddrPort) (net.Listener, error) {
 	l, err := d.outside.Listen(a)
 	if err != nil {
-		return nil, fmt.Errorf("listen for %s at %s: %w", name, a, err)
+		return nil, fmt.Errorf("[Listen] %s: %w", key, err)
 	}
 	return l, nil
 }
@@ -187,7 +192,7 @@
 		entry.WithRequests(d.settings.Limits.Connections),
 		entry.WithDraining(d.drain.isLeaving),
 	)
-	if err := d.addHTTP(g, "callers", l.Caller, e.Handler()); err != nil {
+	if err := d.addHTTP(g, "Caller", l.Caller, e.Handler()); err != nil {
 		return err
 	}
 	s := &status.Server{
@@ -204,14 +209,14 @@
 		StopState: d.notices.StopState,
 		Scope:     d.scope,
 	}
-	if err := d.addHTTP(g, "operators", l.Operator, o.Handler()); err != nil {
+	if err := d.addHTTP(g, "Operator", l.Operator, o.Handler()); err != nil {
 		return err
 	}
-	return d.addHTTP(g, "status", l.Status, s.Handler())
+	return d.addHTTP(g, "Status", l.Status, s.Handler())
 }
 
-func (d *Daemon) addHTTP(g *run.Group, name string, a netip.AddrPort, h http.Handler) error {
-	l, err := d.listen(name, a)
+func (d *Daemon) addHTTP(g *run.Group, key string, a netip.AddrPort, h http.Handler) error {
+	l, err := d.listen(key, a)
 	if err != nil {
 		return err
 	}
@@ -223,7 +228,7 @@
 	}
 	g.Add(func() error {
 		if err := s.Serve(newLimitListener(l, d.settings.Limits.Connections)); err != http.ErrServerClosed {
-			return fmt.Errorf("serve %s: %w", name, err)
+			return fmt.Errorf("serve [Listen] %s: %w", key, err)
 		}
 		return nil
 	}, func(error) {
