--- a/cmd/cleatctl/workers.go
+++ b/cmd/cleatctl/workers.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 
@@ -59,8 +60,13 @@
 
 // find lists the workers, with --ready not before there are enough.
 func (x *workersCmd) find(ctx context.Context, c *cli) ([]workerRow, error) {
+	asker := *c
+	if x.Ready > 0 {
+		// Hosts that do not answer yet are what the command waits for.
+		asker.Err = io.Discard
+	}
 	for {
-		as, err := askAll[wire.WorkersReply](ctx, c, "/v1/workers")
+		as, err := askAll[wire.WorkersReply](ctx, &asker, "/v1/workers")
 		if x.Ready == 0 && err != nil {
 			return nil, err
 		}
