--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -12,6 +12,8 @@
 const (
 	// racksPerHead bounds the blocked gangs for which capacity is held back at a time; more would starve backfill.
 	racksPerHead = 8
+	// maxHeads bounds them in a large failure domain.
+	maxHeads = 8
 	// maxRoomTries bounds the searches that move reservations in one pass.
 	maxRoomTries = 16
 	// maxTargets bounds the shapes that fragmentation is measured against.
@@ -38,6 +40,9 @@
 func (p *Planner) Pass(now time.Time) Decisions {
 	p.rounds.note(now)
 	p.now = now
+	if p.born.IsZero() {
+		p.born = now
+	}
 	p.pass = passNotes{failed: map[failure]time.Duration{}}
 	p.refresh()
 	p.repair()
@@ -78,10 +83,9 @@
 					from = x.From
 				}
 			}
-			bad, probe := p.trust(s)
-			closed = closed || bad
-			p.dirty = p.dirty || closed != s.Closed || probe != s.Probe || from.IsZero() != s.StopFrom.IsZero()
-			s.Closed, s.Probe, s.StopFrom, s.HeldFrom = closed, probe, from, time.Time{}
+			closed = p.trust(s) || closed
+			p.dirty = p.dirty || closed != s.Closed || from.IsZero() != s.StopFrom.IsZero()
+			s.Closed, s.StopFrom, s.HeldFrom = closed, from, time.Time{}
 			if !closed {
 				p.total = p.total.Plus(s.Capacity)
 			}
@@ -182,6 +186,9 @@
 		if !s.HeldFrom.IsZero() && end.After(s.HeldFrom) {
 			return place.Room{}
 		}
+		if s.Joined && (len(p.on[s]) > 0 || e.job.IsOnce()) {
+			return place.Room{}
+		}
 		return open(s)
 	}
 }
