--- /dev/null
+++ b/tests/silent_test.go
@@ -0,0 +1,63 @@
+package tests
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/pkg/client"
+	"github.com/stretchr/testify/require"
+)
+
+func TestRequestInFlightOutlivesSilentConnections(t *testing.T) {
+	f := newFleet(t, domain{"east", 2}, domain{"west", 1})
+	var workers []*relay
+	f.workerAddr = func(a netip.AddrPort) netip.AddrPort {
+		at := netip.AddrPortFrom(a.Addr(), a.Port()+1)
+		workers = append(workers, newRelay(t, at, a))
+		return at
+	}
+	platform := newRelay(t, f.addr(250, 1, platformPort+1), f.platform)
+	f.platforms["east"] = platform.listener.Addr().(*net.TCPAddr).AddrPort()
+	f.start()
+	caller := newRelay(t, f.addr(251, 1, callerPort), f.at("east-1", callerPort))
+	c := client.New([]netip.AddrPort{f.addr(251, 1, callerPort)})
+	defer c.Close()
+
+	ended := make(chan client.Result, 1)
+	failed := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), outcomeBound)
+	defer cancel()
+	go func() {
+		r, err := c.Run(ctx, client.Job{
+			Organisation: "harbour", Profile: "registration", Key: f.keyOf("east", 5),
+			Shape: client.Shape{Tasks: 2, Accelerators: 1}, Work: work(3*time.Second, 100_000),
+		})
+		ended <- r
+		failed <- err
+	}()
+	f.eventually(outcomeBound, "start of the caller's job", func() bool { return len(f.allStarts()) == 2 })
+	// The caller waits for the outcome, the owner holds connections to the workers, and the log is being read.
+	for _, r := range append([]*relay{caller, platform}, workers[:workersEach]...) {
+		require.Positive(t, r.silence())
+	}
+	begin := time.Now()
+	later := f.accept("west-1", registration(f.keyOf("east", 6)))
+	f.awaitStart(later, 2)
+	t.Logf("urgent work started %s after the connections fell silent", time.Since(begin))
+	r := <-ended
+	require.NoError(t, <-failed)
+	require.Equal(t, client.Done, r.Outcome.Kind, r.Outcome.Reason)
+	require.Len(t, r.Answer, 2*100_000)
+	f.requireDone("west-1", later, 2)
+	f.requireOnce(r.Outcome.Job, 2)
+	lost := 0
+	for _, x := range workers {
+		lost += x.swallowed()
+	}
+	require.Positive(t, lost, "no connection to a worker lost anything")
+	require.Positive(t, caller.swallowed())
+	require.Positive(t, platform.swallowed())
+}
