Pass only when the books changed, and read the host list only when it did

The whole host list was read every 5 s, about 1 MB at 5,300 workers. Change: a pass is made when the books changed, when the planner's next time has come, or once a second; the list is asked for with If-None-Match and taken compressed. Found on the way: a worker's report undid that the platform lists it as leaving; TestReportDoesNotUndoThatAWorkerLeaves failed before.

--- a/internal/coordination/sched/attempt.go
+++ b/internal/coordination/sched/attempt.go
@@ -189,6 +189,7 @@
 			x.Requeue = false
 		}
 		r.planner.Ended(x)
+		r.isChanged = true
 		if x.Requeue {
 			r.note(events.JobStopped, a.job, fmt.Sprintf("%s: %s", x.Result, reason))
 			return
--- a/internal/coordination/sched/cancel.go
+++ b/internal/coordination/sched/cancel.go
@@ -29,6 +29,7 @@
 			jobs[id] = x.Job
 		}
 	}
+	r.isChanged = true
 	queued := map[string]bool{}
 	for _, id := range r.planner.Cancel(ids) {
 		queued[id] = true
--- a/internal/coordination/sched/claim.go
+++ b/internal/coordination/sched/claim.go
@@ -37,6 +37,7 @@
 	_ = r.do(r.ctx, func() {
 		delete(r.attempts, a.job.ID)
 		r.planner.Ended(x)
+		r.isChanged = true
 	})
 	if claimed.Outcome != nil {
 		// The first outcome of the key is kept for this job as well.
--- a/internal/coordination/sched/rebuild.go
+++ b/internal/coordination/sched/rebuild.go
@@ -25,7 +25,7 @@
 	ws := r.s.fleet()
 	reports, silent := r.inspectAll(ws)
 	for _, p := range reports {
-		r.planner.PutWorker(p.Worker)
+		r.putWorker(p.Worker)
 	}
 	jobs := r.keptJobs()
 	r.adopt(reports, len(silent) > 0, jobs)
@@ -215,6 +215,7 @@
 	a := &attempt{job: g.Job, placement: g.Placement, running: true, gang: g}
 	r.attempts[g.Job.ID] = a
 	r.planner.Adopt(g.Job, g.Placement, r.now())
+	r.isChanged = true
 	r.note(events.JobStarted, g.Job, "adopted from the former owner")
 	r.tasks.Go(func() { r.watch(a) })
 }
--- a/internal/coordination/sched/reign.go
+++ b/internal/coordination/sched/reign.go
@@ -25,17 +25,22 @@
 
 	planner *plan.Planner
 	inbox   chan func()
-	wake    chan struct{}
 	// ready is closed once the books are rebuilt.
 	ready chan struct{}
 	done  chan struct{}
 	tasks sync.WaitGroup
 
+	// isChanged is set when the books were touched since the last pass, and nextPass is when the next one is due anyway.
+	isChanged bool
+	nextPass  time.Time
+
 	// attempts holds the running attempts by job.
 	attempts map[string]*attempt
 
 	// asking names workers that are asked until they answer; the scheduling goroutine touches it.
 	asking map[string]bool
+	// booked holds the workers as the planner knows them.
+	booked map[string]fleet.Worker
 	// refreshed is when the list of workers was last read.
 	refreshed time.Time
 
@@ -54,11 +59,11 @@
 		cancel:   cancel,
 		planner:  s.newPlanner(),
 		inbox:    make(chan func(), inboxSize),
-		wake:     make(chan struct{}, 1),
 		ready:    make(chan struct{}),
 		done:     make(chan struct{}),
 		attempts: map[string]*attempt{},
 		asking:   map[string]bool{},
+		booked:   map[string]fleet.Worker{},
 		waiters:  map[string]*waiter{},
 	}
 }
@@ -72,14 +77,13 @@
 	r.tasks.Wait()
 }
 
-// step applies what has arrived, and passes over the books when something changed or time went by.
+// step applies what has arrived, and passes over the books when they changed or time went by.
 func (r *reign) step() {
 	select {
 	case f := <-r.inbox:
 		f()
 		r.drain()
-	case <-r.wake:
-	case <-r.s.clock.After(r.pause()):
+	case <-r.s.clock.After(r.nextPass.Sub(r.now())):
 	case <-r.ctx.Done():
 		return
 	}
@@ -88,10 +92,13 @@
 		r.refreshed = r.now()
 		r.refreshWorkers()
 	}
-	if r.s.check() != nil {
+	isDue := r.isChanged || !r.now().Before(r.nextPass)
+	if !isDue || r.s.check() != nil {
 		return
 	}
+	r.isChanged = false
 	r.pass()
+	r.nextPass = r.now().Add(r.pause())
 }
 
 // pause returns how long nothing can be decided unless something changes.
@@ -199,6 +206,7 @@
 	if err == nil {
 		job = j.Job
 		r.planner.Ended(plan.Ended{Job: x.Job, Result: plan.ResultNoStart, At: r.s.clock.Now()})
+		r.isChanged = true
 	}
 	o := Outcome{Kind: fleet.Refused, Reason: x.Reason, RetryAfter: x.RetryAfter}
 	if x.Ran {
--- a/internal/coordination/sched/sched.go
+++ b/internal/coordination/sched/sched.go
@@ -180,7 +180,10 @@
 // Reconfigure takes a new configuration into force for the running reign.
 func (s *Sched) Reconfigure() {
 	if r, err := s.current(); err == nil {
-		r.post(func() { r.planner.Configure(s.config()) })
+		r.post(func() {
+			r.planner.Configure(s.config())
+			r.isChanged = true
+		})
 	}
 }
 
@@ -191,7 +194,10 @@
 		return
 	}
 	r.post(func() {
-		r.putWorker(p.Worker)
+		// The worker does not know what the platform's list says of it.
+		w := p.Worker
+		w.Leaving = w.Leaving || r.booked[w.Name].Leaving
+		r.putWorker(w)
 		r.measure(p)
 		if r.isReady() {
 			r.tasks.Go(func() { r.sweep(p) })
--- a/internal/coordination/sched/submit.go
+++ b/internal/coordination/sched/submit.go
@@ -125,6 +125,7 @@
 
 // admit queues a job, or ends it when the planner refuses it.
 func (r *reign) admit(j fleet.Job) error {
+	r.isChanged = true
 	if err := r.planner.Submit(j); err != nil {
 		r.end(j, outcomeOf(err))
 		return err
--- a/internal/coordination/sched/worker.go
+++ b/internal/coordination/sched/worker.go
@@ -18,7 +18,7 @@
 	for _, v := range r.planner.FindWorkers() {
 		w, ok := listed[v.Worker.Name]
 		if ok && w.Leaving != v.Worker.Leaving {
-			r.planner.PutWorker(w)
+			r.putWorker(w)
 		}
 		delete(listed, v.Worker.Name)
 	}
@@ -38,12 +38,19 @@
 func (r *reign) putWorker(w fleet.Worker) {
 	delete(r.asking, w.Name)
 	r.s.setAddr(w.Name, w.Addr)
+	if r.booked[w.Name] == w {
+		return
+	}
+	r.booked[w.Name] = w
 	r.planner.PutWorker(w)
+	r.isChanged = true
 }
 
 // dropWorker takes a lost worker out of the books; its gangs end through their watches.
 func (r *reign) dropWorker(name string) {
+	delete(r.booked, name)
 	r.planner.DropWorker(name)
+	r.isChanged = true
 }
 
 // sweep stops and forgets what an abort left behind on a worker.
--- /dev/null
+++ b/internal/coordination/sched/worker_test.go
@@ -0,0 +1,24 @@
+package sched
+
+import (
+	"testing"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/gang"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/stretchr/testify/require"
+)
+
+// A worker's own report does not say that the platform lists it as leaving.
+func TestReportDoesNotUndoThatAWorkerLeaves(t *testing.T) {
+	s := New("east", WithGangs(gang.New()))
+	r := newReign(t.Context(), s, fleet.Term{Counter: 1, Host: "east-1"})
+	s.reign = r
+	w := fleet.Worker{Name: "w1", Rack: "r1", Slots: 8, Accelerators: 8}
+	leaving := w
+	leaving.Leaving = true
+	r.putWorker(leaving)
+
+	s.ReportWorker(fleet.Report{Worker: w})
+	(<-r.inbox)()
+	require.True(t, r.planner.FindWorkers()[0].Worker.Leaving)
+}
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -103,7 +103,7 @@
 
 func (c *cluster) addWorker(domain string, i, j int) {
 	name := fmt.Sprintf("%s-w%d", domain, j+1)
-	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i + 1), byte(j / 200), byte(j%200 + 1)}), 7100)
+	a := c.workerAddr(i, j)
 	info := store.Worker{
 		Name: name, Domain: domain, Rack: fmt.Sprintf("%s-r%d", domain, j/4+1), Addr: a,
 		Slots: slotsEach, Connections: 64, Accelerators: slotsEach, Processors: 128, MemoryBytes: 512 << 30,
@@ -114,6 +114,11 @@
 	c.platform.Register(standin.Registration{Workers: []store.Worker{info}})
 }
 
+// workerAddr returns the address of worker j of failure domain i.
+func (c *cluster) workerAddr(i, j int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i + 1), byte(j / 200), byte(j%200 + 1)}), 7100)
+}
+
 func addrOf(n, service int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(n)}), uint16(7200+service))
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,15 +1,19 @@
 package standin
 
 import (
+	"compress/gzip"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/clock"
 	"github.com/auburncleat/auburncleat/internal/transport/rest"
 	"github.com/auburncleat/auburncleat/internal/transport/store"
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -213,7 +217,7 @@
 	p.pending = append(p.pending, lagging{at: p.clock.Now().Add(p.lag), list: l})
 }
 
-func (p *Platform) serveList(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
 	frozen := p.faults.get().FreezeHosts
 	p.mu.Lock()
 	now := p.clock.Now()
@@ -223,7 +227,31 @@
 	}
 	l := p.listed
 	p.mu.Unlock()
-	reply(w, l)
+	writeTagged(w, r, l)
+}
+
+// writeTagged answers that nothing has changed, or the whole value, compressed for readers that take it.
+func writeTagged(w http.ResponseWriter, r *http.Request, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		fail(w, http.StatusInternalServerError, "Encode", err.Error())
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(b), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		_, _ = w.Write(b)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	_, _ = z.Write(b)
+	_ = z.Close()
 }
 
 func reply(w http.ResponseWriter, v any) {
--- a/internal/transport/rest/client.go
+++ b/internal/transport/rest/client.go
@@ -126,15 +126,13 @@
 	}
 	c.kept = &http.Client{Transport: &http.Transport{
 		DialContext:         c.dial,
-		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerAddr,
 		MaxConnsPerHost:     c.connections,
 		IdleConnTimeout:     idleTimeout,
 	}}
 	c.fresh = &http.Client{Transport: &http.Transport{
-		DialContext:        c.dial,
-		DisableCompression: true,
-		DisableKeepAlives:  true,
+		DialContext:       c.dial,
+		DisableKeepAlives: true,
 	}}
 	return c
 }
--- a/internal/transport/store/store.go
+++ b/internal/transport/store/store.go
@@ -78,13 +78,6 @@
 	return port.Log{Append: l.append, Read: l.read}
 }
 
-// NewHosts returns the host list that the platform serves at addr.
-func NewHosts(c *rest.Client, addr netip.AddrPort) port.Hosts {
-	return port.Hosts{List: func(ctx context.Context) (port.Listing, error) {
-		return list(ctx, c, addr)
-	}}
-}
-
 type log struct {
 	client *rest.Client
 	addr   netip.AddrPort
@@ -137,22 +130,6 @@
 	return g
 }
 
-func list(ctx context.Context, c *rest.Client, addr netip.AddrPort) (port.Listing, error) {
-	var p ListReply
-	r := rest.Request{Method: http.MethodGet, Addr: addr, Path: "/hosts", Hedge: true}
-	if err := c.JSON(ctx, r, &p); err != nil {
-		return port.Listing{}, fmt.Errorf("list hosts: %w", err)
-	}
-	var l port.Listing
-	for _, h := range p.Hosts {
-		l.Hosts = append(l.Hosts, port.Host(h))
-	}
-	for _, w := range p.Workers {
-		l.Workers = append(l.Workers, w.Fleet())
-	}
-	return l, nil
-}
-
 // Fleet converts the worker to the value that decisions use.
 func (w Worker) Fleet() fleet.Worker {
 	return fleet.Worker{
