Clear missing claims of idempotency keys by command

Cause: when a failure domain may lack claims, keyed work is answered Unknown until an operator vouches for it, and no command did that.

Change: `cleatctl key clear` and `key status`, POST /v1/keys/clear on the operator listener, GET /v1/keys on the status listener, Book.Clear. Any host takes the call; the record says who decided and why. Each host judges it by its place in the log. While the domain's last marker holds it is refused, and the first verdict of an id stays.

Ruled out: clearing at once whatever the marker says. An owner that lost the log alone then claims a second time once its marker has lapsed. Answering done keys from the book while claims are missing: the keeper does so for an hour, and the daemon test passed without the change, so it was taken back. Such keys are Unknown after that hour until cleared.

One map entry a domain and 64 verdicts are held.

Conclusion: after the loss of all hosts of a domain in an outage of the log, keyed work is Unknown with nothing started, and runs once after the clearing. What only lost hosts held stays the operator's word.

--- a/cmd/cleatctl/main.go
+++ b/cmd/cleatctl/main.go
@@ -25,6 +25,7 @@
 	Organisation *organisationCmd `arg:"subcommand:organisation" help:"set and list organisations"`
 	Stop         *stopCmd         `arg:"subcommand:stop" help:"announce, cancel and list planned stops"`
 	Notice       *noticeCmd       `arg:"subcommand:notice" help:"list and confirm slowdowns that clients have to hear of"`
+	Key          *keyCmd          `arg:"subcommand:key" help:"see and clear missing claims of idempotency keys"`
 	Config       *configCmd       `arg:"subcommand:config" help:"show what is in force where, and check settings"`
 	Build        *versionCmd      `arg:"subcommand:version" help:"show version and build"`
 	options
--- a/internal/coordination/once/bench_test.go
+++ b/internal/coordination/once/bench_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -83,3 +85,23 @@
 		})
 	}
 }
+
+// BenchmarkFoldMarker measures what a marker costs that another of so many failure domains wrote.
+func BenchmarkFoldMarker(b *testing.B) {
+	for _, n := range []int{3, 11, 55} {
+		b.Run(fmt.Sprintf("domains=%d", n), func(b *testing.B) {
+			k := New(WithDomain("home", nil))
+			var rs []*wire.Record
+			for i := range n {
+				m := &wire.OnceMarker{Domain: fmt.Sprintf("domain-%d", i)}
+				rs = append(rs, &wire.Record{Id: "m", Body: &wire.Record_Marker{Marker: m}})
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				r := rs[i%n]
+				r.GetMarker().UntilUnixMillis = int64(i + 1)
+				k.Fold(uint64(i+1), time.Time{}, r)
+			}
+		})
+	}
+}
--- a/internal/coordination/once/book.go
+++ b/internal/coordination/once/book.go
@@ -88,6 +88,7 @@
 	bytes   int64
 	marks   marks
 	memory  memory
+	clears  clears
 	folded  uint64
 	// logFailed is set until an append has succeeded in this term and since the last that failed.
 	logFailed bool
@@ -107,6 +108,7 @@
 	terms    bool
 	memory   bool
 	readBack bool
+	guard    bool
 }
 
 type stats struct {
@@ -236,6 +238,7 @@
 	for _, o := range opts {
 		o(b)
 	}
+	b.memory.since = b.clock.Now()
 	return b
 }
 
--- a/internal/coordination/once/fold.go
+++ b/internal/coordination/once/fold.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
@@ -21,7 +22,8 @@
 			b.foldOutcome(at, x.Outcome)
 		}
 	case *wire.Record_Marker:
-		if x.Marker.GetDomain() == b.domain {
+		err := b.clears.fold(r.GetId(), at, x.Marker, b.off.guard)
+		if x.Marker.GetDomain() == b.domain && err == nil {
 			b.foldMarker(at, x.Marker)
 		}
 	}
@@ -61,7 +63,8 @@
 		if b.memory.read {
 			b.memory.clear()
 		}
-		b.note(events.OwnerChanged, "", "", "operator cleared the missing claims of "+b.domain)
+		b.note(events.OwnerChanged, "", "", fmt.Sprintf("operator %s cleared the missing claims of %s: %s",
+			m.GetOperator(), b.domain, m.GetReason()))
 	case m.GetFresh() && !b.marks.holds(at.Add(b.bounds.Skew)):
 		// The last marker had lapsed, so that claims may have been kept outside the log before this one.
 		return
@@ -92,6 +95,22 @@
 	}
 }
 
+// ReachedTail tells that the log has been read to its end, but for a part that a peer's snapshot took the place of.
+//
+// Only an operator's word in the part that was read makes the book whole; else its peers have to fill it.
+func (b *Book) ReachedTail() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.memory.read = true
+	if b.marks.vouched {
+		b.memory.clear()
+		return
+	}
+	if !b.memory.whole {
+		b.memory.why = "the log no longer holds its first records, and no peer has the claims"
+	}
+}
+
 // IsComplete reports whether this host has its memory of claims, from a peer or from the log.
 func (b *Book) IsComplete() bool {
 	now := b.clock.Now()
--- a/internal/coordination/once/memory.go
+++ b/internal/coordination/once/memory.go
@@ -19,6 +19,8 @@
 	// until is when all claims that can be missing have outlived their keys; zero when that is not known.
 	until time.Time
 	why   string
+	// since is when this host began without its memory.
+	since time.Time
 	// read is set when the log has been read to its end once.
 	read bool
 }
@@ -99,7 +101,12 @@
 	if err := b.open(ctx, t); err != nil {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.failed = failedOpen{term: t, at: b.clock.Now(), err: err}
+		now := b.clock.Now()
+		since := now
+		if b.failed.term == t {
+			since = b.failed.since
+		}
+		b.failed = failedOpen{term: t, since: since, at: now, err: err}
 		return err
 	}
 	return nil
@@ -110,9 +117,10 @@
 
 // failedOpen is the last failure to open the book.
 type failedOpen struct {
-	term fleet.Term
-	at   time.Time
-	err  error
+	term  fleet.Term
+	since time.Time
+	at    time.Time
+	err   error
 }
 
 func (b *Book) open(ctx context.Context, t fleet.Term) error {
--- a/internal/coordination/once/record.go
+++ b/internal/coordination/once/record.go
@@ -47,6 +47,11 @@
 	if b.off.readBack {
 		return nil
 	}
+	return b.awaitFolded(c, offset)
+}
+
+// awaitFolded waits until the log has been read up to an offset.
+func (b *Book) awaitFolded(ctx context.Context, offset uint64) error {
 	for {
 		b.mu.Lock()
 		done := b.folded >= offset
@@ -57,7 +62,7 @@
 		}
 		select {
 		case <-moved:
-		case <-c.Done():
+		case <-ctx.Done():
 			return ErrMemoryMissing{Why: "the log was not read back in time"}
 		}
 	}
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -44,6 +44,8 @@
 	domains  []string
 	http     *http.Client
 	servers  []*http.Server
+	// keyFile holds the operators' keys for hosts that start from now on.
+	keyFile string
 }
 
 type host struct {
@@ -143,7 +145,9 @@
 // start runs a host, also a new one under the name of one that was killed.
 func (c *cluster) start(name, domain string, n int) {
 	r := rest.New(rest.WithDial(c.dialer(name)))
-	d, err := New(settingsOf(name, domain, n, c.domains), Outside{
+	s := settingsOf(name, domain, n, c.domains)
+	s.Operators.KeyFile = c.keyFile
+	d, err := New(s, Outside{
 		Workers: worker.New(r),
 		Log:     store.NewLog(r, platformAddr),
 		Hosts:   store.NewHosts(r, platformAddr),
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -132,7 +132,9 @@
 
 // joinMemory fetches claims and jobs; without a peer that has the claims, the book relies on the log or refuses keys.
 func (d *Daemon) joinMemory(ctx context.Context) {
-	if !d.skippedLog.Load() {
+	if d.skippedLog.Load() {
+		d.book.ReachedTail()
+	} else {
 		d.book.ReachedEnd(d.logFirst.Load())
 	}
 	if err := d.book.Join(ctx); err != nil {
@@ -201,12 +203,14 @@
 		Events:  d.ring,
 		Hosts:   d.hostViews,
 		Workers: d.findWorkers,
+		Keys:    d.keysView,
 		Name:    d.settings.Host.Name,
 	}
 	o := &oper.Server{
 		Policy:    d.policy,
 		Keys:      oper.NewKeys(d.settings.Operators.KeyFile),
 		StopState: d.notices.StopState,
+		ClearKeys: d.book.Clear,
 		Scope:     d.scope,
 	}
 	if err := d.addHTTP(g, "Operator", l.Operator, o.Handler()); err != nil {
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -124,3 +124,7 @@
 		LastHeard:    m.LastHeard,
 	}
 }
+
+func (d *Daemon) keysView() status.KeysView {
+	return status.KeysView(d.book.Status())
+}
--- /dev/null
+++ b/internal/transport/oper/clear.go
@@ -0,0 +1,62 @@
+package oper
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/once"
+)
+
+// ClearRequest vouches that no claims of idempotency keys are missing in a failure domain; ID makes a repeat idempotent.
+type ClearRequest struct {
+	ID     string
+	Domain string
+	Reason string
+}
+
+// ClearView is the decision that the log holds.
+type ClearView struct {
+	ID       string
+	Domain   string
+	Operator string
+	Reason   string
+	At       time.Time
+}
+
+func (q ClearRequest) check() error {
+	switch {
+	case q.ID == "":
+		return ErrRequestInvalid{Why: "ID is missing"}
+	case q.Domain == "":
+		return ErrRequestInvalid{Why: "Domain is missing"}
+	case q.Reason == "":
+		return ErrRequestInvalid{Why: "Reason is missing"}
+	}
+	return nil
+}
+
+func (s *Server) clearKeys(w http.ResponseWriter, r *http.Request) {
+	op, err := s.operator(r)
+	if err != nil {
+		s.fail(w, err)
+		return
+	}
+	var q ClearRequest
+	if err := decode(w, r, &q); err != nil {
+		s.fail(w, err)
+		return
+	}
+	if err := q.check(); err != nil {
+		s.fail(w, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), changeBound)
+	defer cancel()
+	c, err := s.ClearKeys(ctx, once.Clearing{ID: q.ID, Domain: q.Domain, Operator: op, Reason: q.Reason})
+	if err != nil {
+		s.fail(w, err)
+		return
+	}
+	render(w, http.StatusOK, ClearView{ID: c.ID, Domain: c.Domain, Operator: c.Operator, Reason: c.Reason, At: c.At})
+}
--- a/internal/transport/oper/failure.go
+++ b/internal/transport/oper/failure.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/notice"
+	"github.com/auburncleat/auburncleat/internal/coordination/once"
 	"github.com/auburncleat/auburncleat/internal/coordination/policy"
 	"github.com/auburncleat/auburncleat/internal/coordination/stream"
 	"github.com/auburncleat/auburncleat/internal/state/config"
@@ -27,6 +28,7 @@
 	CodeLogDown    = "LogDown"
 	CodeIncomplete = "Incomplete"
 	CodeUnknown    = "Unknown"
+	CodeNotMissing = "NothingMissing"
 )
 
 // Failure says what was refused or not known, what holds instead, and what to do next.
@@ -78,6 +80,8 @@
 		missing    ErrNotExist
 		noNotice   policy.ErrNoticeNotExist
 		tooLarge   *http.MaxBytesError
+		noDomain   once.ErrDomainNotExist
+		notMissing once.ErrNothingMissing
 	)
 	switch {
 	case errors.As(err, &conflict):
@@ -98,7 +102,10 @@
 		return http.StatusBadRequest, f.say(CodeInvalid, "nothing was changed", "mend the request")
 	case errors.As(err, &tooLarge):
 		return http.StatusRequestEntityTooLarge, f.say(CodeTooLarge, "nothing was changed", "split the change into smaller ones")
-	case errors.As(err, &missing), errors.As(err, &noNotice):
+	case errors.As(err, &notMissing):
+		return http.StatusConflict, f.say(CodeNotMissing, "the claims of the failure domain stand; nothing was changed",
+			"see key status; if its hosts were lost just now, repeat it after that time")
+	case errors.As(err, &missing), errors.As(err, &noNotice), errors.As(err, &noDomain):
 		return http.StatusNotFound, f.say(CodeNotExist, "nothing has this name", "list what there is")
 	case errors.Is(err, ErrKeyMissing), errors.Is(err, ErrKeyWrong):
 		return http.StatusUnauthorized, f.say(CodeNoKey, "nothing was changed", "send the key of a configured operator")
--- a/internal/transport/oper/server.go
+++ b/internal/transport/oper/server.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/coordination/once"
 	"github.com/auburncleat/auburncleat/internal/coordination/policy"
 	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/uber-go/tally/v4"
@@ -29,6 +30,8 @@
 	Keys   *Keys
 	// StopState says how far a planned stop has come; nil leaves that out.
 	StopState func(context.Context, config.Stop) string
+	// ClearKeys writes an operator's decision that no claims of a failure domain are missing.
+	ClearKeys func(context.Context, once.Clearing) (once.Cleared, error)
 	Scope     tally.Scope
 }
 
@@ -48,6 +51,7 @@
 	m.HandleFunc("GET /v1/stops", s.findStops)
 	m.HandleFunc("GET /v1/notices", s.findNotices)
 	m.HandleFunc("POST /v1/notices/{id}/ack", s.ackNotice)
+	m.HandleFunc("POST /v1/keys/clear", s.clearKeys)
 	return m
 }
 
--- a/pkg/oper/client.go
+++ b/pkg/oper/client.go
@@ -33,6 +33,10 @@
 	Item = api.ItemRequest
 	// ChangeView is a change with its verdict.
 	ChangeView = api.ChangeView
+	// Clear vouches that no claims of a failure domain are missing.
+	Clear = api.ClearRequest
+	// ClearView is such a decision that the log holds.
+	ClearView = api.ClearView
 	// Failure says what was refused, what holds instead, and what to do next.
 	Failure = api.Failure
 	// Status is the configuration in force everywhere.
@@ -154,6 +158,13 @@
 	return n, err
 }
 
+// ClearKeys vouches that no claims of idempotency keys are missing in a failure domain; q.ID makes a repeat idempotent.
+func (c *Client) ClearKeys(ctx context.Context, q Clear) (ClearView, error) {
+	var v ClearView
+	err := c.post(ctx, "/v1/keys/clear", q.ID, q, &v)
+	return v, err
+}
+
 // post repeats a change under its id until a host knows what became of it.
 func (c *Client) post(ctx context.Context, path, id string, body, out any) error {
 	k, err := c.key()
