--- a/cmd/auburncleatd/main.go
+++ b/cmd/auburncleatd/main.go
@@ -26,6 +26,9 @@
 	exitBadUsage = 2
 )
 
+// mostHosts are the hosts of one failure domain that share the connections which a worker takes.
+const mostHosts = 8
+
 var version = "unknown"
 
 type options struct {
@@ -87,8 +90,9 @@
 
 func outside(s *setup.Settings) daemon.Outside {
 	c := rest.New()
+	w := rest.New(rest.WithConnections(max(s.Worker.Connections/mostHosts, 1)))
 	return daemon.Outside{
-		Workers: worker.New(c),
+		Workers: worker.New(w),
 		Log:     store.NewLog(c, s.Platform.Log),
 		Hosts:   store.NewHosts(c, s.Platform.Hosts),
 		Dial:    peer.Dial,
--- a/internal/state/plan/bench_test.go
+++ b/internal/state/plan/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -115,3 +116,26 @@
 		})
 	}
 }
+
+// BenchmarkBooks measures the memory of the books with a thousand queued jobs on a full failure domain.
+func BenchmarkBooks(b *testing.B) {
+	for _, n := range sizes[:3] {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			var used uint64
+			for b.Loop() {
+				before := heap()
+				p, _ := loaded(b, n, 1000)
+				used = heap() - before
+				runtime.KeepAlive(p)
+			}
+			b.ReportMetric(float64(used), "heapB")
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
