Start urgent work in time while connections to the log are silent

Cause: a keyed job submitted after all open connections to platform and workers had fallen silent started after 5.4 s (target 3.6 s). Two starts failed with 'claim key': the append went out on a silent connection (2 s timeout, no second try, since an append must not be doubled), and the long poll that reads the claim back sat on another for up to 5.4 s. Ruled out: hedging appends, which would double every append of a log slower than 400 ms; the workers' connections, which the second connection of rest replaces in 400 ms. Change: appends open a connection of their own (rest.Request.Fresh; appends are at most 20 a second and host); after the log has acknowledged an append, a waiting read that does not show it within a sixth of the patience (333 ms for a fast log) is given up and asked again without waiting, which is hedged after 400 ms. Fails without, in tests/silent_test.go, which now asks for a single placement: append over a kept connection: 3.0 s, 2 placements; no second read: 5.4 s, 3 placements; no second connection of rest: 4.9 s, 4 placements.

--- a/internal/coordination/stream/read.go
+++ b/internal/coordination/stream/read.go
@@ -19,6 +19,8 @@
 	maxPatience = 10 * time.Second
 	retryPause  = 500 * time.Millisecond
 	emptyPause  = 20 * time.Millisecond
+	// readBackShare is the part of the patience within which an acknowledged record must be read back.
+	readBackShare = 6
 )
 
 // page is one answer of the log to a read from an offset on.
@@ -30,11 +32,11 @@
 }
 
 // read asks the log from a goroutine of its own, so that peers can be asked while the log is silent.
-func (s *Stream) read(ctx context.Context, out chan<- page) (cancel context.CancelFunc, wait time.Duration) {
+func (s *Stream) read(ctx context.Context, out chan<- page, atOnce bool) (cancel context.CancelFunc, wait time.Duration) {
 	s.mu.Lock()
 	from := s.next
 	wait = s.pollWait
-	if !s.up {
+	if !s.up || atOnce {
 		wait = 0
 	}
 	isCheck := s.shouldCompare()
@@ -60,11 +62,13 @@
 
 func (s *Stream) readLoop(ctx context.Context) {
 	patience := minPatience
+	isSilent := false
 	for ctx.Err() == nil {
 		out := make(chan page, 1)
-		cancel, wait := s.read(ctx, out)
+		cancel, wait := s.read(ctx, out, isSilent)
 		p, ok := s.await(ctx, out, wait, patience)
 		cancel()
+		isSilent = !ok
 		if !ok {
 			continue
 		}
@@ -81,10 +85,20 @@
 func (s *Stream) await(ctx context.Context, out <-chan page, wait, patience time.Duration) (page, bool) {
 	overdue := s.clock.After(wait + patience)
 	giveUp := s.clock.After(wait + 2*maxPatience)
+	late := s.expectReadBack(nil, wait, patience)
 	for {
 		select {
 		case p := <-out:
 			return p, true
+		case <-s.written:
+			late = s.expectReadBack(late, wait, patience)
+		case <-late:
+			// The connection of a read that waits has fallen silent, if the log has more than it tells.
+			if s.isBehind() {
+				s.scope.Counter("reads_silent").Inc(1)
+				return page{}, false
+			}
+			late = nil
 		case <-overdue:
 			s.setUp(false)
 			s.askPeers(ctx)
@@ -99,6 +113,22 @@
 	}
 }
 
+// expectReadBack returns when a read that waits must have told of what was appended; one that does not wait is
+// covered by its timeout.
+func (s *Stream) expectReadBack(late <-chan time.Time, wait, patience time.Duration) <-chan time.Time {
+	if late != nil || wait == 0 || s.waitsForRead || !s.isBehind() {
+		return late
+	}
+	return s.clock.After(patience / readBackShare)
+}
+
+// isBehind reports whether the log has acknowledged records that were not read yet.
+func (s *Stream) isBehind() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.next < s.appended
+}
+
 // pause waits before the next read of a log that failed, while peers are asked.
 func (s *Stream) pause(ctx context.Context) {
 	s.askPeers(ctx)
--- a/internal/coordination/stream/stream.go
+++ b/internal/coordination/stream/stream.go
@@ -51,14 +51,18 @@
 	trustsAnyPeer bool
 	// trustsLog turns the comparison with the remembered record off; only tests set it.
 	trustsLog bool
+	// waitsForRead leaves a read that is silent after an append to its timeout; only tests set it.
+	waitsForRead bool
 
 	// fold is held while a record is delivered or a snapshot is taken or loaded.
 	fold        sync.Mutex
 	subscribers []func(uint64, time.Time, *wire.Record)
 
-	mu       sync.Mutex
-	next     uint64
-	known    uint64
+	mu    sync.Mutex
+	next  uint64
+	known uint64
+	// appended is the offset after the last record that the log acknowledged.
+	appended uint64
 	reached  bool
 	up       bool
 	held     bool
@@ -70,6 +74,7 @@
 	bytes    int
 	wake     chan struct{}
 	hints    chan netip.AddrPort
+	written  chan struct{}
 	rotation int
 }
 
@@ -93,6 +98,7 @@
 		waiting:      make(map[string]*entry),
 		wake:         make(chan struct{}, 1),
 		hints:        make(chan netip.AddrPort, 1),
+		written:      make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(s)
--- a/internal/coordination/stream/write.go
+++ b/internal/coordination/stream/write.go
@@ -259,8 +259,9 @@
 	s.scope.Counter("records_appended").Inc(int64(len(batch)))
 	c, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	_, err := s.log.Append(c, data)
+	offset, err := s.log.Append(c, data)
 	if err == nil {
+		s.noteAppended(offset + uint64(len(data)))
 		return
 	}
 	s.scope.Counter("append_errors").Inc(1)
@@ -271,3 +272,14 @@
 		e.again = again
 	}
 }
+
+// noteAppended takes in that the log acknowledged all records before next, so that the reader can expect them.
+func (s *Stream) noteAppended(next uint64) {
+	s.mu.Lock()
+	s.appended = max(s.appended, next)
+	s.mu.Unlock()
+	select {
+	case s.written <- struct{}{}:
+	default:
+	}
+}
--- a/internal/transport/rest/client.go
+++ b/internal/transport/rest/client.go
@@ -60,6 +60,8 @@
 	Wait time.Duration
 	// Hedge allows a second attempt over a fresh connection while the first is silent; use it for idempotent calls.
 	Hedge bool
+	// Fresh opens a connection for the call, which cannot have fallen silent; use it for calls that must not be doubled.
+	Fresh bool
 }
 
 // Reply is a successful reply with its whole body.
@@ -183,7 +185,11 @@
 		p, err := c.once(ctx, h, r, body)
 		results <- result{p, err}
 	}
-	go launch(c.kept)
+	first := c.kept
+	if r.Fresh {
+		first = c.fresh
+	}
+	go launch(first)
 	var second <-chan time.Time
 	if r.Hedge {
 		second = c.clock.After(r.Wait + c.hedge)
--- a/internal/transport/store/store.go
+++ b/internal/transport/store/store.go
@@ -96,6 +96,7 @@
 		Addr:   l.addr,
 		Path:   "/log/append",
 		Body:   AppendRequest{Records: data},
+		Fresh:  true,
 	}
 	var p AppendReply
 	if err := l.client.JSON(ctx, r, &p); err != nil {
--- a/tests/silent_test.go
+++ b/tests/silent_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/state/events"
 	"github.com/auburncleat/auburncleat/pkg/client"
 	"github.com/stretchr/testify/require"
 )
@@ -52,6 +53,7 @@
 	require.Equal(t, client.Done, r.Outcome.Kind, r.Outcome.Reason)
 	require.Len(t, r.Answer, 2*100_000)
 	f.requireDone("west-1", later, 2)
+	require.Equal(t, 1, f.countEvents(events.JobPlaced, later), "a start failed over a silent connection")
 	f.requireOnce(r.Outcome.Job, 2)
 	lost := 0
 	for _, x := range workers {
@@ -61,3 +63,14 @@
 	require.Positive(t, caller.swallowed())
 	require.Positive(t, platform.swallowed())
 }
+
+// countEvents returns how often the hosts noted an event of a job.
+func (f *fleetRun) countEvents(k events.Kind, job string) int {
+	n := 0
+	for _, e := range f.timeline() {
+		if e.GetKind() == string(k) && e.GetJob() == job {
+			n++
+		}
+	}
+	return n
+}
