--- a/internal/coordination/lease/renew.go
+++ b/internal/coordination/lease/renew.go
@@ -54,7 +54,9 @@
 	w := e.worker
 	l.mu.Unlock()
 	l.scope.Counter("renewals").Inc(1)
+	asked := l.clock.Now()
 	r, err := l.workers.Renew(c, w.Addr, lease)
+	r.Asked = asked
 	if ctx.Err() != nil {
 		return
 	}
@@ -144,6 +146,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e.isBusy = false
+	if e.isAgain {
+		e.isAgain = false
+		e.due = l.clock.Now()
+	}
 }
 
 func (l *Leases) addEvent(k events.Kind, worker, text string) {
--- a/internal/coordination/once/book.go
+++ b/internal/coordination/once/book.go
@@ -83,10 +83,12 @@
 	mu      sync.Mutex
 	term    fleet.Term
 	opened  fleet.Term
+	failed  failedOpen
 	entries map[id]*entry
 	bytes   int64
 	marks   marks
 	memory  memory
+	clears  clears
 	folded  uint64
 	// logFailed is set until an append has succeeded in this term and since the last that failed.
 	logFailed bool
@@ -106,6 +108,7 @@
 	terms    bool
 	memory   bool
 	readBack bool
+	guard    bool
 }
 
 type stats struct {
@@ -235,6 +238,7 @@
 	for _, o := range opts {
 		o(b)
 	}
+	b.memory.since = b.clock.Now()
 	return b
 }
 
--- a/internal/coordination/sched/attempt.go
+++ b/internal/coordination/sched/attempt.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/gang"
+	"github.com/auburncleat/auburncleat/internal/coordination/keep"
+	"github.com/auburncleat/auburncleat/internal/coordination/once"
 	"github.com/auburncleat/auburncleat/internal/state/events"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/plan"
@@ -15,7 +17,11 @@
 // collectTries bounds how often a whole answer is asked for before its job counts as lost.
 const collectTries = 5
 
-const collectPause = 200 * time.Millisecond
+const (
+	collectPause = 200 * time.Millisecond
+	// leasePause separates two looks at an owner's lease that has lapsed.
+	leasePause = 50 * time.Millisecond
+)
 
 // attempt is one start of a job, from the decision to its end.
 type attempt struct {
@@ -83,27 +89,29 @@
 	if r.ctx.Err() != nil {
 		return
 	}
-	if g.State == gang.NotStarted {
-		r.releaseClaim(a)
-		r.finish(a, plan.Ended{
-			Job:      a.job.ID,
-			Result:   plan.ResultNoStart,
-			Workers:  blamed(err),
-			Progress: a.job.Progress,
-			Requeue:  true,
-		}, Outcome{Kind: fleet.Refused, Reason: err.Error()})
+	x := plan.Ended{Job: a.job.ID, Result: plan.ResultLost, Progress: a.job.Progress, Requeue: true}
+	if g.State != gang.NotStarted {
+		if g.State == gang.Partly {
+			x.Result = plan.ResultFailed
+		}
+		x.Workers = g.Unsure
+		r.finish(a, g.State, x, err.Error())
 		return
 	}
-	var unsure gang.ErrStartUnknown
-	var partly gang.ErrPartlyStarted
-	x := plan.Ended{Job: a.job.ID, Result: plan.ResultLost, Progress: a.job.Progress, Requeue: true}
+	x.Result = plan.ResultNoStart
+	x.Workers = blamed(err)
+	var claimed once.ErrClaimed
+	var conflict once.ErrKeyConflict
 	switch {
-	case errors.As(err, &unsure):
-		x.Workers = unsure.Workers
-	case errors.As(err, &partly):
-		x.Result = plan.ResultFailed
+	case errors.As(err, &claimed):
+		r.yield(a, x, claimed)
+		return
+	case errors.As(err, &conflict):
+		x.Requeue = false
+	default:
+		r.releaseClaim(a)
 	}
-	r.finish(a, x, Outcome{Kind: fleet.Unknown, Reason: err.Error()})
+	r.finish(a, gang.NotStarted, x, err.Error())
 }
 
 func blamed(err error) []string {
@@ -117,9 +125,12 @@
 // watch follows a running gang to its end.
 func (r *reign) watch(a *attempt) {
 	e, err := r.s.gangs.Watch(r.ctx, a.gang)
-	if err != nil {
-		// The reign has ended, or its lease has lapsed; the next owner adopts the gang.
-		return
+	for err != nil {
+		// A lease that lapsed may come back in the same term; else the next owner adopts the gang.
+		if r.awaitLease() != nil {
+			return
+		}
+		e, err = r.s.gangs.Watch(r.ctx, a.gang)
 	}
 	x := plan.Ended{
 		Job:      a.job.ID,
@@ -132,18 +143,21 @@
 		r.collect(a, x)
 		return
 	}
-	r.finish(a, x, Outcome{Kind: fleet.Unknown, Reason: e.Reason})
+	r.finish(a, gang.Started, x, e.Reason)
 }
 
 // collect keeps the whole answer at this host and its peers before the workers may forget it.
 func (r *reign) collect(a *attempt, x plan.Ended) {
 	var err error
 	for range collectTries {
+		if r.awaitLease() != nil {
+			return
+		}
 		_, err = r.s.gangs.Collect(r.ctx, a.gang, func(ctx context.Context, b []byte) error {
 			return r.keepDone(ctx, a, b)
 		})
 		if err == nil {
-			r.finish(a, x, Outcome{Kind: fleet.Done})
+			r.finish(a, gang.Started, x, "")
 			return
 		}
 		if r.ctx.Err() != nil || r.s.clock.Sleep(r.ctx, collectPause) != nil {
@@ -152,39 +166,38 @@
 	}
 	x.Result = plan.ResultLost
 	x.Requeue = true
-	r.finish(a, x, Outcome{Kind: fleet.Unknown, Reason: fmt.Sprintf("answer cannot be collected: %v", err)})
+	r.finish(a, gang.Started, x, fmt.Sprintf("answer cannot be collected: %v", err))
+}
+
+// awaitLease waits until the owner's lease holds, and fails when the reign ends.
+func (r *reign) awaitLease() error {
+	for r.s.check() != nil {
+		if err := r.s.clock.Sleep(r.ctx, leasePause); err != nil {
+			return err
+		}
+	}
+	return r.ctx.Err()
 }
 
 // finish books the end of an attempt, and ends the job unless another attempt may follow.
-func (r *reign) finish(a *attempt, x plan.Ended, o Outcome) {
+func (r *reign) finish(a *attempt, start gang.State, x plan.Ended, reason string) {
 	x.At = r.now()
 	_ = r.do(r.ctx, func() {
 		delete(r.attempts, x.Job)
-		if a.cancelled && o.Kind != fleet.Done {
-			x.Requeue = false
-			o = cancelledOutcome(x, o)
-		}
-		if a.job.IsOnce() && x.Result != plan.ResultNoStart {
+		isTwice := a.job.IsOnce() && start != gang.NotStarted
+		if a.cancelled || isTwice {
 			x.Requeue = false
 		}
-		if !x.Requeue {
-			r.planner.Ended(x)
-			r.end(a.job, o)
+		r.planner.Ended(x)
+		r.isChanged = true
+		if x.Requeue {
+			r.note(events.JobStopped, a.job, fmt.Sprintf("%s: %s", x.Result, reason))
 			return
 		}
-		r.note(events.JobStopped, a.job, fmt.Sprintf("%s: %s", x.Result, o.Reason))
-		r.planner.Ended(x)
+		r.end(a.job, Outcome{Kind: keep.OutcomeKind(start, x.Result, a.cancelled), Reason: reason})
 	})
 }
 
-// cancelledOutcome says Refused of work that never ran.
-func cancelledOutcome(x plan.Ended, o Outcome) Outcome {
-	if x.Result == plan.ResultNoStart {
-		return Outcome{Kind: fleet.Refused, Reason: "cancelled before it started"}
-	}
-	return Outcome{Kind: fleet.Cancelled, Reason: "cancelled while it ran: " + o.Reason}
-}
-
 // reclaim stops a borrower, which is queued again with its progress.
 func (r *reign) reclaim(x plan.Stop) {
 	a, ok := r.attempts[x.Job]
--- a/internal/coordination/sched/sched.go
+++ b/internal/coordination/sched/sched.go
@@ -180,19 +180,34 @@
 // Reconfigure takes a new configuration into force for the running reign.
 func (s *Sched) Reconfigure() {
 	if r, err := s.current(); err == nil {
-		r.post(func() { r.planner.Configure(s.config()) })
+		r.post(func() {
+			r.planner.Configure(s.config())
+			r.isChanged = true
+		})
 	}
 }
 
-// ReportWorker takes the report of a lease renewal.
+// ReportWorker takes the report of a lease renewal, and stops tasks in it that belong to no attempt.
 func (s *Sched) ReportWorker(p fleet.Report) {
-	if r, err := s.current(); err == nil {
-		r.post(func() { r.putWorker(p.Worker) })
+	r, err := s.current()
+	if err != nil {
+		return
 	}
-}
-
-// LoseWorker takes a worker that no longer answers out of the books.
+	r.post(func() {
+		// The worker does not know what the platform's list says of it.
+		w := p.Worker
+		w.Leaving = w.Leaving || r.booked[w.Name].Leaving
+		r.putWorker(w)
+		r.measure(p)
+		if r.isReady() {
+			r.tasks.Go(func() { r.sweep(p) })
+		}
+	})
+}
+
+// LoseWorker takes a worker that no longer answers out of the books, and ends its gangs.
 func (s *Sched) LoseWorker(name string) {
+	s.gangs.Lost(name)
 	if r, err := s.current(); err == nil {
 		r.post(func() { r.dropWorker(name) })
 	}
@@ -213,5 +228,7 @@
 
 const (
 	passInterval = time.Second
+	// leastPause bounds the passes that are made without a change.
+	leastPause   = 10 * time.Millisecond
 	defaultLease = time.Minute
 )
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -44,6 +44,8 @@
 	domains  []string
 	http     *http.Client
 	servers  []*http.Server
+	// keyFile holds the operators' keys for hosts that start from now on.
+	keyFile string
 }
 
 type host struct {
@@ -103,7 +105,7 @@
 
 func (c *cluster) addWorker(domain string, i, j int) {
 	name := fmt.Sprintf("%s-w%d", domain, j+1)
-	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i), byte(j + 1)}), 7100)
+	a := c.workerAddr(i, j)
 	info := store.Worker{
 		Name: name, Domain: domain, Rack: fmt.Sprintf("%s-r%d", domain, j/4+1), Addr: a,
 		Slots: slotsEach, Connections: 64, Accelerators: slotsEach, Processors: 128, MemoryBytes: 512 << 30,
@@ -114,6 +116,11 @@
 	c.platform.Register(standin.Registration{Workers: []store.Worker{info}})
 }
 
+// workerAddr returns the address of worker j of failure domain i.
+func (c *cluster) workerAddr(i, j int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(i + 1), byte(j / 200), byte(j%200 + 1)}), 7100)
+}
+
 func addrOf(n, service int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(n)}), uint16(7200+service))
 }
@@ -143,7 +150,9 @@
 // start runs a host, also a new one under the name of one that was killed.
 func (c *cluster) start(name, domain string, n int) {
 	r := rest.New(rest.WithDial(c.dialer(name)))
-	d, err := New(settingsOf(name, domain, n, c.domains), Outside{
+	s := settingsOf(name, domain, n, c.domains)
+	s.Operators.KeyFile = c.keyFile
+	d, err := New(s, Outside{
 		Workers: worker.New(r),
 		Log:     store.NewLog(r, platformAddr),
 		Hosts:   store.NewHosts(r, platformAddr),
@@ -162,15 +171,22 @@
 	}()
 }
 
-// kill cuts a host off from everything at once, as a crash does, and then ends its goroutines.
-func (c *cluster) kill(name string) {
+// crash takes a host from the network at once; the returned function ends its goroutines, which takes a while.
+func (c *cluster) crash(name string) (end func()) {
 	h := c.hosts[name]
 	c.isolate(name)
 	c.net.reset(name)
-	h.stop()
-	<-h.done
 	delete(c.hosts, name)
-	c.rejoin(name)
+	return func() {
+		h.stop()
+		<-h.done
+		c.rejoin(name)
+	}
+}
+
+// kill crashes a host and waits until nothing of it is left.
+func (c *cluster) kill(name string) {
+	c.crash(name)()
 }
 
 // isolate cuts a host's links to everything.
@@ -206,6 +222,9 @@
 	}
 	c.net.close()
 	c.http.CloseIdleConnections()
+	// What is under way on a link arrives before time stands still.
+	time.Sleep(time.Second)
+	synctest.Wait()
 }
 
 // owner returns the name of the host that may act as the owner of a failure domain, or an empty string.
@@ -274,6 +293,11 @@
 			if o == "" || c.hosts[o].daemon.sched.Summary().Accelerators == 0 {
 				return false
 			}
+			for _, h := range c.hosts {
+				if _, ok := h.daemon.findOwner(d); !ok {
+					return false
+				}
+			}
 		}
 		return true
 	})
