--- a/internal/daemon/network_test.go
+++ b/internal/daemon/network_test.go
@@ -175,6 +175,12 @@
 	n.sent[from] += int64(bytes)
 }
 
+func (n *network) bytesOf(name string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent[name]
+}
+
 // pump moves bytes with the link's delay; bytes sent over a link that was ever cut are lost for good.
 //
 // Reading never waits for the delay, as a socket's buffer takes what is written at once.
