--- /dev/null
+++ b/internal/coordination/member/digest_test.go
@@ -0,0 +1,63 @@
+package member
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/stretchr/testify/require"
+)
+
+func TestMembersDigestsReachEveryHost(t *testing.T) {
+	run(t, func(b *bench) {
+		var offset atomic.Uint64
+		offset.Store(7)
+		for _, d := range []string{"a", "b", "c"} {
+			for i := range 3 {
+				b.start(fmt.Sprintf("%s%d", d, i), d, WithConfigOffset(offset.Load),
+					WithSummary(func(w *wire.Digest) { w.FreeAccelerators = 40 }))
+			}
+		}
+		b.sleep(10 * time.Second)
+		for _, h := range b.hosts {
+			for _, d := range []string{"a", "b", "c"} {
+				require.Equal(t, []string{d + "0", d + "1", d + "2"}, h.names(d), "%s sees %s", h.self.Name, d)
+			}
+			for _, v := range h.FindDomains() {
+				require.Equal(t, 40, v.FreeAccelerators)
+				require.Equal(t, uint64(7), v.ConfigOffset)
+			}
+		}
+		b.kill(b.hosts[0])
+		offset.Store(8)
+		b.sleep(9 * time.Second)
+		for _, h := range b.hosts[3:] {
+			require.Equal(t, []string{"a1", "a2"}, h.names("a"))
+			require.Equal(t, uint64(8), h.FindDomains()[0].ConfigOffset, "known everywhere within 9 s")
+		}
+	})
+}
+
+func TestMembersAnnounceReachesOtherDomains(t *testing.T) {
+	run(t, func(b *bench) {
+		var term atomic.Uint64
+		term.Store(1)
+		owner := WithOwnership(func() Ownership {
+			return Ownership{Term: fleet.Term{Counter: term.Load(), Host: "x"}}
+		})
+		seldom := WithDigestEvery(time.Minute)
+		x := b.start("x", "north", owner, seldom)
+		b.start("y", "north", owner, seldom)
+		s, u := b.start("s", "south", seldom), b.start("u", "south", seldom)
+		b.sleep(150 * time.Second)
+		term.Store(2)
+		x.Announce(b.ctx)
+		b.sleep(400 * time.Millisecond)
+		for _, h := range []*host{s, u} {
+			require.Equal(t, uint64(2), h.FindDomains()[0].Term.Counter, "%s knows the new owner in 0.4 s", h.self.Name)
+		}
+	})
+}
--- /dev/null
+++ b/internal/coordination/member/listing_test.go
@@ -0,0 +1,67 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/stretchr/testify/require"
+)
+
+func TestMembersJoinerLearnsFromPeersWhilePlatformIsDown(t *testing.T) {
+	run(t, func(b *bench) {
+		x := b.start("x", "north")
+		s := b.start("s", "south")
+		b.list.Store(&port.Listing{
+			Hosts: []port.Host{
+				{Name: "x", Domain: "north", Addr: x.addr},
+				{Name: "s", Domain: "south", Addr: s.addr},
+			},
+			Workers: append(workers("north", 480), workers("south", 10)...),
+		})
+		b.sleep(6 * time.Second)
+		b.list.Store(nil)
+		h := &host{addr: b.addr()}
+		j := b.run(h, "j", "north", []Option{WithSeeds(x.addr)})
+		b.sleep(2 * time.Second)
+		require.Equal(t, []string{"j", "x"}, j.names("north"))
+		require.Len(t, j.Workers(), 480)
+		t.Logf("the joining host received %d bytes in 2 s", b.net.Bytes(j.addr))
+		require.Equal(t, []string{"s"}, j.names("south"))
+		k := &host{addr: b.addr()}
+		o := b.run(k, "o", "south", []Option{WithSeeds(s.addr)})
+		b.sleep(4 * time.Second)
+		require.Len(t, o.Workers(), 10)
+		require.Equal(t, []string{"j", "x"}, o.names("north"), "known through a digest")
+	})
+}
+
+func TestMembersFrozenListDoesNotHideHosts(t *testing.T) {
+	runBoth(t, "list is a hint", "trusts the list", func(t *testing.T, b *bench, mutate bool) {
+		x := b.start("x", "north", func(m *Members) { m.trustsList = mutate })
+		y := b.start("y", "north")
+		b.list.Store(&port.Listing{Hosts: []port.Host{
+			{Name: "x", Domain: "north", Addr: x.addr},
+			{Name: "y", Domain: "north", Addr: y.addr},
+		}})
+		b.sleep(10 * time.Second)
+		b.kill(y)
+		z := b.start("z", "north")
+		b.sleep(30 * time.Second)
+		seen := 0
+		for range 20 {
+			b.sleep(50 * time.Millisecond)
+			if fmt.Sprint(x.names("north")) == "[x z]" {
+				seen++
+			}
+		}
+		if mutate {
+			x.readList(b.ctx)
+			require.NotEqual(t, []string{"x", "z"}, x.names("north"), "the frozen list hides z and shows y")
+			return
+		}
+		require.Equal(t, 20, seen)
+		require.Equal(t, []string{"x", "z"}, z.names("north"))
+	})
+}
--- a/internal/coordination/member/member_test.go
+++ b/internal/coordination/member/member_test.go
@@ -226,63 +226,6 @@
 	})
 }
 
-func TestMembersJoinerLearnsFromPeersWhilePlatformIsDown(t *testing.T) {
-	run(t, func(b *bench) {
-		x := b.start("x", "north")
-		s := b.start("s", "south")
-		b.list.Store(&port.Listing{
-			Hosts: []port.Host{
-				{Name: "x", Domain: "north", Addr: x.addr},
-				{Name: "s", Domain: "south", Addr: s.addr},
-			},
-			Workers: append(workers("north", 480), workers("south", 10)...),
-		})
-		b.sleep(6 * time.Second)
-		b.list.Store(nil)
-		h := &host{addr: b.addr()}
-		j := b.run(h, "j", "north", []Option{WithSeeds(x.addr)})
-		b.sleep(2 * time.Second)
-		require.Equal(t, []string{"j", "x"}, j.names("north"))
-		require.Len(t, j.Workers(), 480)
-		t.Logf("the joining host received %d bytes in 2 s", b.net.Bytes(j.addr))
-		require.Equal(t, []string{"s"}, j.names("south"))
-		k := &host{addr: b.addr()}
-		o := b.run(k, "o", "south", []Option{WithSeeds(s.addr)})
-		b.sleep(4 * time.Second)
-		require.Len(t, o.Workers(), 10)
-		require.Equal(t, []string{"j", "x"}, o.names("north"), "known through a digest")
-	})
-}
-
-func TestMembersFrozenListDoesNotHideHosts(t *testing.T) {
-	runBoth(t, "list is a hint", "trusts the list", func(t *testing.T, b *bench, mutate bool) {
-		x := b.start("x", "north", func(m *Members) { m.trustsList = mutate })
-		y := b.start("y", "north")
-		b.list.Store(&port.Listing{Hosts: []port.Host{
-			{Name: "x", Domain: "north", Addr: x.addr},
-			{Name: "y", Domain: "north", Addr: y.addr},
-		}})
-		b.sleep(10 * time.Second)
-		b.kill(y)
-		z := b.start("z", "north")
-		b.sleep(30 * time.Second)
-		seen := 0
-		for range 20 {
-			b.sleep(50 * time.Millisecond)
-			if fmt.Sprint(x.names("north")) == "[x z]" {
-				seen++
-			}
-		}
-		if mutate {
-			x.readList(b.ctx)
-			require.NotEqual(t, []string{"x", "z"}, x.names("north"), "the frozen list hides z and shows y")
-			return
-		}
-		require.Equal(t, 20, seen)
-		require.Equal(t, []string{"x", "z"}, z.names("north"))
-	})
-}
-
 func TestMembersAllHostsReplacedOneByOne(t *testing.T) {
 	run(t, func(b *bench) {
 		for i := range 8 {
@@ -324,57 +267,6 @@
 	})
 }
 
-func TestMembersDigestsReachEveryHost(t *testing.T) {
-	run(t, func(b *bench) {
-		var offset atomic.Uint64
-		offset.Store(7)
-		for _, d := range []string{"a", "b", "c"} {
-			for i := range 3 {
-				b.start(fmt.Sprintf("%s%d", d, i), d, WithConfigOffset(offset.Load),
-					WithSummary(func(w *wire.Digest) { w.FreeAccelerators = 40 }))
-			}
-		}
-		b.sleep(10 * time.Second)
-		for _, h := range b.hosts {
-			for _, d := range []string{"a", "b", "c"} {
-				require.Equal(t, []string{d + "0", d + "1", d + "2"}, h.names(d), "%s sees %s", h.self.Name, d)
-			}
-			for _, v := range h.FindDomains() {
-				require.Equal(t, 40, v.FreeAccelerators)
-				require.Equal(t, uint64(7), v.ConfigOffset)
-			}
-		}
-		b.kill(b.hosts[0])
-		offset.Store(8)
-		b.sleep(9 * time.Second)
-		for _, h := range b.hosts[3:] {
-			require.Equal(t, []string{"a1", "a2"}, h.names("a"))
-			require.Equal(t, uint64(8), h.FindDomains()[0].ConfigOffset, "known everywhere within 9 s")
-		}
-	})
-}
-
-func TestMembersAnnounceReachesOtherDomains(t *testing.T) {
-	run(t, func(b *bench) {
-		var term atomic.Uint64
-		term.Store(1)
-		owner := WithOwnership(func() Ownership {
-			return Ownership{Term: fleet.Term{Counter: term.Load(), Host: "x"}}
-		})
-		seldom := WithDigestEvery(time.Minute)
-		x := b.start("x", "north", owner, seldom)
-		b.start("y", "north", owner, seldom)
-		s, u := b.start("s", "south", seldom), b.start("u", "south", seldom)
-		b.sleep(150 * time.Second)
-		term.Store(2)
-		x.Announce(b.ctx)
-		b.sleep(400 * time.Millisecond)
-		for _, h := range []*host{s, u} {
-			require.Equal(t, uint64(2), h.FindDomains()[0].Term.Counter, "%s knows the new owner in 0.4 s", h.self.Name)
-		}
-	})
-}
-
 func TestMembersCutAndHealedLink(t *testing.T) {
 	run(t, func(b *bench) {
 		x, y, z := b.start("x", "north"), b.start("y", "north"), b.start("z", "north")
