--- a/internal/coordination/sched/attempt.go
+++ b/internal/coordination/sched/attempt.go
@@ -81,7 +81,6 @@
 			r.stopNow(a)
 		}
 	})
-	r.note(events.JobStarted, a.job, fmt.Sprintf("attempt %d", a.job.Attempt))
 }
 
 // failedStart tells an attempt that never ran from one that may have.
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -178,7 +178,7 @@
 
 const (
 	claimWait = 400 * time.Millisecond
-	rankStep  = 500 * time.Millisecond
+	rankStep  = 800 * time.Millisecond
 	// maxPoll is rare, since renewals of leases by all hosts tell the owner which workers have changed.
 	maxPoll = 2 * time.Minute
 )
