Hold quotas over failure domains

Cause: Organisation.Accelerators is a quota over all failure domains, but each owner counted its own use only; PutElsewhere was never called.

Change: owners tell peers the accelerators in use by organisation with heartbeats, digests carry them on, hosts pass them on to their peers, and each pass of the scheduler takes the sum (Members.Elsewhere). A receiver gets the full list every 30 s; between that at most 4 organisations with a message, and another failure domain only changes above a tenth. Only the owner's scheduler knows its use, and the host that sends a digest is often another one, hence the heartbeats.

Ruled out: full lists at each change of more than a tenth, 983 B at 53 organisations: 10 digests every 2 s alone are 4.9 KB/s.

Without the mechanism (PutElsewhere(nil)): TestQuotaHoldsOverFailureDomains "Should be empty, but was map[{west...": all 16 tasks started while 16 of the 24 accelerators were in use in the other failure domain.

Overshoot: a start is known to all owners after 2.6 s; until then each of the other n - 1 owners may start what it believes is left, so that n times what is left runs at worst. A tenth of what runs elsewhere is unknown for up to a minute. Nothing is stopped for it. A failure domain that is not heard of counts for 5 minutes (docs/MEMBERSHIP.md).

Conclusion: the quota over two failure domains holds after one digest interval and two heartbeats.

--- a/internal/coordination/member/digest.go
+++ b/internal/coordination/member/digest.go
@@ -28,7 +28,10 @@
 	seenByThem uint64
 	firstHand  time.Time
 	isRunning  bool
-	rotation   int
+	// used is the usage of the failure domain, and told what it was told of the own one.
+	used     map[string]int
+	told     told
+	rotation int
 }
 
 // relay is what a peer was last told of a failure domain.
@@ -38,6 +41,7 @@
 	members time.Time
 	// times counts how often the members of sum were sent.
 	times int
+	told  told
 }
 
 // learnDomains makes a view of each failure domain that contacts name, with their hosts until a digest comes.
@@ -57,7 +61,7 @@
 func (m *Members) viewOf(domain string) *view {
 	v := m.views[domain]
 	if v == nil {
-		v = &view{DomainView: DomainView{Domain: domain}}
+		v = &view{DomainView: DomainView{Domain: domain}, told: told{isCoarse: true}}
 		m.views[domain] = v
 	}
 	return v
@@ -181,6 +185,7 @@
 	o := m.ownership()
 	d := &wire.Digest{Domain: m.self.Domain, Term: wireTerm(o.Term), ConfigOffset: m.configOffset()}
 	m.summary(d)
+	used := m.ownUsage(o)
 	var sum xxhash.Digest
 	for _, x := range ms {
 		if x.IsSuspect {
@@ -196,6 +201,7 @@
 	d.Clock = m.stamp()
 	v := m.viewOf(domain)
 	d.SeenSum = v.sum
+	d.Usage = v.told.pick(m.clock.Now(), used)
 	if v.seenByThem == d.MembersSum {
 		d.Members = nil
 	}
@@ -223,6 +229,10 @@
 	v.UrgentWait = time.Duration(d.GetUrgentWaitMillis()) * time.Millisecond
 	v.NormalWait = time.Duration(d.GetNormalWaitMillis()) * time.Millisecond
 	v.QuietWait = time.Duration(d.GetQuietWaitMillis()) * time.Millisecond
+	if d.GetUsage() != nil {
+		v.used = applyUsage(v.used, d.GetUsage())
+		m.elsewhere.isStale = true
+	}
 	if len(d.GetMembers()) > 0 {
 		v.sum = d.GetMembersSum()
 		v.Members = m.membersOf(d)
--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -29,6 +29,7 @@
 		return
 	}
 	m.setKnows(a, !r.GetUnknown())
+	m.takeUsage(o, r.GetUsage())
 	m.takeRelayed(r.GetDigests())
 	m.takeListing(r.GetListing())
 	m.takeChanges(a, &r)
@@ -38,6 +39,7 @@
 // heartbeat builds a heartbeat, which states domain and address only to a host that does not know them.
 func (m *Members) heartbeat(a netip.AddrPort) *wire.Heartbeat {
 	s := m.Self()
+	used := m.ownUsage(s.Ownership)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peerAt(a)
@@ -51,6 +53,7 @@
 		Clock:            m.stamp(),
 		Sequence:         m.sequence,
 		Digests:          m.relayTo(p),
+		Usage:            m.giveUsage(p, s.Ownership, used),
 	}
 	if p != nil {
 		h.ChangedAck = p.changedSeen
@@ -65,8 +68,10 @@
 	o := ownershipOf(h.GetTerm(), h.GetOwner(), h.GetOwnerHeardMillis(), m.clock.Now())
 	addr, _ := netip.ParseAddrPort(h.GetFrom().GetAddr())
 	from, isKnown := m.hear(h.GetFrom(), o, addr)
+	m.takeUsage(o, h.GetUsage())
 	m.takeRelayed(h.GetDigests())
 	s := m.Self()
+	used := m.ownUsage(s.Ownership)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[from.Name]
@@ -84,6 +89,7 @@
 		r.Listing = m.giveListing(h.GetListingAgeMillis())
 	}
 	r.Digests = m.relayTo(p)
+	r.Usage = m.giveUsage(p, s.Ownership, used)
 	return nil
 }
 
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -87,6 +87,7 @@
 	onOffset     func(netip.AddrPort, uint64)
 	onceComplete func() bool
 	summary      func(*wire.Digest)
+	usage        func() map[string]int
 	// ignoresPause turns the detection of the own pause off; only tests set it.
 	ignoresPause bool
 	// trustsList takes the platform's list for the truth; only tests set it.
@@ -100,6 +101,9 @@
 	views    map[string]*view
 	listing  listing
 	changes  changes
+	// owned is the usage of the own failure domain as the owner told it.
+	owned     map[string]int
+	elsewhere usageSum
 	// floor is when the host last woke from a pause; silence before it says nothing.
 	floor    time.Time
 	sequence uint64
@@ -116,6 +120,8 @@
 	hadListing  time.Time
 	// changedSeen is the newest sequence of changes that this host has heard as the owner.
 	changedSeen uint64
+	// told is what this host, as the owner, told the peer of the own failure domain.
+	told told
 }
 
 // New returns members that know only the host itself, which is Joining.
@@ -136,6 +142,7 @@
 		onOffset:     func(netip.AddrPort, uint64) {},
 		onceComplete: func() bool { return false },
 		summary:      func(*wire.Digest) {},
+		usage:        func() map[string]int { return nil },
 		peers:        make(map[string]*peer),
 		contacts:     make(map[netip.AddrPort]*contact),
 		views:        make(map[string]*view),
--- a/internal/coordination/member/options.go
+++ b/internal/coordination/member/options.go
@@ -135,6 +135,11 @@
 	return func(m *Members) { m.onceComplete = f }
 }
 
+// WithUsage sets the accelerators that each organisation uses in the own failure domain, on its owner; nil if not known.
+func WithUsage(f func() map[string]int) Option {
+	return func(m *Members) { m.usage = f }
+}
+
 // WithSummary sets a function that fills in free capacity and expected waits of the own failure domain.
 func WithSummary(f func(*wire.Digest)) Option {
 	return func(m *Members) { m.summary = f }
--- a/internal/coordination/member/relay.go
+++ b/internal/coordination/member/relay.go
@@ -33,6 +33,7 @@
 			r.times++
 			r.members = now
 		}
+		d.Usage = r.told.pick(now, v.used)
 		p.relayed[domain] = r
 		ds = append(ds, d)
 	}
--- a/internal/coordination/sched/reign.go
+++ b/internal/coordination/sched/reign.go
@@ -171,6 +171,7 @@
 
 func (r *reign) pass() {
 	now := r.s.clock.Now()
+	r.planner.PutElsewhere(r.s.elsewhere())
 	w := r.s.scope.Timer("sched_pass").Start()
 	d := r.planner.Pass(now)
 	w.Stop()
@@ -187,9 +188,13 @@
 		r.throttle(x)
 	}
 	sum := r.planner.Summary(now)
+	used := r.planner.Used()
 	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
 	r.s.summary = sum
-	r.s.mu.Unlock()
+	if r.s.reign == r {
+		r.s.used = used
+	}
 }
 
 // refuse ends a job of which no attempt is under way.
--- a/internal/coordination/sched/sched.go
+++ b/internal/coordination/sched/sched.go
@@ -34,6 +34,7 @@
 	fleet      func() []fleet.Worker
 	config     func() config.Config
 	check      func() error
+	elsewhere  func() map[string]int
 	newPlanner func() *plan.Planner
 
 	mu    sync.Mutex
@@ -41,6 +42,8 @@
 	addrs map[string]netip.AddrPort
 	// summary is what other failure domains hear of the load.
 	summary plan.Summary
+	// used is what each organisation uses here, by the last pass; nil before the first of a reign.
+	used map[string]int
 }
 
 // Option sets one property of a Sched.
@@ -101,6 +104,11 @@
 	return func(s *Sched) { s.check = f }
 }
 
+// WithElsewhere sets the accelerators that each organisation uses in the other failure domains.
+func WithElsewhere(f func() map[string]int) Option {
+	return func(s *Sched) { s.elsewhere = f }
+}
+
 // WithPlanner replaces how a planner is made.
 func WithPlanner(f func() *plan.Planner) Option {
 	return func(s *Sched) { s.newPlanner = f }
@@ -114,6 +122,7 @@
 		scope:      tally.NoopScope,
 		lease:      defaultLease,
 		check:      func() error { return nil },
+		elsewhere:  func() map[string]int { return nil },
 		newPlanner: func() *plan.Planner { return plan.New(domain) },
 		addrs:      map[string]netip.AddrPort{},
 	}
@@ -129,6 +138,7 @@
 	s.mu.Lock()
 	old := s.reign
 	s.reign = r
+	s.used = nil
 	s.mu.Unlock()
 	if old != nil {
 		old.cancel()
@@ -170,6 +180,13 @@
 	return a, ok
 }
 
+// Usage returns the accelerators that each organisation uses here, or nil before the first pass of a reign.
+func (s *Sched) Usage() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.used
+}
+
 // Summary returns the load that the last pass saw.
 func (s *Sched) Summary() plan.Summary {
 	s.mu.Lock()
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -134,6 +134,7 @@
 		member.WithOffset(d.stream.Hint),
 		member.WithOnceComplete(func() bool { return d.book.IsComplete() }),
 		member.WithSummary(d.summarise),
+		member.WithUsage(func() map[string]int { return d.sched.Usage() }),
 	)
 }
 
@@ -270,6 +271,7 @@
 		sched.WithFleet(d.members.Workers),
 		sched.WithConfig(d.config.Config),
 		sched.WithCheck(d.owner.Check),
+		sched.WithElsewhere(d.members.Elsewhere),
 		sched.WithPlanner(d.newPlanner),
 	)
 }
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -190,6 +190,17 @@
 	p.elsewhere = used
 }
 
+// Used returns the accelerators that each organisation uses here.
+func (p *Planner) Used() map[string]int {
+	used := make(map[string]int, len(p.usage))
+	for o, r := range p.usage {
+		if r.Accelerators > 0 {
+			used[o] = r.Accelerators
+		}
+	}
+	return used
+}
+
 // UnkeptGuarantees lists the guaranteed gangs that cannot be kept at present, with the reason.
 func (p *Planner) UnkeptGuarantees() []hold.Unkept {
 	p.repair()
