Drain a host while a planned stop of it lasts, and count unannounced slowdowns

Cause: a planned stop of an entry host was announced and noticed, and the host did nothing about it; Notices.Observe was called by nobody, so that a slowdown without notice was never counted. Before: TestPlannedStopDrainsAHostAndGivesItBack waits for the drain in vain. After: it passes; the owner hands over and the running job ends once.

--- a/internal/coordination/sched/attempt.go
+++ b/internal/coordination/sched/attempt.go
@@ -73,6 +73,7 @@
 // started notes on the scheduling goroutine that the gang runs, and acts on a stop that came meanwhile.
 func (r *reign) started(a *attempt, g gang.Attempt) {
 	now := r.now()
+	r.s.onWait(a.job, now.Sub(a.job.Submitted))
 	_ = r.do(r.ctx, func() {
 		a.running = true
 		a.gang = g
--- a/internal/coordination/sched/sched.go
+++ b/internal/coordination/sched/sched.go
@@ -31,6 +31,7 @@
 
 	// lease is how long a worker may run tasks after the last renewal.
 	lease      time.Duration
+	onWait     func(j fleet.Job, waited time.Duration)
 	fleet      func() []fleet.Worker
 	config     func() config.Config
 	check      func() error
@@ -89,6 +90,11 @@
 	return func(s *Sched) { s.lease = d }
 }
 
+// WithWait sets a function that hears how long each job waited before its start.
+func WithWait(f func(j fleet.Job, waited time.Duration)) Option {
+	return func(s *Sched) { s.onWait = f }
+}
+
 // WithFleet sets the source of the failure domain's workers.
 func WithFleet(f func() []fleet.Worker) Option {
 	return func(s *Sched) { s.fleet = f }
@@ -121,6 +127,7 @@
 		clock:      clock.System(),
 		scope:      tally.NoopScope,
 		lease:      defaultLease,
+		onWait:     func(fleet.Job, time.Duration) {},
 		check:      func() error { return nil },
 		elsewhere:  func() map[string]int { return nil },
 		newPlanner: func() *plan.Planner { return plan.New(domain) },
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -268,6 +268,7 @@
 		sched.WithBook(d.book),
 		sched.WithKeeper(d.keeper),
 		sched.WithLease(d.settings.Worker.Lease),
+		sched.WithWait(d.noteWait),
 		sched.WithFleet(d.members.Workers),
 		sched.WithConfig(d.config.Config),
 		sched.WithCheck(d.owner.Check),
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -274,11 +274,24 @@
 		require.NoError(c.t, err)
 		change.Items = append(change.Items, &wire.ConfigItem{Kind: "Profile", Name: p.Name, Json: b})
 	}
-	b, err := proto.Marshal(&wire.Record{Id: "setup", Body: &wire.Record_Config{Config: change}})
+	c.appendChange("setup", change)
+}
+
+func (c *cluster) appendChange(id string, change *wire.ConfigChange) {
+	b, err := proto.Marshal(&wire.Record{Id: id, Body: &wire.Record_Config{Config: change}})
 	require.NoError(c.t, err)
 	c.platform.Append([][]byte{b})
 }
 
+// announceStop puts a planned stop in force.
+func (c *cluster) announceStop(s config.Stop) {
+	b, err := json.Marshal(s)
+	require.NoError(c.t, err)
+	c.appendChange("stop-"+s.Name, &wire.ConfigChange{
+		Operator: "test", Reason: s.Reason, Items: []*wire.ConfigItem{{Kind: "Stop", Name: s.Name, Json: b}},
+	})
+}
+
 // ready waits until every host serves, has the published configuration, and every failure domain has an owner.
 func (c *cluster) ready() {
 	c.t.Helper()
--- a/internal/daemon/leave_test.go
+++ b/internal/daemon/leave_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/standin"
+	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/transport/entry"
 	"github.com/auburncleat/auburncleat/internal/transport/store"
@@ -35,3 +36,24 @@
 		require.Equal(t, before, len(c.workers[leaving].Starts()))
 	})
 }
+
+func TestPlannedStopDrainsAHostAndGivesItBack(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		name := c.owner("east")
+		d := c.hosts[name].daemon
+		q := registration(keyOf("east", 20))
+		q.Work = work(10*time.Second, 10)
+		_, v := c.submit(name, q)
+		c.started(v.Job, urgentBound)
+		c.announceStop(config.Stop{
+			Name: "works", Kind: config.StopHost, Domain: "east", Target: name,
+			From: time.Now().Add(2 * time.Second), Until: time.Now().Add(30 * time.Second), Reason: "new disk",
+		})
+		c.eventually(leaveBound, "drain of "+name, func() bool {
+			return d.notReady() == "draining" && c.owner("east") != "" && c.owner("east") != name
+		})
+		require.Equal(t, string(fleet.Done), c.await(name, v.Job, time.Minute).GetKind(), "the request in flight is not cut off")
+		c.requireOnce(v.Job, 2)
+		c.eventually(40*time.Second, name+" back", func() bool { return d.notReady() == "" })
+	})
+}
--- a/internal/daemon/policy.go
+++ b/internal/daemon/policy.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"strings"
+	"time"
 
+	"github.com/auburncleat/auburncleat/internal/coordination/notice"
 	"github.com/auburncleat/auburncleat/internal/coordination/policy"
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
 	"github.com/auburncleat/auburncleat/internal/state/config"
@@ -42,6 +44,17 @@
 	return out
 }
 
+// noteWait tells the notices how long work waited, so that a slowdown without notice is counted.
+func (d *Daemon) noteWait(j fleet.Job, waited time.Duration) {
+	d.notices.Observe(notice.Slowdown{
+		Organisation: j.Organisation,
+		Profile:      j.Profile,
+		Domain:       j.Domain,
+		Wait:         waited,
+		Cause:        "queue",
+	})
+}
+
 // rank returns the place of this host among the live ones of all failure domains, by name.
 func (d *Daemon) rank() int {
 	n := 0
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -57,7 +57,7 @@
 
 // leave tells peers and balancer, so that no new work arrives while the last requests end.
 func (d *Daemon) leave(ctx context.Context) {
-	d.drain.start()
+	d.drain.ending.Store(true)
 	d.log.Info("leaving", "Host", d.settings.Host.Name)
 	c, cancel := context.WithTimeout(ctx, leaveTime)
 	defer cancel()
@@ -76,6 +76,7 @@
 	d.add(g, d.book.Run)
 	d.add(g, d.keeper.Run)
 	d.add(g, d.join)
+	d.add(g, d.watchStop)
 	g.Add(func() error {
 		<-d.closed
 		return nil
