Give each fleet of a test a network that no other run uses

Cause: the number of the /16 came from the process id, so that two runs at once, or a run beside the demo, could meet on the same addresses. Change: a fleet takes the first free /16 from 127.216 on (the demo uses lower ones) and holds a listener there until the test ends.

--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -62,8 +63,26 @@
 	return m.Run()
 }
 
-// nets counts the fleets of this run, each of which has a /16 of its own.
-var nets = os.Getpid() % 100
+const (
+	// firstNet and lastNet bound the second numbers of the loopback addresses of a fleet; the demo uses lower ones.
+	firstNet = 216
+	lastNet  = 254
+	lockPort = 6999
+)
+
+// takeNet returns the number of a /16 that no other fleet uses, also not one of another run, until the test ends.
+func takeNet(t *testing.T) int {
+	t.Helper()
+	for n := firstNet; n <= lastNet; n++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1:%d", n, lockPort))
+		if err == nil {
+			t.Cleanup(func() { _ = l.Close() })
+			return n
+		}
+	}
+	require.Fail(t, "all networks are in use")
+	return 0
+}
 
 // process is a program that the test has started.
 type process struct {
@@ -107,10 +126,9 @@
 
 // newFleet makes a fleet; nothing runs before start.
 func newFleet(t *testing.T, domains ...domain) *fleetRun {
-	nets++
 	f := &fleetRun{
 		t:          t,
-		net:        100 + nets%120,
+		net:        takeNet(t),
 		dir:        t.TempDir(),
 		domains:    domains,
 		procs:      map[string]*process{},
