--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -134,6 +134,7 @@
 		member.WithOffset(d.stream.Hint),
 		member.WithOnceComplete(func() bool { return d.book.IsComplete() }),
 		member.WithSummary(d.summarise),
+		member.WithUsage(func() map[string]int { return d.sched.Usage() }),
 	)
 }
 
@@ -178,7 +179,7 @@
 
 const (
 	claimWait = 400 * time.Millisecond
-	rankStep  = 500 * time.Millisecond
+	rankStep  = 800 * time.Millisecond
 	// maxPoll is rare, since renewals of leases by all hosts tell the owner which workers have changed.
 	maxPoll = 2 * time.Minute
 )
@@ -270,6 +271,7 @@
 		sched.WithFleet(d.members.Workers),
 		sched.WithConfig(d.config.Config),
 		sched.WithCheck(d.owner.Check),
+		sched.WithElsewhere(d.members.Elsewhere),
 		sched.WithPlanner(d.newPlanner),
 	)
 }
