Route by the load that the owners state

Cause: digests carried the load that their sender's own scheduler saw, which is nothing on a host that does not own its failure domain; and a host that owns nothing compared other domains with a local wait of zero. Work was hardly ever sent where it would wait less. Change: the owner states its load in heartbeats, digests pass on that, and the router compares with it. The test of digests gave every host the same load; it now gives the owner alone the true one and the others a wrong one, which is stricter, and fails without the change (1 for 40).

--- a/internal/coordination/member/digest.go
+++ b/internal/coordination/member/digest.go
@@ -184,7 +184,7 @@
 	ms := m.Live(m.self.Domain)
 	o := m.ownership()
 	d := &wire.Digest{Domain: m.self.Domain, Term: wireTerm(o.Term), ConfigOffset: m.configOffset()}
-	m.summary(d)
+	m.fillLoad(d, o)
 	used := m.ownUsage(o)
 	var sum xxhash.Digest
 	for _, x := range ms {
--- a/internal/coordination/member/digest_test.go
+++ b/internal/coordination/member/digest_test.go
@@ -17,8 +17,15 @@
 		offset.Store(7)
 		for _, d := range []string{"a", "b", "c"} {
 			for i := range 3 {
+				// The first host of each domain is its owner, which alone knows the load.
+				free := int32(1)
+				if i == 0 {
+					free = 40
+				}
+				o := Ownership{Term: fleet.Term{Counter: 1, Host: d + "0"}, IsOwner: i == 0}
 				b.start(fmt.Sprintf("%s%d", d, i), d, WithConfigOffset(offset.Load),
-					WithSummary(func(w *wire.Digest) { w.FreeAccelerators = 40 }))
+					WithOwnership(func() Ownership { return o }),
+					WithSummary(func(w *wire.Digest) { w.FreeAccelerators = free }))
 			}
 		}
 		b.sleep(10 * time.Second)
--- a/internal/coordination/member/heartbeat.go
+++ b/internal/coordination/member/heartbeat.go
@@ -30,6 +30,7 @@
 	}
 	m.setKnows(a, !r.GetUnknown())
 	m.takeUsage(o, r.GetUsage())
+	m.takeLoad(o, r.GetLoad())
 	m.takeRelayed(r.GetDigests())
 	m.takeListing(r.GetListing())
 	m.takeChanges(a, &r)
@@ -40,6 +41,7 @@
 func (m *Members) heartbeat(a netip.AddrPort) *wire.Heartbeat {
 	s := m.Self()
 	used := m.ownUsage(s.Ownership)
+	load := m.ownLoad(s.Ownership)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peerAt(a)
@@ -54,6 +56,7 @@
 		Sequence:         m.sequence,
 		Digests:          m.relayTo(p),
 		Usage:            m.giveUsage(p, s.Ownership, used),
+		Load:             load,
 	}
 	if p != nil {
 		h.ChangedAck = p.changedSeen
@@ -69,9 +72,11 @@
 	addr, _ := netip.ParseAddrPort(h.GetFrom().GetAddr())
 	from, isKnown := m.hear(h.GetFrom(), o, addr)
 	m.takeUsage(o, h.GetUsage())
+	m.takeLoad(o, h.GetLoad())
 	m.takeRelayed(h.GetDigests())
 	s := m.Self()
 	used := m.ownUsage(s.Ownership)
+	load := m.ownLoad(s.Ownership)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p := m.peers[from.Name]
@@ -90,6 +95,7 @@
 	}
 	r.Digests = m.relayTo(p)
 	r.Usage = m.giveUsage(p, s.Ownership, used)
+	r.Load = load
 	return nil
 }
 
--- a/internal/coordination/member/member.go
+++ b/internal/coordination/member/member.go
@@ -100,7 +100,9 @@
 	contacts map[netip.AddrPort]*contact
 	views    map[string]*view
 	listing  listing
-	changes  changes
+	// heardLoad is what the owner of the own failure domain stated last.
+	heardLoad heardLoad
+	changes   changes
 	// owned is the usage of the own failure domain as the owner told it.
 	owned     map[string]int
 	elsewhere usageSum
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -45,3 +45,26 @@
 func shapeOf(tasks int) *wire.Shape {
 	return &wire.Shape{Tasks: int32(tasks), Accelerators: 1, Adjacent: string(fleet.LevelDomain)}
 }
+
+func TestEveryHostKnowsTheLoadOfEveryDomain(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		fill := entry.JobRequest{
+			Organisation: "quay", Profile: "audit", Work: work(time.Minute, 10), RunTimeMillis: 60000, Shape: shapeOf(32),
+		}
+		_, v := c.submit("east-2", fill)
+		c.started(v.Job, 5*time.Second)
+		c.eventually(10*time.Second, "load of east on all hosts", func() bool {
+			for _, h := range c.hosts {
+				if h.daemon.settings.Host.Domain == "east" && h.daemon.members.Load().FreeAccelerators != 0 {
+					return false
+				}
+				for _, x := range h.daemon.members.FindDomains() {
+					if x.Accelerators != 32 || (x.Domain == "east") != (x.FreeAccelerators == 0) {
+						return false
+					}
+				}
+			}
+			return true
+		})
+	})
+}
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -45,9 +45,8 @@
 }
 
 func (d *Daemon) views() []route.View {
-	s := d.sched.Summary()
-	out := []route.View{{Domain: d.settings.Host.Domain, Wait: waits(
-		s.Wait[config.Urgent], s.Wait[config.Normal], s.Wait[config.Quiet])}}
+	l := d.members.Load()
+	out := []route.View{{Domain: d.settings.Host.Domain, Wait: waits(l.UrgentWait, l.NormalWait, l.QuietWait)}}
 	for _, v := range d.members.FindDomains() {
 		out = append(out, route.View{
 			Domain:   v.Domain,
