--- a/cmd/cleatctl/notice.go
+++ b/cmd/cleatctl/notice.go
@@ -44,8 +44,8 @@
 		if !n.Acked.IsZero() {
 			acked = fmt.Sprintf("called, confirmed by %s at %s", n.AckedBy, hours(n.Acked))
 		}
-		_, err := fmt.Fprintf(c.Out, "%s\n  call %s by %s: profile %s in %s, %s to %s, %.1f times slower\n  why: %s\n  %s\n",
-			n.ID, n.Organisation, hours(n.CallBy), n.Profile, n.Domain, hours(n.From), hours(n.Until), n.Slower, n.Why, acked)
+		_, err := fmt.Fprintf(c.Out, "%s\n  call %s by %s: profile %s in %s, %s to %s, %s\n  why: %s\n  %s\n",
+			n.ID, n.Organisation, hours(n.CallBy), n.Profile, n.Domain, hours(n.From), hours(n.Until), slower(n), n.Why, acked)
 		if err != nil {
 			return fmt.Errorf("print notice: %w", err)
 		}
@@ -80,3 +80,13 @@
 	_, err = fmt.Fprintf(c.Out, "notice %s: confirmed by %s at %s\n", n.ID, n.AckedBy, hours(n.Acked))
 	return err
 }
+
+// leastSlower is the factor from which a notice speaks of a slowdown; below it only a guarantee is lost.
+const leastSlower = 1.05
+
+func slower(n config.Notice) string {
+	if n.Slower < leastSlower {
+		return "guarantee not kept"
+	}
+	return fmt.Sprintf("%.1f times slower", n.Slower)
+}
