Do not take another failure domain's list of workers for the own

A host that starts asks a host whose failure domain it does not know yet for the platform's list; since lists name the sender's workers only, the own ones were missing from it and so marked as leaving. Ruled out: probation of new workers, lost leases, two runs on one network (all by the time line); the owner's books, which held both workers. Change: a list names the failure domain of its sender; from another one only the hosts are learned. A worker that is no longer listed is noted in the time line, and the process tests print the books of the owners when they fail. Before: TestMembersListOfAnotherDomainSaysNothingOfTheOwnWorkers fails.

--- a/internal/coordination/member/listing.go
+++ b/internal/coordination/member/listing.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/events"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 )
 
@@ -83,6 +85,9 @@
 	}
 	for name, w := range m.listing.workers {
 		if _, ok := next.workers[name]; !ok && at.Sub(w.lastListed) < keepWorker {
+			if !w.Leaving && w.Domain == m.self.Domain {
+				m.addEvent(events.WorkerDown, fmt.Sprintf("%s is no longer listed among %d workers", name, len(l.Workers)))
+			}
 			w.Leaving = true
 			next.workers[name] = w
 		}
@@ -139,7 +144,7 @@
 	if ageMillis > 0 && age.Milliseconds()+youngerBy.Milliseconds() > ageMillis {
 		return nil
 	}
-	l := &wire.Listing{AgeMillis: age.Milliseconds()}
+	l := &wire.Listing{AgeMillis: age.Milliseconds(), Domain: m.self.Domain}
 	for _, h := range m.listing.hosts {
 		s := Ready
 		if h.Leaving {
@@ -180,12 +185,27 @@
 		isLeaving := h.GetState() == string(Leaving)
 		p.Hosts = append(p.Hosts, port.Host{Name: h.GetName(), Domain: h.GetDomain(), Addr: a, Leaving: isLeaving})
 	}
+	if l.GetDomain() != m.self.Domain {
+		// A host that does not know the sender's failure domain yet may have asked; the list says nothing of the own workers.
+		m.learnHosts(p.Hosts)
+		return
+	}
 	for _, w := range l.GetWorkers() {
 		p.Workers = append(p.Workers, fleetWorker(w))
 	}
 	m.apply(p, m.clock.Now().Add(-time.Duration(l.GetAgeMillis())*time.Millisecond))
 }
 
+// learnHosts remembers hosts that another failure domain has named.
+func (m *Members) learnHosts(hs []port.Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range hs {
+		m.learn(h.Addr, h.Name, h.Domain, m.clock.Now())
+	}
+	m.learnDomains()
+}
+
 func wireWorker(w fleet.Worker) *wire.WorkerInfo {
 	return &wire.WorkerInfo{
 		Name:         w.Name,
--- a/internal/coordination/member/listing_test.go
+++ b/internal/coordination/member/listing_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/stretchr/testify/require"
 )
 
@@ -65,3 +67,20 @@
 		require.Equal(t, []string{"x", "z"}, z.names("north"))
 	})
 }
+
+func TestMembersListOfAnotherDomainSaysNothingOfTheOwnWorkers(t *testing.T) {
+	east := New(WithSelf("east-1", "east", netip.MustParseAddrPort("10.0.0.1:1")))
+	east.apply(port.Listing{Workers: []fleet.Worker{{Name: "w1", Domain: "east"}}}, east.clock.Now())
+	west := New(WithSelf("west-1", "west", netip.MustParseAddrPort("10.0.0.2:1")))
+	west.apply(port.Listing{
+		Hosts:   []port.Host{{Name: "west-2", Domain: "west", Addr: netip.MustParseAddrPort("10.0.0.3:1")}},
+		Workers: []fleet.Worker{{Name: "w1", Domain: "east"}, {Name: "w2", Domain: "west"}},
+	}, west.clock.Now())
+
+	l := west.giveListing(0)
+	l.AgeMillis = 0
+	east.takeListing(l)
+	require.Equal(t, []fleet.Worker{{Name: "w1", Domain: "east"}}, east.Workers())
+	_, ok := east.FindAddr("west-2")
+	require.True(t, ok)
+}
--- a/tests/ask_test.go
+++ b/tests/ask_test.go
@@ -110,6 +110,12 @@
 		at := events.Stamp(e.GetClock()).Time().Format("15:04:05.000")
 		f.t.Logf("%s %s %s job=%s worker=%s %s", at, e.GetHost(), e.GetKind(), e.GetJob(), e.GetWorker(), e.GetText())
 	}
+	for n := range f.hosts {
+		var w wire.WorkersReply
+		if p := f.procs[n]; p != nil && !p.paused && f.get(f.at(n, statusPort), "/v1/workers", &w) == http.StatusOK {
+			f.t.Logf("workers by %s: %v", n, w.GetWorkers())
+		}
+	}
 	for n, p := range f.procs {
 		f.t.Logf("output of %s:\n%s", n, p.output())
 	}
@@ -194,9 +200,16 @@
 func (f *fleetRun) await(name, job string) *wire.Outcome {
 	f.t.Helper()
 	var v entry.JobView
+	var last *wire.JobStatus
+	defer func() {
+		if v.Outcome == nil {
+			f.t.Logf("%s: %v", job, last)
+		}
+	}()
 	f.eventually(outcomeBound, "end of "+job, func() bool {
 		v = entry.JobView{}
 		f.get(f.at(name, callerPort), "/v1/jobs/"+job+"?WaitMillis=1000", &v)
+		last = v.Status
 		return v.Outcome != nil
 	})
 	return v.Outcome
