--- a/internal/coordination/sched/attempt.go
+++ b/internal/coordination/sched/attempt.go
@@ -40,7 +40,7 @@
 }
 
 // start runs one attempt in a goroutine of its own.
-func (r *reign) start(x plan.Start) {
+func (r *ownership) start(x plan.Start) {
 	a := &attempt{job: x.Job, placement: x.Placement}
 	r.attempts[x.Job.ID] = a
 	r.note(events.JobPlaced, x.Job, fmt.Sprintf("%s on %d workers: %s", x.Job.Shape, countWorkers(x.Placement), x.Reason))
@@ -56,7 +56,7 @@
 }
 
 // launch starts the gang; the claim of a key comes after all workers have prepared and before any task runs.
-func (r *reign) launch(a *attempt) {
+func (r *ownership) launch(a *attempt) {
 	commit := func(context.Context) error { return nil }
 	if a.job.IsOnce() {
 		commit = func(ctx context.Context) error { return r.claim(ctx, a) }
@@ -71,7 +71,7 @@
 }
 
 // started notes on the scheduling goroutine that the gang runs, and acts on a stop that came meanwhile.
-func (r *reign) started(a *attempt, g gang.Attempt) {
+func (r *ownership) started(a *attempt, g gang.Attempt) {
 	now := r.now()
 	r.s.onWait(a.job, now.Sub(a.job.Submitted))
 	_ = r.do(r.ctx, func() {
@@ -85,7 +85,7 @@
 }
 
 // failedStart tells an attempt that never ran from one that may have.
-func (r *reign) failedStart(a *attempt, g gang.Attempt, err error) {
+func (r *ownership) failedStart(a *attempt, g gang.Attempt, err error) {
 	if r.ctx.Err() != nil {
 		return
 	}
@@ -123,7 +123,7 @@
 }
 
 // watch follows a running gang to its end.
-func (r *reign) watch(a *attempt) {
+func (r *ownership) watch(a *attempt) {
 	e, err := r.s.gangs.Watch(r.ctx, a.gang)
 	for err != nil {
 		// A lease that lapsed may come back in the same term; else the next owner adopts the gang.
@@ -147,7 +147,7 @@
 }
 
 // collect keeps the whole answer at this host and its peers before the workers may forget it.
-func (r *reign) collect(a *attempt, x plan.Ended) {
+func (r *ownership) collect(a *attempt, x plan.Ended) {
 	var err error
 	for range collectTries {
 		if r.awaitLease() != nil {
@@ -169,8 +169,8 @@
 	r.finish(a, gang.Started, x, fmt.Sprintf("answer cannot be collected: %v", err))
 }
 
-// awaitLease waits until the owner's lease holds, and fails when the reign ends.
-func (r *reign) awaitLease() error {
+// awaitLease waits until the owner's lease holds, and fails when the ownership ends.
+func (r *ownership) awaitLease() error {
 	for r.s.check() != nil {
 		if err := r.s.clock.Sleep(r.ctx, leasePause); err != nil {
 			return err
@@ -180,7 +180,7 @@
 }
 
 // finish books the end of an attempt, and ends the job unless another attempt may follow.
-func (r *reign) finish(a *attempt, start gang.State, x plan.Ended, reason string) {
+func (r *ownership) finish(a *attempt, start gang.State, x plan.Ended, reason string) {
 	x.At = r.now()
 	_ = r.do(r.ctx, func() {
 		delete(r.attempts, x.Job)
@@ -199,7 +199,7 @@
 }
 
 // reclaim stops a borrower, which is queued again with its progress.
-func (r *reign) reclaim(x plan.Stop) {
+func (r *ownership) reclaim(x plan.Stop) {
 	a, ok := r.attempts[x.Job]
 	if !ok {
 		return
@@ -212,7 +212,7 @@
 }
 
 // stopNow checkpoints and stops a running gang; its watch sees the end.
-func (r *reign) stopNow(a *attempt) {
+func (r *ownership) stopNow(a *attempt) {
 	q := a.stop
 	r.tasks.Go(func() {
 		// The watch of the same gang reports the end, also when a worker did not confirm the stop.
--- a/internal/coordination/sched/await.go
+++ b/internal/coordination/sched/await.go
@@ -53,7 +53,7 @@
 	return b[from:min(from+max(limit, 0), n)]
 }
 
-func (r *reign) status(id string) *wire.JobStatus {
+func (r *ownership) status(id string) *wire.JobStatus {
 	x, err := r.planner.Status(id)
 	if err != nil {
 		return &wire.JobStatus{Job: id, State: "Unknown", Reason: "the job is not held here"}
@@ -85,7 +85,7 @@
 }
 
 // join returns a channel that is closed when the job ends, and a function to leave with.
-func (r *reign) join(id string) (<-chan struct{}, func()) {
+func (r *ownership) join(id string) (<-chan struct{}, func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w, ok := r.waiters[id]
@@ -97,7 +97,7 @@
 	return w.ended, func() { r.leave(id, w) }
 }
 
-func (r *reign) leave(id string, w *waiter) {
+func (r *ownership) leave(id string, w *waiter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.users--
@@ -106,7 +106,7 @@
 	}
 }
 
-func (r *reign) notify(id string) {
+func (r *ownership) notify(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if w, ok := r.waiters[id]; ok {
--- a/internal/coordination/sched/cancel.go
+++ b/internal/coordination/sched/cancel.go
@@ -22,7 +22,7 @@
 	return nil
 }
 
-func (r *reign) cancelAll(ids []string) []*wire.CancelResult {
+func (r *ownership) cancelAll(ids []string) []*wire.CancelResult {
 	jobs := map[string]fleet.Job{}
 	for _, id := range ids {
 		if x, err := r.planner.Status(id); err == nil {
@@ -43,7 +43,7 @@
 }
 
 // cancelResult stops a running job; its state says that the stop is under way.
-func (r *reign) cancelResult(id string, queued bool) *wire.CancelResult {
+func (r *ownership) cancelResult(id string, queued bool) *wire.CancelResult {
 	if queued {
 		return &wire.CancelResult{Job: id, InTime: true, State: string(fleet.Cancelled)}
 	}
@@ -60,7 +60,7 @@
 	return &wire.CancelResult{Job: id, State: string(fleet.Unknown)}
 }
 
-func (r *reign) stopForCancel(a *attempt) {
+func (r *ownership) stopForCancel(a *attempt) {
 	if a.stop != nil {
 		return
 	}
--- a/internal/coordination/sched/claim.go
+++ b/internal/coordination/sched/claim.go
@@ -14,24 +14,24 @@
 const resolveRetry = 5 * time.Second
 
 // claim reserves the key for an attempt whose workers have all prepared.
-func (r *reign) claim(ctx context.Context, a *attempt) error {
+func (r *ownership) claim(ctx context.Context, a *attempt) error {
 	return r.s.book.Claim(ctx, r.term, a.job, gang.Attempt{Placement: a.placement}.Workers())
 }
 
 // releaseClaim gives back the key of an attempt that never started.
-func (r *reign) releaseClaim(a *attempt) {
+func (r *ownership) releaseClaim(a *attempt) {
 	if a.job.IsOnce() {
 		r.release(a.job)
 	}
 }
 
-func (r *reign) release(j fleet.Job) {
+func (r *ownership) release(j fleet.Job) {
 	// Without a claim there is nothing to give back; a claim that stays is resolved by the next owner.
 	_ = r.s.book.Release(r.ctx, r.term, j)
 }
 
 // yield leaves a job whose key an earlier attempt holds: its end, once known, is the end of this job too.
-func (r *reign) yield(a *attempt, x plan.Ended, claimed once.ErrClaimed) {
+func (r *ownership) yield(a *attempt, x plan.Ended, claimed once.ErrClaimed) {
 	x.At = r.now()
 	x.Requeue = false
 	_ = r.do(r.ctx, func() {
@@ -51,7 +51,7 @@
 }
 
 // resolveClaims decides for each job with an open claim of a former owner whether it may start again.
-func (r *reign) resolveClaims(jobs map[string]fleet.Job) {
+func (r *ownership) resolveClaims(jobs map[string]fleet.Job) {
 	var unclear []once.Claimed
 	for _, c := range r.s.book.FindOpen() {
 		if _, running := r.attempts[c.Job]; running {
@@ -69,7 +69,7 @@
 }
 
 // resolveClaim reports whether the claim's attempt is known not to have run, after which its key is free.
-func (r *reign) resolveClaim(c once.Claimed, j fleet.Job, kept bool) bool {
+func (r *ownership) resolveClaim(c once.Claimed, j fleet.Job, kept bool) bool {
 	x, err := r.s.book.Resolve(r.ctx, r.term, c)
 	if err != nil || x.Finding != once.NotRun {
 		return false
@@ -83,7 +83,7 @@
 }
 
 // askUnclear goes on asking until each claim is settled: as not run, or by the gang that was adopted.
-func (r *reign) askUnclear(cs []once.Claimed) {
+func (r *ownership) askUnclear(cs []once.Claimed) {
 	for len(cs) > 0 && r.s.clock.Sleep(r.ctx, resolveRetry) == nil {
 		var left []once.Claimed
 		for _, c := range cs {
@@ -95,7 +95,7 @@
 	}
 }
 
-func (r *reign) settleClaim(c once.Claimed) bool {
+func (r *ownership) settleClaim(c once.Claimed) bool {
 	running := false
 	if r.do(r.ctx, func() { _, running = r.attempts[c.Job] }) != nil || running {
 		return true
@@ -114,7 +114,7 @@
 }
 
 // keptJobs returns the accepted jobs that this host and its peers hold and that have not ended.
-func (r *reign) keptJobs() map[string]fleet.Job {
+func (r *ownership) keptJobs() map[string]fleet.Job {
 	js, err := r.s.keeper.Kept(r.ctx)
 	if err != nil {
 		r.s.scope.Counter("sched_kept_failed").Inc(1)
@@ -129,13 +129,13 @@
 }
 
 // queueRest queues the jobs that do not run.
-func (r *reign) queueRest(jobs map[string]fleet.Job) {
+func (r *ownership) queueRest(jobs map[string]fleet.Job) {
 	for _, j := range jobs {
 		r.queue(j)
 	}
 }
 
-func (r *reign) queue(j fleet.Job) {
+func (r *ownership) queue(j fleet.Job) {
 	if _, err := r.planner.Status(j.ID); err == nil {
 		return
 	}
--- a/internal/coordination/sched/outcome.go
+++ b/internal/coordination/sched/outcome.go
@@ -32,7 +32,7 @@
 }
 
 // end keeps the outcome of a job and tells those who await it; Done outcomes were kept with their answers before.
-func (r *reign) end(j fleet.Job, o Outcome) {
+func (r *ownership) end(j fleet.Job, o Outcome) {
 	r.note(kindOf(o.Kind), j, o.Reason)
 	r.s.scope.Tagged(map[string]string{"kind": string(o.Kind), "profile": j.Profile}).Counter("jobs_ended").Inc(1)
 	if o.Kind == fleet.Done {
@@ -67,7 +67,7 @@
 }
 
 // keepOutcome hands the outcome to the peers, and to the book when the job has a key.
-func (r *reign) keepOutcome(ctx context.Context, j fleet.Job, w *wire.Outcome) {
+func (r *ownership) keepOutcome(ctx context.Context, j fleet.Job, w *wire.Outcome) {
 	// The keeper holds the outcome here also when no peer could be reached; its own loop repeats the copy.
 	_ = r.s.keeper.PutOutcome(ctx, r.term, w)
 	if !j.IsOnce() {
@@ -80,7 +80,7 @@
 }
 
 // keepDone keeps a whole answer before the workers may forget it.
-func (r *reign) keepDone(ctx context.Context, a *attempt, answer []byte) error {
+func (r *ownership) keepDone(ctx context.Context, a *attempt, answer []byte) error {
 	w := &wire.Outcome{
 		Job:                a.job.ID,
 		Attempt:            int32(a.job.Attempt),
--- a/internal/coordination/sched/reign.go
+++ b/internal/coordination/sched/ownership.go
@@ -16,8 +16,8 @@
 	attemptBits = 10
 )
 
-// reign is the scheduling of one term; its planner is touched by one goroutine only.
-type reign struct {
+// ownership is the scheduling of one term; its planner is touched by one goroutine only.
+type ownership struct {
 	s      *Sched
 	term   fleet.Term
 	ctx    context.Context
@@ -50,9 +50,9 @@
 	waiters map[string]*waiter
 }
 
-func newReign(ctx context.Context, s *Sched, t fleet.Term) *reign {
+func newOwnership(ctx context.Context, s *Sched, t fleet.Term) *ownership {
 	c, cancel := context.WithCancel(ctx)
-	return &reign{
+	return &ownership{
 		s:        s,
 		term:     t,
 		ctx:      c,
@@ -68,7 +68,7 @@
 	}
 }
 
-func (r *reign) run() {
+func (r *ownership) run() {
 	defer close(r.done)
 	r.rebuild()
 	for r.ctx.Err() == nil {
@@ -78,7 +78,7 @@
 }
 
 // step applies what has arrived, and passes over the books when they changed or time went by.
-func (r *reign) step() {
+func (r *ownership) step() {
 	select {
 	case f := <-r.inbox:
 		f()
@@ -102,7 +102,7 @@
 }
 
 // pause returns how long nothing can be decided unless something changes.
-func (r *reign) pause() time.Duration {
+func (r *ownership) pause() time.Duration {
 	now := r.now()
 	next := r.planner.Next(now)
 	if next.IsZero() {
@@ -112,7 +112,7 @@
 }
 
 // drain applies all that waits, so that a wave costs one pass.
-func (r *reign) drain() {
+func (r *ownership) drain() {
 	for range inboxSize {
 		select {
 		case f := <-r.inbox:
@@ -124,7 +124,7 @@
 }
 
 // post hands f to the scheduling goroutine; it blocks while the inbox is full.
-func (r *reign) post(f func()) {
+func (r *ownership) post(f func()) {
 	select {
 	case r.inbox <- f:
 	case <-r.ctx.Done():
@@ -132,7 +132,7 @@
 }
 
 // do runs f on the scheduling goroutine and waits for it.
-func (r *reign) do(ctx context.Context, f func()) error {
+func (r *ownership) do(ctx context.Context, f func()) error {
 	done := make(chan struct{})
 	g := func() {
 		f()
@@ -156,7 +156,7 @@
 }
 
 // await waits until the books are rebuilt.
-func (r *reign) await(ctx context.Context) error {
+func (r *ownership) await(ctx context.Context) error {
 	select {
 	case <-r.ready:
 		return nil
@@ -167,7 +167,7 @@
 	}
 }
 
-func (r *reign) isReady() bool {
+func (r *ownership) isReady() bool {
 	select {
 	case <-r.ready:
 		return true
@@ -176,7 +176,7 @@
 	}
 }
 
-func (r *reign) pass() {
+func (r *ownership) pass() {
 	now := r.s.clock.Now()
 	r.planner.PutElsewhere(r.s.elsewhere())
 	w := r.s.scope.Timer("sched_pass").Start()
@@ -199,13 +199,13 @@
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	r.s.summary = sum
-	if r.s.reign == r {
+	if r.s.ownership == r {
 		r.s.used = used
 	}
 }
 
 // refuse ends a job of which no attempt is under way.
-func (r *reign) refuse(x plan.Refusal) {
+func (r *ownership) refuse(x plan.Refusal) {
 	j, err := r.planner.Status(x.Job)
 	job := fleet.Job{ID: x.Job}
 	if err == nil {
@@ -220,7 +220,7 @@
 	r.end(job, o)
 }
 
-func (r *reign) note(k events.Kind, j fleet.Job, text string) {
+func (r *ownership) note(k events.Kind, j fleet.Job, text string) {
 	if r.s.ring == nil {
 		return
 	}
@@ -233,6 +233,6 @@
 	})
 }
 
-func (r *reign) now() time.Time {
+func (r *ownership) now() time.Time {
 	return r.s.clock.Now()
 }
--- a/internal/coordination/sched/rebuild.go
+++ b/internal/coordination/sched/rebuild.go
@@ -19,7 +19,7 @@
 )
 
 // rebuild makes the books from the workers and from the jobs that peers hold, and then serves.
-func (r *reign) rebuild() {
+func (r *ownership) rebuild() {
 	start := r.now()
 	r.planner.Configure(r.s.config())
 	ws := r.s.fleet()
@@ -46,7 +46,7 @@
 }
 
 // inspectAll raises all workers to this term, which fences older owners off, and returns those that did not answer.
-func (r *reign) inspectAll(ws []fleet.Worker) ([]fleet.Report, []fleet.Worker) {
+func (r *ownership) inspectAll(ws []fleet.Worker) ([]fleet.Report, []fleet.Worker) {
 	var mu sync.Mutex
 	var reports []fleet.Report
 	var silent []fleet.Worker
@@ -71,7 +71,7 @@
 	return reports, silent
 }
 
-func (r *reign) inspect(w fleet.Worker) (fleet.Report, error) {
+func (r *ownership) inspect(w fleet.Worker) (fleet.Report, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, inspectBound)
 	defer cancel()
 	// The lease comes first, since a worker without one prepares nothing.
@@ -88,7 +88,7 @@
 }
 
 // askSilent goes on asking the workers that did not answer, and adopts what they then report.
-func (r *reign) askSilent(ws []fleet.Worker) {
+func (r *ownership) askSilent(ws []fleet.Worker) {
 	for len(ws) > 0 && r.s.clock.Sleep(r.ctx, silentRetry) == nil {
 		ws = r.listed(ws)
 		reports, silent := r.inspectAll(ws)
@@ -106,7 +106,7 @@
 }
 
 // listed drops workers that the platform no longer lists.
-func (r *reign) listed(ws []fleet.Worker) []fleet.Worker {
+func (r *ownership) listed(ws []fleet.Worker) []fleet.Worker {
 	known := map[string]bool{}
 	for _, w := range r.s.fleet() {
 		known[w.Name] = true
@@ -121,7 +121,7 @@
 }
 
 // adoptLate completes gangs that were left open because a worker was silent.
-func (r *reign) adoptLate(reports []fleet.Report, silent bool) {
+func (r *ownership) adoptLate(reports []fleet.Report, silent bool) {
 	r.mu.Lock()
 	reports = append(reports, r.open...)
 	r.mu.Unlock()
@@ -133,7 +133,7 @@
 }
 
 // unknown drops the tasks of attempts that the books hold already.
-func (r *reign) unknown(reports []fleet.Report) []fleet.Report {
+func (r *ownership) unknown(reports []fleet.Report) []fleet.Report {
 	out := make([]fleet.Report, 0, len(reports))
 	for _, p := range reports {
 		var ts []fleet.TaskReport
@@ -150,7 +150,7 @@
 }
 
 // adopt takes over the gangs that run as a whole, and queues those again that had to be stopped.
-func (r *reign) adopt(reports []fleet.Report, silent bool, jobs map[string]fleet.Job) {
+func (r *ownership) adopt(reports []fleet.Report, silent bool, jobs map[string]fleet.Job) {
 	found, err := r.s.gangs.Adopt(r.ctx, r.term, reports, silent, jobs)
 	if err != nil {
 		r.s.scope.Counter("sched_adopt_failed").Inc(1)
@@ -167,7 +167,7 @@
 }
 
 // keepOpen remembers the reports of gangs that a silent worker may complete; their jobs wait.
-func (r *reign) keepOpen(fs []gang.Found, reports []fleet.Report, jobs map[string]fleet.Job) {
+func (r *ownership) keepOpen(fs []gang.Found, reports []fleet.Report, jobs map[string]fleet.Job) {
 	open := map[string]bool{}
 	for _, f := range fs {
 		open[f.Attempt.Job.ID] = true
@@ -192,7 +192,7 @@
 }
 
 // settleStopped ends or requeues a job whose gang was not whole; jobs holds those that are not settled yet.
-func (r *reign) settleStopped(f gang.Found, jobs map[string]fleet.Job) {
+func (r *ownership) settleStopped(f gang.Found, jobs map[string]fleet.Job) {
 	j, kept := jobs[f.Attempt.Job.ID]
 	if !kept {
 		return
@@ -211,7 +211,7 @@
 	r.end(j, Outcome{Kind: fleet.Unknown, Reason: "a part of the gang ran and was stopped after a change of owner"})
 }
 
-func (r *reign) adoptGang(g gang.Attempt) {
+func (r *ownership) adoptGang(g gang.Attempt) {
 	a := &attempt{job: g.Job, placement: g.Placement, running: true, gang: g}
 	r.attempts[g.Job.ID] = a
 	r.planner.Adopt(g.Job, g.Placement, r.now())
--- a/internal/coordination/sched/sched.go
+++ b/internal/coordination/sched/sched.go
@@ -38,12 +38,12 @@
 	elsewhere  func() map[string]int
 	newPlanner func() *plan.Planner
 
-	mu    sync.Mutex
-	reign *reign
-	addrs map[string]netip.AddrPort
+	mu        sync.Mutex
+	ownership *ownership
+	addrs     map[string]netip.AddrPort
 	// summary is what other failure domains hear of the load.
 	summary plan.Summary
-	// used is what each organisation uses here, by the last pass; nil before the first of a reign.
+	// used is what each organisation uses here, by the last pass; nil before the first of an ownership.
 	used map[string]int
 }
 
@@ -141,10 +141,10 @@
 
 // Gain starts to schedule in a term; it returns at once.
 func (s *Sched) Gain(ctx context.Context, t fleet.Term) {
-	r := newReign(ctx, s, t)
+	r := newOwnership(ctx, s, t)
 	s.mu.Lock()
-	old := s.reign
-	s.reign = r
+	old := s.ownership
+	s.ownership = r
 	s.used = nil
 	s.mu.Unlock()
 	if old != nil {
@@ -156,9 +156,9 @@
 // Lose stops to schedule; gangs keep running for the next owner to adopt.
 func (s *Sched) Lose(t fleet.Term) {
 	s.mu.Lock()
-	r := s.reign
+	r := s.ownership
 	if r != nil && r.term == t {
-		s.reign = nil
+		s.ownership = nil
 	}
 	s.mu.Unlock()
 	if r != nil && r.term == t {
@@ -166,11 +166,11 @@
 	}
 }
 
-// Close stops scheduling and waits for the goroutines of the current reign.
+// Close stops scheduling and waits for the goroutines of the current ownership.
 func (s *Sched) Close() {
 	s.mu.Lock()
-	r := s.reign
-	s.reign = nil
+	r := s.ownership
+	s.ownership = nil
 	s.mu.Unlock()
 	if r == nil {
 		return
@@ -187,7 +187,7 @@
 	return a, ok
 }
 
-// Usage returns the accelerators that each organisation uses here, or nil before the first pass of a reign.
+// Usage returns the accelerators that each organisation uses here, or nil before the first pass of an ownership.
 func (s *Sched) Usage() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -201,7 +201,7 @@
 	return s.summary
 }
 
-// Reconfigure takes a new configuration into force for the running reign.
+// Reconfigure takes a new configuration into force for the running ownership.
 func (s *Sched) Reconfigure() {
 	if r, err := s.current(); err == nil {
 		r.post(func() {
@@ -237,17 +237,17 @@
 	}
 }
 
-// current returns the reign that may act now.
-func (s *Sched) current() (*reign, error) {
+// current returns the ownership that may act now.
+func (s *Sched) current() (*ownership, error) {
 	if err := s.check(); err != nil {
 		return nil, ErrNotOwner
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.reign == nil {
+	if s.ownership == nil {
 		return nil, ErrNotOwner
 	}
-	return s.reign, nil
+	return s.ownership, nil
 }
 
 const (
--- a/internal/coordination/sched/submit.go
+++ b/internal/coordination/sched/submit.go
@@ -40,8 +40,8 @@
 	return o.GetKind() == string(fleet.Refused)
 }
 
-// ready returns the reign that may act, once its books are rebuilt.
-func (s *Sched) ready(ctx context.Context) (*reign, error) {
+// ready returns the ownership that may act, once its books are rebuilt.
+func (s *Sched) ready(ctx context.Context) (*ownership, error) {
 	r, err := s.current()
 	if err != nil {
 		return nil, err
@@ -55,7 +55,7 @@
 // submitOnce answers a repeated key from the first attempt, and starts nothing while claims may be missing.
 //
 // It reports whether the reply is complete.
-func (r *reign) submitOnce(ctx context.Context, j fleet.Job, reply *wire.SubmitReply) (bool, error) {
+func (r *ownership) submitOnce(ctx context.Context, j fleet.Job, reply *wire.SubmitReply) (bool, error) {
 	err := r.s.book.Open(ctx, r.term)
 	if err == nil {
 		err = r.s.book.Check(j)
@@ -97,7 +97,7 @@
 const memoryRetry = 10 * time.Second
 
 // enqueue hands the job to a peer before the planner, so that an accepted job outlives this host.
-func (r *reign) enqueue(ctx context.Context, j fleet.Job, reply *wire.SubmitReply) error {
+func (r *ownership) enqueue(ctx context.Context, j fleet.Job, reply *wire.SubmitReply) error {
 	known := false
 	if err := r.do(ctx, func() { _, err := r.planner.Status(j.ID); known = err == nil }); err != nil {
 		return err
@@ -124,7 +124,7 @@
 }
 
 // admit queues a job, or ends it when the planner refuses it.
-func (r *reign) admit(j fleet.Job) error {
+func (r *ownership) admit(j fleet.Job) error {
 	r.isChanged = true
 	if err := r.planner.Submit(j); err != nil {
 		r.end(j, outcomeOf(err))
--- a/internal/coordination/sched/usage.go
+++ b/internal/coordination/sched/usage.go
@@ -11,7 +11,7 @@
 const throttleBound = 2 * time.Second
 
 // measure tells the planner what memory the tasks of a worker use; the figures lag.
-func (r *reign) measure(p fleet.Report) {
+func (r *ownership) measure(p fleet.Report) {
 	for _, t := range p.Tasks {
 		ref := t.Task.Ref
 		a, ok := r.attempts[ref.Job]
@@ -23,7 +23,7 @@
 }
 
 // throttle limits one task; a command that fails is decided again with the next report.
-func (r *reign) throttle(x plan.Throttle) {
+func (r *ownership) throttle(x plan.Throttle) {
 	a, ok := r.attempts[x.Job]
 	addr, known := r.s.Resolve(x.Worker)
 	if !ok || !known {
--- a/internal/coordination/sched/worker.go
+++ b/internal/coordination/sched/worker.go
@@ -9,7 +9,7 @@
 )
 
 // refreshWorkers takes in the workers that the members know; one that is no longer listed leaves the books.
-func (r *reign) refreshWorkers() {
+func (r *ownership) refreshWorkers() {
 	listed := map[string]fleet.Worker{}
 	for _, w := range r.s.fleet() {
 		listed[w.Name] = w
@@ -35,7 +35,7 @@
 }
 
 // putWorker books a worker that answers in this term.
-func (r *reign) putWorker(w fleet.Worker) {
+func (r *ownership) putWorker(w fleet.Worker) {
 	delete(r.asking, w.Name)
 	r.s.setAddr(w.Name, w.Addr)
 	if r.booked[w.Name] == w {
@@ -47,14 +47,14 @@
 }
 
 // dropWorker takes a lost worker out of the books; its gangs end through their watches.
-func (r *reign) dropWorker(name string) {
+func (r *ownership) dropWorker(name string) {
 	delete(r.booked, name)
 	r.planner.DropWorker(name)
 	r.isChanged = true
 }
 
 // sweep stops and forgets what an abort left behind on a worker.
-func (r *reign) sweep(p fleet.Report) {
+func (r *ownership) sweep(p fleet.Report) {
 	n, err := r.s.gangs.Sweep(r.ctx, r.term, p.Worker.Name, p)
 	if err != nil {
 		r.s.scope.Counter("sched_sweeps_failed").Inc(1)
--- a/internal/coordination/sched/worker_test.go
+++ b/internal/coordination/sched/worker_test.go
@@ -11,8 +11,8 @@
 // A worker's own report does not say that the platform lists it as leaving.
 func TestReportDoesNotUndoThatAWorkerLeaves(t *testing.T) {
 	s := New("east", WithGangs(gang.New()))
-	r := newReign(t.Context(), s, fleet.Term{Counter: 1, Host: "east-1"})
-	s.reign = r
+	r := newOwnership(t.Context(), s, fleet.Term{Counter: 1, Host: "east-1"})
+	s.ownership = r
 	w := fleet.Worker{Name: "w1", Rack: "r1", Slots: 8, Accelerators: 8}
 	leaving := w
 	leaving.Leaving = true
--- a/internal/state/plan/clear.go
+++ b/internal/state/plan/clear.go
@@ -98,24 +98,24 @@
 	return best
 }
 
-// yard is a site under study: its room as borrowers leave.
-type yard struct {
+// candidate is a site under consideration, with its room as borrowers leave.
+type candidate struct {
 	scope
 	room place.Room
 }
 
-func (y *yard) holds(n place.Room) int {
+func (y *candidate) holds(n place.Room) int {
 	return min(y.tasks, y.room.Holds(n))
 }
 
 // clear chooses borrowers whose stop lets the job's tasks fit into the scopes: cheapest for what they free first, and
 // then without those that turn out not to be needed.
 func (p *Planner) clear(in []scope, e *entry, free place.View, may func(*entry) bool) clearing {
-	ys := make([]yard, len(in))
-	at := make(map[*place.Site]*yard, len(in))
+	ys := make([]candidate, len(in))
+	at := make(map[*place.Site]*candidate, len(in))
 	var bs []*entry
 	for i, x := range in {
-		ys[i] = yard{scope: x, room: free(x.site)}
+		ys[i] = candidate{scope: x, room: free(x.site)}
 		at[x.site] = &ys[i]
 		for _, b := range p.on[x.site] {
 			if !b.soft || b.gang != nil {
@@ -155,7 +155,7 @@
 }
 
 // prune takes back stops that are not needed, the dearest first, and picks the sites.
-func (p *Planner) prune(ys []yard, at map[*place.Site]*yard, stops []*entry, e *entry, sum func() int) clearing {
+func (p *Planner) prune(ys []candidate, at map[*place.Site]*candidate, stops []*entry, e *entry, sum func() int) clearing {
 	slices.SortStableFunc(stops, func(x, y *entry) int { return cmp.Compare(p.loss(y), p.loss(x)) })
 	c := clearing{ok: true}
 	for _, b := range stops {
@@ -167,7 +167,7 @@
 		c.stops = append(c.stops, b)
 		c.cost += p.loss(b)
 	}
-	slices.SortStableFunc(ys, func(x, y yard) int { return cmp.Compare(x.holds(e.need), y.holds(e.need)) })
+	slices.SortStableFunc(ys, func(x, y candidate) int { return cmp.Compare(x.holds(e.need), y.holds(e.need)) })
 	for i := range ys {
 		for range min(ys[i].holds(e.need), e.shape.Tasks-len(c.sites)) {
 			c.sites = append(c.sites, ys[i].site)
@@ -177,7 +177,7 @@
 }
 
 // byLoss orders borrowers by the loss for each accelerator that they free on the sites.
-func (p *Planner) byLoss(bs []*entry, at map[*place.Site]*yard) []*entry {
+func (p *Planner) byLoss(bs []*entry, at map[*place.Site]*candidate) []*entry {
 	type weighed struct {
 		e    *entry
 		loss float64
@@ -202,7 +202,7 @@
 }
 
 // shift adds (1) or takes back (-1) the room that a borrower would free.
-func shift(b *entry, at map[*place.Site]*yard, sign int) {
+func shift(b *entry, at map[*place.Site]*candidate, sign int) {
 	for _, s := range b.sites {
 		if y := at[s]; y != nil {
 			y.room = y.room.Plus(b.need.Times(sign))
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -33,8 +33,8 @@
 	// spot is the rack where a blocked gang is planned to start.
 	spot  *place.Rack
 	avoid []string
-	// shy are workers that did not start the job.
-	shy []string
+	// refusedBy are workers that did not start the job.
+	refusedBy []string
 	// tries counts the starts under this owner.
 	tries int
 	// backoff grows with attempts in a row that came to nothing; the job waits until after.
--- a/internal/state/plan/trust.go
+++ b/internal/state/plan/trust.go
@@ -38,11 +38,11 @@
 	case ResultStopped:
 	}
 	if x.Result == ResultLost || x.Result == ResultNoStart {
-		e.shy = append(e.shy, x.Workers...)
+		e.refusedBy = append(e.refusedBy, x.Workers...)
 	}
-	e.avoid = slices.Concat(p.blame.Avoid(e.job.ID), e.shy)
+	e.avoid = slices.Concat(p.blame.Avoid(e.job.ID), e.refusedBy)
 	if 2*len(e.avoid) > p.books.Len() {
-		e.avoid, e.shy = nil, nil
+		e.avoid, e.refusedBy = nil, nil
 	}
 }
 
