--- a/cmd/auburncleatd/main.go
+++ b/cmd/auburncleatd/main.go
@@ -32,7 +32,8 @@
 var version = "unknown"
 
 type options struct {
-	Settings string `arg:"--settings,required" help:"INI file with the settings of this host"`
+	Site     *siteOptions `arg:"subcommand:site" help:"serve jobs that are kept in the platform's store"`
+	Settings string       `arg:"--settings" help:"INI file with the settings of this host"`
 }
 
 // Version renders what --version prints.
@@ -47,7 +48,13 @@
 
 func main() {
 	var o options
-	arg.MustParse(&o)
+	p := arg.MustParse(&o)
+	if o.Site != nil {
+		os.Exit(runSite(o.Site))
+	}
+	if o.Settings == "" {
+		p.Fail("--settings is required")
+	}
 	s, err := setup.Load(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "auburncleatd:", err)
--- /dev/null
+++ b/cmd/auburncleatd/site.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/auburncleat/auburncleat/internal/clock"
+	"github.com/auburncleat/auburncleat/internal/coordination/intake"
+	"github.com/auburncleat/auburncleat/internal/host"
+	"github.com/auburncleat/auburncleat/internal/logs"
+	"github.com/auburncleat/auburncleat/internal/metric"
+	"github.com/auburncleat/auburncleat/internal/setup"
+	"github.com/auburncleat/auburncleat/internal/transport/rest"
+	"github.com/auburncleat/auburncleat/platform"
+)
+
+// memoryShare is the part of the memory limit that the garbage collector keeps to.
+const memoryShare = 0.75
+
+// workerConnections are the connections to one worker: one for its reports and some for orders.
+const workerConnections = 6
+
+type siteOptions struct {
+	Settings string `arg:"--settings,env:AUBURNCLEAT_BOOT,required" help:"INI file with the settings of this host"`
+}
+
+func runSite(o *siteOptions) int {
+	s, err := setup.LoadSite(o.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "auburncleatd:", err)
+		return exitBadUsage
+	}
+	k := logs.NewSink(os.Stdout)
+	defer k.Close()
+	l := logs.New(k, s.Log.Level).With("Host", s.Host.Name)
+	if err := serveSite(o, s, l); err != nil {
+		l.Error("host failed", "Cause", err.Error())
+		return exitFailed
+	}
+	return 0
+}
+
+func serveSite(o *siteOptions, s *setup.Site, l *slog.Logger) error {
+	debug.SetMemoryLimit(int64(float64(s.Limits.Memory) * memoryShare))
+	m, err := metric.New(map[string]string{"host": s.Host.Name, "domain": s.Host.Domain})
+	if err != nil {
+		return fmt.Errorf("make metrics: %w", err)
+	}
+	defer func() { _ = m.Close() }()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go reload(ctx, hup, o, l)
+	h := host.New(s, siteOutside(s, l), host.WithLog(l), host.WithMetrics(m.Scope, m.Handler))
+	return h.Run(ctx)
+}
+
+// reload reads the settings again when asked to; a change of addresses needs a new start.
+func reload(ctx context.Context, hup <-chan os.Signal, o *siteOptions, l *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		if _, err := setup.LoadSite(o.Settings); err != nil {
+			l.Warn("settings not reloaded", "Cause", err.Error())
+			continue
+		}
+		l.Info("settings reloaded")
+	}
+}
+
+func siteOutside(s *setup.Site, l *slog.Logger) host.Outside {
+	store := platform.NewStore(rest.New(), s.Store.Addr)
+	return host.Outside{
+		Store:         store,
+		Runners:       platform.NewRunners(rest.New(rest.WithConnections(workerConnections))),
+		FollowRunners: platform.NewRunnerList(store, clock.System(), l),
+		ConfigTopic:   platform.ConfigTopic,
+		DecodeConfig:  platform.DecodeConfig,
+		Door: func(i *intake.Intake, l *slog.Logger) http.Handler {
+			return platform.NewDoor(i, l)
+		},
+		Listen: func(a netip.AddrPort) (net.Listener, error) {
+			return net.Listen("tcp", a.String())
+		},
+	}
+}
--- /dev/null
+++ b/internal/coordination/exec/worker.go
@@ -0,0 +1,395 @@
+package exec
+
+import (
+	"context"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/pkg/errors"
+)
+
+const (
+	// lookWait is how long a worker may hold its report back for an end.
+	lookWait = 1500 * time.Millisecond
+	// lookPause is the time between two looks at a worker that does not answer.
+	lookPause = 200 * time.Millisecond
+	// silence is how long a worker may leave looks unanswered before it gets no new work.
+	silence = 900 * time.Millisecond
+	// ackPatience is how long a look waits for the ends of the last one to be stored.
+	ackPatience = 500 * time.Millisecond
+	// clockSlack covers clocks of workers that run slow, and calls that are on their way.
+	clockSlack = 300 * time.Millisecond
+	// adoptGrace is how long a former owner may have gone on with the leases after this one took over.
+	adoptGrace = holdGrace
+	// holdGrace is how long an owner goes on with the leases without a confirmed renewal of its term.
+	holdGrace = 4 * time.Second
+	// slowClock is the inverse of how slow the clock of a worker may run.
+	slowClock = 1.025
+)
+
+// task is a task that the engine believes to be on a worker.
+type task struct {
+	unit   *unit
+	member *member
+}
+
+// worker is what the engine knows of one worker.
+type worker struct {
+	name     string
+	runner   port.Runner
+	instance string
+	tasks    map[port.RunRef]task
+	// isListed is set while the platform lists the worker, and isHeld once it has answered this owner.
+	isListed bool
+	isHeld   bool
+	// isSuspect closes a worker that does not answer until it does.
+	isSuspect bool
+	// strangers are tasks that run there and are being stopped.
+	strangers int
+	clockAt   time.Duration
+	clockRead time.Time
+	// leaseEnd is when all that runs there has certainly ended, if the worker does not answer any more.
+	leaseEnd time.Time
+	answered time.Time
+	asked    time.Time
+	// handled is the newest end that was taken, and seen the newest that was stored.
+	handled  int64
+	seen     int64
+	wake     chan struct{}
+	cancel   context.CancelFunc
+	isBooked bool
+}
+
+func (w *worker) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *worker) expect(u *unit, m *member) {
+	w.tasks[u.ref(m)] = task{u, m}
+	w.signal()
+}
+
+func (w *worker) unexpect(u *unit, m *member) {
+	delete(w.tasks, u.ref(m))
+}
+
+// tick notes the worker's clock.
+func (w *worker) tick(at time.Duration, now time.Time) {
+	if at > 0 {
+		w.clockAt, w.clockRead = at, now
+	}
+}
+
+// until returns the end of a full lease that begins now, on the worker's clock.
+func (w *worker) until(now time.Time, hold time.Duration) time.Duration {
+	return w.clockAt + now.Sub(w.clockRead) + hold
+}
+
+// leaseBound is how long after its grant a lease is certainly over.
+func (e *Engine) leaseBound() time.Duration {
+	return time.Duration(float64(e.bounds.MaxHold)*slowClock) + clockSlack
+}
+
+// getWorker returns the worker, which is made up when it is not listed.
+func (e *Engine) getWorker(name string) *worker {
+	w := e.workers[name]
+	if w == nil {
+		w = &worker{name: name, tasks: map[port.RunRef]task{}, wake: make(chan struct{}, 1)}
+		w.runner.Worker.Name = name
+		e.workers[name] = w
+	}
+	return w
+}
+
+// putRunner takes a worker that the platform lists.
+func (e *Engine) putRunner(r port.Runner) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := e.getWorker(r.Worker.Name)
+	isNew := !w.isListed
+	if !isNew && w.runner.Worker == r.Worker && w.runner.IsDraining == r.IsDraining {
+		return
+	}
+	if r.IsDraining && !w.runner.IsDraining {
+		e.log.Info("worker drains", "Worker", w.name, "Tasks", len(w.tasks))
+	}
+	w.runner = r
+	w.isListed = true
+	e.book(w)
+	if isNew && w.cancel == nil {
+		x, cancel := context.WithCancel(e.ctx)
+		w.cancel = cancel
+		e.log.Info("worker listed", "Worker", w.name, "Rack", r.Worker.Rack, "Domain", r.Worker.Domain)
+		go e.watch(x, w)
+	}
+	e.kick()
+}
+
+// dropRunner takes note that the platform does not list a worker any more.
+func (e *Engine) dropRunner(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w := e.workers[name]
+	if w == nil || !w.isListed {
+		return
+	}
+	w.isListed = false
+	e.log.Info("worker unlisted", "Worker", name, "Tasks", len(w.tasks))
+	e.book(w)
+	e.kick()
+}
+
+// book tells the planner whether a worker takes new work.
+func (e *Engine) book(w *worker) {
+	if !w.isHeld && !w.isBooked {
+		return
+	}
+	x := w.runner.Worker
+	x.Leaving = !w.isListed || w.runner.IsDraining || w.isSuspect || w.strangers > 0 || !w.isHeld
+	if !w.isListed && len(w.tasks) == 0 {
+		if w.isBooked {
+			e.planner.DropWorker(w.name)
+			w.isBooked = false
+		}
+		return
+	}
+	w.isBooked = true
+	e.planner.PutWorker(x)
+}
+
+// watch keeps the lease of a worker and takes its reports while anything runs there.
+func (e *Engine) watch(ctx context.Context, w *worker) {
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		isIdle := w.isHeld && !w.isSuspect && len(w.tasks) == 0 && w.strangers == 0 && w.seen == w.handled
+		isDone := !w.isListed && len(w.tasks) == 0
+		e.mu.Unlock()
+		if isDone {
+			e.mu.Lock()
+			w.cancel()
+			w.cancel = nil
+			e.book(w)
+			delete(e.workers, w.name)
+			e.mu.Unlock()
+			return
+		}
+		if isIdle {
+			select {
+			case <-w.wake:
+			case <-e.clock.After(idleLook):
+			case <-ctx.Done():
+				return
+			}
+			continue
+		}
+		e.look(ctx, w)
+	}
+}
+
+// idleLook is the time between two thoughts about a worker on which nothing runs.
+const idleLook = 5 * time.Second
+
+// look holds a worker once and takes its report.
+func (e *Engine) look(ctx context.Context, w *worker) {
+	e.mu.Lock()
+	now := e.clock.Now()
+	h := port.RunHold{Token: e.term, Seen: w.seen, Wait: lookWait, Instance: w.instance}
+	if !w.isHeld || w.isSuspect || w.strangers > 0 {
+		h.Wait = 0
+	}
+	if !w.clockRead.IsZero() && e.mayHold(now) {
+		h.Until = w.until(now, e.bounds.MaxHold)
+		w.leaseEnd = later(w.leaseEnd, now.Add(e.leaseBound()))
+	}
+	w.asked = now
+	addr := w.runner.Worker.Addr
+	e.mu.Unlock()
+	r, err := e.out.Runners.Hold(ctx, addr, h)
+	e.scope.Counter("worker_looks").Inc(1)
+	if err != nil {
+		e.lookFailed(ctx, w, err)
+		return
+	}
+	stored := make(chan struct{})
+	e.mu.Lock()
+	e.report(w, now, r, func() { close(stored) })
+	e.mu.Unlock()
+	select {
+	case <-stored:
+	case <-e.clock.After(ackPatience):
+	case <-ctx.Done():
+	}
+}
+
+// mayHold reports whether this owner may still extend leases: not for long after its term may have ended.
+func (e *Engine) mayHold(now time.Time) bool {
+	if e.renewed == nil {
+		return true
+	}
+	at := e.renewed()
+	return at.IsZero() || now.Sub(at) < holdGrace
+}
+
+func (e *Engine) lookFailed(ctx context.Context, w *worker, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	e.mu.Lock()
+	if errors.Is(err, port.ErrInstance) {
+		// The next look names no lifetime, and its answer tells the new one.
+		e.log.Info("worker was restarted", "Worker", w.name, "Instance", w.instance)
+		w.instance = ""
+	} else if errors.Is(err, port.ErrFenced) {
+		e.log.Warn("look refused for a newer owner", "Worker", w.name, "Term", e.term)
+	}
+	e.mu.Unlock()
+	_ = e.clock.Sleep(ctx, lookPause)
+}
+
+// report takes what a worker says; stored is called once all ends in it are stored.
+func (e *Engine) report(w *worker, asked time.Time, r port.RunReport, stored func()) {
+	now := e.clock.Now()
+	w.answered = now
+	w.tick(r.Clock, now)
+	if r.Instance != w.instance {
+		e.reborn(w, r.Instance)
+	}
+	if w.isSuspect {
+		e.log.Info("worker answers again", "Worker", w.name)
+		w.isSuspect = false
+	}
+	isFirst := !w.isHeld
+	w.isHeld = true
+	top := w.handled
+	for _, x := range r.Ended {
+		if x.Number <= w.handled {
+			continue
+		}
+		top = max(top, x.Number)
+		if t, ok := w.tasks[x.Ref]; ok && t.unit.run == x.Ref.Run {
+			e.log.Debug("task ended", "Unit", t.unit.name, "Run", x.Ref.Run, "Worker", w.name, "How", x.How)
+			e.scope.Tagged(map[string]string{"How": x.How}).Counter("task_ends").Inc(1)
+			e.ended(t.unit, t.member, x.Result, x.Checkpoint, x.IsBroken)
+		}
+	}
+	w.handled = top
+	e.reconcile(w, asked, r)
+	e.book(w)
+	if isFirst {
+		e.kick()
+	}
+	if top == w.seen {
+		stored()
+		return
+	}
+	// The ends above stand before this item in the order of the writer.
+	e.store(nil, func() {
+		w.seen = max(w.seen, top)
+		stored()
+	})
+}
+
+// reborn notes that a worker runs another lifetime, which knows nothing of before.
+func (e *Engine) reborn(w *worker, instance string) {
+	if w.instance != "" || w.isHeld {
+		e.log.Info("worker has a new lifetime", "Worker", w.name, "Before", w.instance, "Now", instance)
+	}
+	w.instance = instance
+	w.handled, w.seen = 0, 0
+	for _, t := range w.tasks {
+		if t.member.instance != instance {
+			e.ended(t.unit, t.member, jobs.Lost, "", false)
+		}
+	}
+}
+
+// reconcile compares what runs on a worker with what should.
+func (e *Engine) reconcile(w *worker, asked time.Time, r port.RunReport) {
+	there := make(map[port.RunRef]bool, len(r.Running))
+	strangers := 0
+	for _, x := range r.Running {
+		there[x.Ref] = true
+		t, ok := w.tasks[x.Ref]
+		if !ok {
+			strangers++
+			e.removeStranger(w, x.Ref)
+			continue
+		}
+		if x.Checkpoint != "" {
+			e.save(t.unit, x.Checkpoint, x.Percent)
+		}
+		if t.member.presence == taskUnknown {
+			t.member.presence = taskThere
+			e.started(t.unit)
+		}
+	}
+	w.strangers = strangers
+	for ref, t := range w.tasks {
+		if there[ref] || t.member.presence == taskEnded {
+			continue
+		}
+		e.missing(t, asked)
+	}
+}
+
+// missing notes a task that a report does not list; it may still come unless the worker bars it.
+func (e *Engine) missing(t task, asked time.Time) {
+	m := t.member
+	switch {
+	case t.unit.phase == phaseStoring:
+	case m.presence == taskThere && !m.isStopping && t.unit.phase == phaseRunning && asked.Sub(t.unit.since) > clockSlack:
+		e.ended(t.unit, m, jobs.Lost, "", false)
+	case !m.barred.IsZero() && asked.After(m.barred):
+		e.ended(t.unit, m, jobs.Stopped, "", false)
+	case t.unit.phase == phaseRunning && m.presence == taskUnknown:
+		// A start of a former owner, which the worker now refuses by its token.
+		e.ended(t.unit, m, jobs.Lost, "", false)
+	}
+}
+
+// removeStranger stops a task that runs for no unit.
+func (e *Engine) removeStranger(w *worker, r port.RunRef) {
+	e.log.Info("task of no unit is stopped", "Worker", w.name, "Job", r.Job, "Step", r.Step, "Task", r.Task, "Run", r.Run)
+	addr, instance := w.runner.Worker.Addr, w.instance
+	go func() {
+		if err := e.out.Runners.Stop(e.ctx, addr, r, e.term, instance); err != nil && e.ctx.Err() == nil {
+			e.log.Info("stop of a task of no unit failed", "Worker", w.name, "Job", r.Job, "Step", r.Step, "Task", r.Task, "Cause", err.Error())
+		}
+		e.mu.Lock()
+		w.signal()
+		e.mu.Unlock()
+	}()
+}
+
+// check closes workers that are silent, counts their tasks as lost when their leases are over, and looks after units
+// that wait for something.
+func (e *Engine) check(now time.Time) {
+	for _, w := range e.workers {
+		if !w.isSuspect && !w.asked.IsZero() && w.asked.After(w.answered) && now.Sub(w.asked) > lookWait+silence {
+			w.isSuspect = true
+			e.log.Info("worker is silent", "Worker", w.name, "Tasks", len(w.tasks), "Asked", now.Sub(w.asked).String())
+			e.book(w)
+		}
+		if len(w.tasks) > 0 && !w.leaseEnd.IsZero() && now.After(w.leaseEnd) {
+			e.log.Info("leases of a silent worker are over", "Worker", w.name, "Tasks", len(w.tasks))
+			for _, t := range w.tasks {
+				e.ended(t.unit, t.member, jobs.Lost, "", false)
+			}
+		}
+	}
+	for _, u := range e.deferred {
+		e.planner.Cancel([]string{u.name})
+		e.enqueue(u)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/coordination/intake/intake.go
@@ -0,0 +1,247 @@
+package intake
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/clock"
+	"github.com/auburncleat/auburncleat/internal/coordination/feed"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/auburncleat/auburncleat/internal/state/queue"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// storePatience is how long a request waits for a store that does not answer before it is refused, if it can be.
+	storePatience = 900 * time.Millisecond
+	// answerMargin is kept of the caller's patience for the answer's way back.
+	answerMargin = 150 * time.Millisecond
+	// retryAfter is when a caller should come back after a refusal for want of the store.
+	retryAfter = time.Second
+	// maxTableAge is how old the fold of the jobs may be to say that a job does not exist.
+	maxTableAge = 2500 * time.Millisecond
+)
+
+// Limits bound what the intake takes.
+type Limits struct {
+	// MaxConfigAge is how old the knowledge of the configuration may be to answer by it.
+	MaxConfigAge time.Duration
+	// MaxOpen bounds the jobs that have no end yet.
+	MaxOpen int
+}
+
+// Intake serves callers on one host.
+type Intake struct {
+	table    *jobs.Table
+	follower *feed.Follower
+	writer   *feed.Writer
+	limits   Limits
+	clock    clock.Clock
+	log      *slog.Logger
+	scope    tally.Scope
+	config   atomic.Pointer[queue.Config]
+	// configFresh tells when the last answered look for a newer configuration was sent.
+	configFresh func() time.Time
+}
+
+// New returns an intake over the fold of the jobs; configFresh tells when the configuration was last known to be new.
+func New(t *jobs.Table, f *feed.Follower, w *feed.Writer, configFresh func() time.Time, m Limits, c clock.Clock, l *slog.Logger, s tally.Scope) *Intake {
+	return &Intake{table: t, follower: f, writer: w, limits: m, clock: c, log: l, scope: s, configFresh: configFresh}
+}
+
+// SetConfig puts a newer configuration in force.
+func (i *Intake) SetConfig(c *queue.Config) {
+	old := i.config.Load()
+	if old != nil && old.Version >= c.Version {
+		return
+	}
+	i.config.Store(c)
+	i.log.Info("configuration in force", "Version", c.Version, "Queues", len(c.Queues), "Keys", len(c.Keys))
+}
+
+// Config returns the configuration in force, or nil.
+func (i *Intake) Config() *queue.Config {
+	return i.config.Load()
+}
+
+// Caller is a request that the configuration in force admits.
+type Caller struct {
+	Queue        *queue.Queue
+	Organisation string
+	// Rest is the path behind the prefix of the queue.
+	Rest    string
+	Version int64
+}
+
+// Admit checks host name, path and key by the configuration in force.
+func (i *Intake) Admit(host, path, key string) (Caller, error) {
+	c := i.config.Load()
+	age := i.clock.Since(i.configFresh())
+	if c == nil || age > i.limits.MaxConfigAge {
+		return Caller{}, ErrBusy{Why: fmt.Sprintf("configuration not confirmed for %s", age.Round(time.Millisecond)), RetryAfter: retryAfter}
+	}
+	q, rest := c.Match(host, path)
+	if q == nil {
+		return Caller{}, fmt.Errorf("%s%s at version %d: %w", host, path, c.Version, ErrNoQueue)
+	}
+	org, ok := c.Keys[key]
+	if !ok && !q.Public {
+		return Caller{}, fmt.Errorf("queue %s at version %d: %w", q.Name, c.Version, ErrNoKey)
+	}
+	return Caller{Queue: q, Organisation: org, Rest: rest, Version: c.Version}, nil
+}
+
+// Submit stores a job and returns once it is accepted; a job of the same id that is known is the same job.
+func (i *Intake) Submit(ctx context.Context, c Caller, j *jobs.Job, patience time.Duration) error {
+	if why := j.Check(); why != "" {
+		return fmt.Errorf("job %s: %s: %w", j.ID, why, ErrInvalid)
+	}
+	isKnown := false
+	i.table.View(j.ID, func(x *jobs.Job) { isKnown = x != nil })
+	if isKnown {
+		i.log.Info("job known", "Job", j.ID, "Queue", c.Queue.Name)
+		return nil
+	}
+	if n := i.table.CountOpen(); i.limits.MaxOpen > 0 && n >= i.limits.MaxOpen {
+		return ErrBusy{Why: fmt.Sprintf("%d jobs are open, the limit is %d", n, i.limits.MaxOpen), RetryAfter: retryAfter}
+	}
+	j.Queue, j.Organisation, j.Accepted = c.Queue.Name, c.Organisation, i.clock.Now()
+	r, err := jobs.JobRecord(j)
+	if err != nil {
+		return err
+	}
+	if err := i.store(ctx, r, patience); err != nil {
+		return fmt.Errorf("accept job %s: %w", j.ID, err)
+	}
+	i.scope.Counter("jobs_accepted").Inc(1)
+	i.scope.Timer("accept_time").Record(i.clock.Since(j.Accepted))
+	i.log.Info("job accepted", "Job", j.ID, "Queue", c.Queue.Name, "Organisation", c.Organisation, "Version", c.Version,
+		"Steps", len(j.Steps), "Took", i.clock.Since(j.Accepted).Round(time.Millisecond).String())
+	return nil
+}
+
+// store appends one record and waits for the store; it is refused only while it was never sent.
+func (i *Intake) store(ctx context.Context, r jobs.Record, patience time.Duration) error {
+	if s := i.writer.Stalled(); s > storePatience {
+		return ErrBusy{Why: fmt.Sprintf("store has not answered for %s", s.Round(time.Millisecond)), RetryAfter: retryAfter}
+	}
+	done := make(chan error, 1)
+	it := &feed.Item{Entries: []port.Entry{{Key: r.Key, Value: r.Value}}}
+	it.Done = func(first int64, err error) {
+		if err == nil {
+			err = i.table.Apply(first, r)
+		}
+		done <- err
+	}
+	i.writer.Submit(it)
+	refuse := i.clock.After(storePatience)
+	over := i.clock.After(max(patience-answerMargin, answerMargin))
+	for {
+		select {
+		case err := <-done:
+			return unknownUnless(err)
+		case <-refuse:
+			if i.writer.Withdraw(it) {
+				return ErrBusy{Why: "store did not take the record", RetryAfter: retryAfter}
+			}
+		case <-over:
+			if i.writer.Withdraw(it) {
+				return ErrBusy{Why: "store did not take the record", RetryAfter: retryAfter}
+			}
+			return fmt.Errorf("store did not answer in time: %w", ErrOutcomeUnknown)
+		case <-ctx.Done():
+			return fmt.Errorf("caller left: %w", ErrOutcomeUnknown)
+		}
+	}
+}
+
+func unknownUnless(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+}
+
+// Progress is what callers are told of a job.
+type Progress int
+
+// What callers are told.
+const (
+	Queued Progress = iota
+	Running
+	Completed
+	Failed
+	Cancelled
+)
+
+// GetState returns how far a job is.
+func (i *Intake) GetState(id string) (Progress, error) {
+	out, isKnown := Queued, false
+	i.table.View(id, func(j *jobs.Job) {
+		if j == nil {
+			return
+		}
+		isKnown = true
+		out = progress(j)
+	})
+	if !isKnown {
+		return 0, i.unknown(id)
+	}
+	return out, nil
+}
+
+func progress(j *jobs.Job) Progress {
+	switch {
+	case j.State == jobs.Completed:
+		return Completed
+	case j.State == jobs.Failed:
+		return Failed
+	case j.State == jobs.Cancelled, j.IsCancelling:
+		return Cancelled
+	case j.HasStarted():
+		return Running
+	default:
+		return Queued
+	}
+}
+
+// unknown tells a job that does not exist from one that this host may not have heard of.
+func (i *Intake) unknown(id string) error {
+	if age := i.clock.Since(i.follower.Fresh()); age > maxTableAge {
+		return ErrBusy{Why: fmt.Sprintf("jobs not read for %s", age.Round(time.Millisecond)), RetryAfter: retryAfter}
+	}
+	return fmt.Errorf("job %s: %w", id, ErrNoJob)
+}
+
+// Cancel stores that a job is not wanted any more.
+func (i *Intake) Cancel(ctx context.Context, id string, patience time.Duration) error {
+	isKnown, isOpen := false, false
+	i.table.View(id, func(j *jobs.Job) {
+		isKnown = j != nil
+		isOpen = isKnown && j.IsOpen()
+	})
+	if !isKnown {
+		return i.unknown(id)
+	}
+	if !isOpen {
+		return nil
+	}
+	if err := i.store(ctx, jobs.CancelRecord(id), patience); err != nil {
+		return fmt.Errorf("cancel job %s: %w", id, err)
+	}
+	i.scope.Counter("jobs_cancelled").Inc(1)
+	i.log.Info("cancel accepted", "Job", id)
+	return nil
+}
+
+// CountPending returns how many accepted jobs of a queue have not started.
+func (i *Intake) CountPending(q *queue.Queue) (int, error) {
+	if age := i.clock.Since(i.follower.Fresh()); age > maxTableAge {
+		return 0, ErrBusy{Why: fmt.Sprintf("jobs not read for %s", age.Round(time.Millisecond)), RetryAfter: retryAfter}
+	}
+	return i.table.CountPending(q.Name), nil
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,159 @@
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/clock"
+	"github.com/auburncleat/auburncleat/internal/coordination/elect"
+	"github.com/auburncleat/auburncleat/internal/coordination/exec"
+	"github.com/auburncleat/auburncleat/internal/coordination/feed"
+	"github.com/auburncleat/auburncleat/internal/coordination/intake"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/setup"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/auburncleat/auburncleat/internal/state/queue"
+	"github.com/uber-go/tally/v4"
+)
+
+// Outside is what a host reaches and serves, as an adapter fills it in.
+type Outside struct {
+	Store   port.Store
+	Runners port.Runners
+	// FollowRunners follows the list of workers.
+	FollowRunners func(ctx context.Context, put func(port.Runner), drop func(string)) error
+	// ConfigTopic holds the operator's configuration, and DecodeConfig returns it, or nil for other entries.
+	ConfigTopic  port.Topic
+	DecodeConfig func(e port.Entry) (*queue.Config, error)
+	// Door makes the handler for callers.
+	Door   func(i *intake.Intake, l *slog.Logger) http.Handler
+	Listen func(a netip.AddrPort) (net.Listener, error)
+}
+
+const (
+	// standbyPause is the least time between two reads of the jobs on a host that does not own them.
+	standbyPause = 150 * time.Millisecond
+	// ownerPause is the same on the owner, for whom each read may bring work.
+	ownerPause = 5 * time.Millisecond
+	// revokeMargin is kept of the bound on withdrawn keys for requests that are on their way.
+	revokeMargin = 1500 * time.Millisecond
+	lifetimeLen  = 6
+)
+
+// Host is one entry host.
+type Host struct {
+	settings *setup.Site
+	out      Outside
+	clock    clock.Clock
+	log      *slog.Logger
+	scope    tally.Scope
+	metrics  http.Handler
+	table    *jobs.Table
+	jobs     *feed.Follower
+	config   *feed.Follower
+	writer   *feed.Writer
+	elect    *elect.Elect
+	intake   *intake.Intake
+	leaving  atomic.Bool
+	wasReady atomic.Bool
+	// stopped is closed once the requests in flight are finished.
+	stopped chan struct{}
+}
+
+// Option changes how a host is built.
+type Option func(*Host)
+
+// WithClock sets the clock.
+func WithClock(c clock.Clock) Option { return func(h *Host) { h.clock = c } }
+
+// WithLog sets the log.
+func WithLog(l *slog.Logger) Option { return func(h *Host) { h.log = l } }
+
+// WithMetrics sets where the host counts and what serves the counts.
+func WithMetrics(s tally.Scope, m http.Handler) Option {
+	return func(h *Host) { h.scope, h.metrics = s, m }
+}
+
+var jobsTopic = port.Topic{Name: "jobs", IsKeyed: true}
+
+// New returns a host that Run starts.
+func New(s *setup.Site, out Outside, opts ...Option) *Host {
+	h := &Host{
+		settings: s, out: out, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
+		metrics: http.NotFoundHandler(), table: jobs.NewTable(), stopped: make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(h)
+	}
+	life := newLifetime()
+	h.jobs = feed.NewFollower(out.Store, jobsTopic, feed.Fold{Reset: h.table.Reset, Apply: h.applyJob}, h.clock, h.log,
+		feed.WithPause(standbyPause))
+	h.config = feed.NewFollower(out.Store, out.ConfigTopic, feed.Fold{Apply: h.applyConfig}, h.clock, h.log)
+	h.writer = feed.NewWriter(out.Store, jobsTopic, s.Host.Name+"-"+life, 1, h.clock, h.log)
+	h.elect = elect.New(out.Store, s.Host.Name, life, s.Listen.Peer, h.clock, h.log)
+	m := intake.Limits{MaxConfigAge: s.Bounds.Revoke - revokeMargin, MaxOpen: s.Limits.MaxOpenJobs}
+	h.intake = intake.New(h.table, h.jobs, h.writer, h.config.Fresh, m, h.clock, h.log, h.scope)
+	return h
+}
+
+// newLifetime returns a name for this run of the process.
+func newLifetime() string {
+	b := make([]byte, lifetimeLen)
+	_, _ = rand.Read(b) // It never fails, and would end the process if it did.
+	return hex.EncodeToString(b)
+}
+
+func (h *Host) applyJob(e port.Entry) {
+	if err := h.table.Apply(e.Offset, jobs.Record{Key: e.Key, Value: e.Value}); err != nil {
+		h.log.Error("record of a job cannot be folded", "Key", e.Key, "Offset", e.Offset, "Cause", err.Error())
+	}
+}
+
+func (h *Host) applyConfig(e port.Entry) {
+	c, err := h.out.DecodeConfig(e)
+	if err != nil {
+		h.log.Error("configuration cannot be read", "Offset", e.Offset, "Cause", err.Error())
+		return
+	}
+	if c != nil {
+		h.intake.SetConfig(c)
+	}
+}
+
+// own runs the jobs while this host owns them.
+func (h *Host) own(ctx context.Context, o elect.Owner) {
+	h.jobs.SetPause(ownerPause)
+	defer h.jobs.SetPause(standbyPause)
+	b := h.settings.Bounds
+	x := exec.New(exec.Outside{
+		Store: h.out.Store, Runners: h.out.Runners, Jobs: jobsTopic, Table: h.table, Follower: h.jobs,
+		Config: h.intake.Config, FollowRunners: h.out.FollowRunners,
+	}, exec.Bounds{MaxHold: b.MaxHold, StopTimeout: b.StopTimeout, GangTimeout: b.GangTimeout, KeepEnded: b.KeepEnded},
+		o.Term, exec.WithClock(h.clock), exec.WithLog(h.log), exec.WithScope(h.scope.SubScope("owner")),
+		exec.WithRenewed(h.elect.Renewed))
+	if err := x.Run(ctx); err != nil && ctx.Err() == nil {
+		h.log.Warn("term ended", "Term", o.Term, "Cause", err.Error())
+	}
+}
+
+// IsReady reports whether the host should get new connections, and why not.
+func (h *Host) IsReady() error {
+	if h.leaving.Load() {
+		return errLeaving
+	}
+	if h.intake.Config() == nil {
+		return errNoConfig
+	}
+	if age := h.clock.Since(h.config.Fresh()); age > maxAge {
+		return fmt.Errorf("store has not answered for %s: %w", age.Round(time.Millisecond), errNoStore)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs writes structured log lines without ever blocking who logs.
+package logs
--- a/internal/state/fleet/job.go
+++ b/internal/state/fleet/job.go
@@ -23,6 +23,13 @@
 	Progress time.Duration
 	// Attempt counts the starts of the job from 1.
 	Attempt int
+	// Group names jobs of which at most PerWorker may be on one worker; for a job of many tasks that bounds its own.
+	Group     string
+	PerWorker int
+	// Label is one that each worker of the job must have; empty means any.
+	Label string
+	// Rack is the one near the job's data; empty means any.
+	Rack string
 }
 
 // IsOnce reports whether the job must not run twice.
--- a/internal/state/fleet/worker.go
+++ b/internal/state/fleet/worker.go
@@ -13,6 +13,8 @@
 	Accelerators int
 	Processors   int
 	Memory       Bytes
+	// Labels are what jobs may ask for, joined by commas.
+	Labels string
 	// Leaving is set once the platform or an operator has announced that the worker goes.
 	Leaving bool
 }
--- /dev/null
+++ b/internal/state/jobs/job.go
@@ -0,0 +1,155 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+)
+
+// State says whether a job is open, and how it ended.
+type State int
+
+// States of a job.
+const (
+	Open State = iota
+	Completed
+	Failed
+	Cancelled
+)
+
+// Step is a number of equal tasks.
+type Step struct {
+	Tasks        int
+	Accelerators int
+	// Processors are counted in the unit of the workers.
+	Processors int
+	Memory     fleet.Bytes
+	// Estimate is the caller's guess of the run time of a task.
+	Estimate time.Duration
+	// Gang tasks work only together; the others are independent.
+	Gang bool
+	// Adjacent tasks run much slower on more than one rack.
+	Adjacent bool
+	// Checkpoints tells that the tasks save their progress.
+	Checkpoints bool
+	// Label is one that a worker must have, and Rack the one near the data; empty means any.
+	Label string
+	Rack  string
+	// PerWorker bounds the tasks of the step on one worker; zero means no bound.
+	PerWorker int
+	// After lists the steps that must have ended before.
+	After []int
+}
+
+// Units returns how many units the step has.
+func (s *Step) Units() int {
+	if s.Gang {
+		return 1
+	}
+	return s.Tasks
+}
+
+// Job is one accepted job.
+type Job struct {
+	ID           string
+	Organisation string
+	Queue        string
+	// Spec is handed to the workers unread.
+	Spec     string
+	Steps    []Step
+	Accepted time.Time
+	State    State
+	Ended    time.Time
+	// Reason tells why the job failed.
+	Reason string
+	// IsCancelling is set once the caller's cancel is stored.
+	IsCancelling bool
+
+	offset int64
+	units  map[UnitKey]*Unit
+}
+
+// IsOpen reports whether the job still has to run.
+func (j *Job) IsOpen() bool {
+	return j.State == Open && !j.IsCancelling
+}
+
+// HasStarted reports whether a task of the job has ever started.
+func (j *Job) HasStarted() bool {
+	return len(j.units) > 0
+}
+
+// GetUnit returns the newest run of a unit, or nil when it never ran.
+func (j *Job) GetUnit(k UnitKey) *Unit {
+	return j.units[k]
+}
+
+// FindUnits returns the units that have ever run.
+func (j *Job) FindUnits() []*Unit {
+	out := make([]*Unit, 0, len(j.units))
+	for _, u := range j.units {
+		out = append(out, u)
+	}
+	return out
+}
+
+// UnitKeys lists the keys of all units of a step.
+func (j *Job) UnitKeys(step int) []UnitKey {
+	if j.Steps[step].Gang {
+		return []UnitKey{{Job: j.ID, Step: step, Index: WholeGang}}
+	}
+	out := make([]UnitKey, j.Steps[step].Tasks)
+	for i := range out {
+		out[i] = UnitKey{Job: j.ID, Step: step, Index: i}
+	}
+	return out
+}
+
+// IsStepDone reports whether all units of a step have ended well.
+func (j *Job) IsStepDone(step int) bool {
+	for _, k := range j.UnitKeys(step) {
+		u := j.units[k]
+		if u == nil || u.Result != Done {
+			return false
+		}
+	}
+	return true
+}
+
+// IsStepReady reports whether all steps before have ended well.
+func (j *Job) IsStepReady(step int) bool {
+	for _, s := range j.Steps[step].After {
+		if !j.IsStepDone(s) {
+			return false
+		}
+	}
+	return true
+}
+
+// IsDone reports whether all steps have ended well.
+func (j *Job) IsDone() bool {
+	for s := range j.Steps {
+		if !j.IsStepDone(s) {
+			return false
+		}
+	}
+	return true
+}
+
+// Check returns why the job cannot be scheduled, or an empty text.
+func (j *Job) Check() string {
+	if len(j.Steps) == 0 {
+		return "a job needs a step"
+	}
+	for i, s := range j.Steps {
+		if s.Tasks < 1 {
+			return "a step needs a task"
+		}
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return "a step can only start after earlier steps"
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/state/jobs/record.go
@@ -0,0 +1,142 @@
+package jobs
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"google.golang.org/protobuf/proto"
+)
+
+// Prefixes of the keys under which the records of jobs, cancels and units are stored.
+const (
+	jobPrefix    = "j/"
+	cancelPrefix = "c/"
+	unitPrefix   = "u/"
+)
+
+// Record is one keyed entry of the store; a record without a value drops its key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// JobRecord encodes a job; of one that ended only identity, state and times.
+func JobRecord(j *Job) (Record, error) {
+	m := &wire.BatchJob{
+		Id: j.ID, Organisation: j.Organisation, Queue: j.Queue, Spec: j.Spec, Reason: j.Reason,
+		AcceptedUnixNanos: j.Accepted.UnixNano(), State: wire.BatchState(j.State),
+	}
+	if j.State != Open {
+		m.Spec = ""
+		m.EndedUnixNanos = j.Ended.UnixNano()
+	} else {
+		for i := range j.Steps {
+			m.Steps = append(m.Steps, encodeStep(&j.Steps[i]))
+		}
+	}
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return Record{}, fmt.Errorf("encode job %s: %w", j.ID, err)
+	}
+	return Record{Key: jobPrefix + j.ID, Value: b}, nil
+}
+
+func encodeStep(s *Step) *wire.BatchStep {
+	m := &wire.BatchStep{
+		Tasks: int32(s.Tasks), Processors: int64(s.Processors), MemoryBytes: int64(s.Memory),
+		Accelerators: int32(s.Accelerators), EstimateNanos: int64(s.Estimate), Gang: s.Gang, Adjacent: s.Adjacent,
+		Checkpoints: s.Checkpoints, Label: s.Label, Rack: s.Rack, PerWorker: int32(s.PerWorker),
+	}
+	for _, a := range s.After {
+		m.After = append(m.After, int32(a))
+	}
+	return m
+}
+
+func decodeStep(m *wire.BatchStep) Step {
+	s := Step{
+		Tasks: int(m.GetTasks()), Processors: int(m.GetProcessors()), Memory: fleet.Bytes(m.GetMemoryBytes()),
+		Accelerators: int(m.GetAccelerators()), Estimate: time.Duration(m.GetEstimateNanos()), Gang: m.GetGang(),
+		Adjacent: m.GetAdjacent(), Checkpoints: m.GetCheckpoints(), Label: m.GetLabel(), Rack: m.GetRack(),
+		PerWorker: int(m.GetPerWorker()),
+	}
+	for _, a := range m.GetAfter() {
+		s.After = append(s.After, int(a))
+	}
+	return s
+}
+
+func decodeJob(b []byte) (*Job, error) {
+	var m wire.BatchJob
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return nil, fmt.Errorf("decode job: %w", err)
+	}
+	j := &Job{
+		ID: m.GetId(), Organisation: m.GetOrganisation(), Queue: m.GetQueue(), Spec: m.GetSpec(),
+		Accepted: time.Unix(0, m.GetAcceptedUnixNanos()), State: State(m.GetState()), Reason: m.GetReason(),
+	}
+	if j.State != Open {
+		j.Ended = time.Unix(0, m.GetEndedUnixNanos())
+	}
+	for _, s := range m.GetSteps() {
+		j.Steps = append(j.Steps, decodeStep(s))
+	}
+	return j, nil
+}
+
+// DropJob returns the record that drops what is kept of a job.
+func DropJob(id string) Record {
+	return Record{Key: jobPrefix + id}
+}
+
+// CancelRecord encodes the caller's cancel of a job.
+func CancelRecord(id string) Record {
+	return Record{Key: cancelPrefix + id, Value: []byte{1}}
+}
+
+// DropCancel returns the record that drops the cancel of a job.
+func DropCancel(id string) Record {
+	return Record{Key: cancelPrefix + id}
+}
+
+// UnitRecord encodes the newest run of a unit.
+func UnitRecord(u *Unit) (Record, error) {
+	m := &wire.BatchUnit{
+		Job: u.Key.Job, Step: int32(u.Key.Step), Index: int32(u.Key.Index), Run: int32(u.Run),
+		Failures: int32(u.Failures), Result: wire.BatchResult(u.Result), Checkpoint: u.Checkpoint,
+		ProgressNanos: int64(u.Progress),
+	}
+	if u.Result == Running {
+		for _, x := range u.Members {
+			m.Members = append(m.Members, &wire.BatchMember{Worker: x.Worker, Instance: x.Instance})
+		}
+	}
+	b, err := proto.Marshal(m)
+	if err != nil {
+		return Record{}, fmt.Errorf("encode unit %s: %w", u.Key, err)
+	}
+	return Record{Key: unitPrefix + u.Key.String(), Value: b}, nil
+}
+
+// DropUnit returns the record that drops what is kept of a unit.
+func DropUnit(k UnitKey) Record {
+	return Record{Key: unitPrefix + k.String()}
+}
+
+func decodeUnit(b []byte) (*Unit, error) {
+	var m wire.BatchUnit
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return nil, fmt.Errorf("decode unit: %w", err)
+	}
+	u := &Unit{
+		Key: UnitKey{Job: m.GetJob(), Step: int(m.GetStep()), Index: int(m.GetIndex())},
+		Run: int(m.GetRun()), Failures: int(m.GetFailures()), Result: Result(m.GetResult()),
+		Checkpoint: m.GetCheckpoint(), Progress: time.Duration(m.GetProgressNanos()),
+	}
+	for _, x := range m.GetMembers() {
+		u.Members = append(u.Members, Member{Worker: x.GetWorker(), Instance: x.GetInstance()})
+	}
+	return u, nil
+}
--- a/internal/state/plan/clear.go
+++ b/internal/state/plan/clear.go
@@ -236,7 +236,7 @@
 	if e.soft {
 		v = p.open(e, end, func(s *place.Site) place.Room { return s.Capacity })
 	}
-	c := p.cheapestSpot(e, e.shape, e.need, v, (*place.Site).Free, func(b *entry) bool { return b.rank() > e.rank() })
+	c := p.cheapestSpot(e, e.shape, e.need, v, (*place.Site).Free, func(b *entry) bool { return p.mayDisplace(e, b) })
 	if !c.ok {
 		return false
 	}
--- a/internal/state/plan/fits.go
+++ b/internal/state/plan/fits.go
@@ -6,6 +6,7 @@
 	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/hold"
+	"github.com/auburncleat/auburncleat/internal/state/place"
 	"github.com/pkg/errors"
 )
 
@@ -179,3 +180,18 @@
 	}
 	return top
 }
+
+// FitsEmptyRack reports whether some rack would hold the shape if nothing ran there; it does while no worker is known.
+func (p *Planner) FitsEmptyRack(s fleet.Shape) bool {
+	n := place.TaskRoom(s)
+	for _, r := range p.books.Racks() {
+		k := 0
+		for _, x := range r.Sites {
+			k += x.Capacity.Holds(n)
+		}
+		if k >= s.Tasks {
+			return true
+		}
+	}
+	return p.books.Len() == 0
+}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
@@ -34,6 +35,8 @@
 	moves  int
 	// largest is the number of accelerators of the largest queued gang.
 	largest int
+	// urgent holds the accelerators of all urgent jobs of each organisation.
+	urgent map[string]int
 }
 
 // Pass decides what to start, stop and refuse now.
@@ -43,7 +46,7 @@
 	if p.born.IsZero() {
 		p.born = now
 	}
-	p.pass = passNotes{failed: map[failure]time.Duration{}}
+	p.pass = passNotes{failed: map[failure]time.Duration{}, urgent: p.urgentNeed()}
 	p.refresh()
 	p.repair()
 	p.rependent()
@@ -199,10 +202,25 @@
 		if !p.isOpen(e, s, end) {
 			return place.Room{}
 		}
-		return v(s)
+		return p.spread(e, s, v(s))
 	}
 }
 
+// spread bounds the tasks of a job, or of its group, that a site may take.
+func (p *Planner) spread(e *entry, s *place.Site, r place.Room) place.Room {
+	if e.job.PerWorker == 0 {
+		return r
+	}
+	left := e.job.PerWorker
+	for _, b := range p.on[s] {
+		if b != e && e.job.Group != "" && b.job.Group == e.job.Group {
+			left -= b.roomOn(s).Slots
+		}
+	}
+	r.Slots = max(min(r.Slots, left), 0)
+	return r
+}
+
 // isOpen reports whether a site takes the job now.
 func (p *Planner) isOpen(e *entry, s *place.Site, end time.Time) bool {
 	if s.Closed || s.Probe && (len(p.on[s]) > 0 || e.job.IsOnce()) {
@@ -211,6 +229,9 @@
 	if !s.StopFrom.IsZero() && end.After(s.StopFrom) {
 		return false
 	}
+	if e.job.Label != "" && !hasLabel(s.Worker, e.job.Label) {
+		return false
+	}
 	return len(e.avoid) == 0 || !slices.Contains(e.avoid, s.Worker.Name)
 }
 
@@ -288,3 +309,7 @@
 func (e *entry) label() string {
 	return fmt.Sprintf("%s of %s", e.job.Profile, e.job.Organisation)
 }
+
+func hasLabel(w fleet.Worker, label string) bool {
+	return slices.Contains(strings.Split(w.Labels, ","), label)
+}
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -27,25 +27,27 @@
 	// usage holds what each organisation runs here.
 	usage     map[string]place.Room
 	elsewhere map[string]int
-	total     place.Room
-	tightest  time.Duration
-	weight    float64
-	limits    limits
-	queued    map[lane]int
-	newest    [ranks][]*entry
-	doomed    []*entry
-	rounds    rounds
-	waiting   int
-	refusals  []Refusal
-	fits      map[question]bool
-	throttles []Throttle
-	blame     *blame.Book
-	guess     *guess.Book
-	dirty     bool
-	now       time.Time
-	born      time.Time
-	targets   []place.Target
-	pass      passNotes
+	// guaranteed holds the accelerators that belong to each organisation's urgent jobs.
+	guaranteed map[string]int
+	total      place.Room
+	tightest   time.Duration
+	weight     float64
+	limits     limits
+	queued     map[lane]int
+	newest     [ranks][]*entry
+	doomed     []*entry
+	rounds     rounds
+	waiting    int
+	refusals   []Refusal
+	fits       map[question]bool
+	throttles  []Throttle
+	blame      *blame.Book
+	guess      *guess.Book
+	dirty      bool
+	now        time.Time
+	born       time.Time
+	targets    []place.Target
+	pass       passNotes
 	// unproved starts unstoppable work without regard to guarantees, so that tests show that they would notice.
 	unproved bool
 	// greedy holds nothing back for blocked gangs, so that tests show that they would starve.
--- a/internal/transport/rest/client.go
+++ b/internal/transport/rest/client.go
@@ -56,6 +56,8 @@
 	Header http.Header
 	// Body is sent as JSON unless it is nil.
 	Body any
+	// Raw is sent as it is when there is no Body.
+	Raw []byte
 	// Wait is how long the other side may hold the reply back.
 	Wait time.Duration
 	// Hedge allows a second attempt over a fresh connection while the first is silent; use it for idempotent calls.
@@ -159,7 +161,7 @@
 // Do makes a call and returns the whole reply, *ErrStatus when the other side reports a failure, or port.ErrUnsent
 // when no connection could be opened; after any other error the call may have had its effect.
 func (c *Client) Do(ctx context.Context, r Request) (Reply, error) {
-	var body []byte
+	body := r.Raw
 	if r.Body != nil {
 		b, err := json.Marshal(r.Body)
 		if err != nil {
@@ -240,7 +242,7 @@
 		q.Header[k] = v
 	}
 	q.Header.Set("User-Agent", "")
-	if body != nil {
+	if r.Body != nil {
 		q.Header.Set("Content-Type", "application/json")
 	}
 	p, err := h.Do(q)
