Store the end of a job under a key of its own

Ruled out: lost ends of units; they were stored before they were acknowledged.

Change: ends are written by owners alone under another key, and stand whatever else comes of the job.

--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -161,12 +161,12 @@
 	if final == nil {
 		return
 	}
-	r, err := jobs.JobRecord(final)
+	r, err := jobs.EndRecord(final)
 	if err != nil {
 		e.log.Error("cannot encode the end of a job", "Job", id, "Cause", err.Error())
 		return
 	}
-	records = append(records, r)
+	records = append(records, r, jobs.DropJob(id))
 	if hasCancel {
 		records = append(records, jobs.DropCancel(id))
 	}
--- a/internal/state/jobs/record.go
+++ b/internal/state/jobs/record.go
@@ -9,9 +9,11 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Prefixes of the keys under which the records of jobs, cancels and units are stored.
+// Prefixes of the keys under which the records of jobs, their ends, cancels and units are stored. Any host may write
+// the record of a job, and more than one does when a request is repeated; ends and units are written by owners alone.
 const (
 	jobPrefix    = "j/"
+	endPrefix    = "e/"
 	cancelPrefix = "c/"
 	unitPrefix   = "u/"
 )
@@ -22,25 +24,31 @@
 	Value []byte
 }
 
-// JobRecord encodes a job; of one that ended only identity, state and times.
+// JobRecord encodes an accepted job.
 func JobRecord(j *Job) (Record, error) {
 	m := &wire.BatchJob{
-		Id: j.ID, Organisation: j.Organisation, Queue: j.Queue, Spec: j.Spec, Reason: j.Reason,
-		AcceptedUnixNanos: j.Accepted.UnixNano(), State: wire.BatchState(j.State),
+		Id: j.ID, Organisation: j.Organisation, Queue: j.Queue, Spec: j.Spec, AcceptedUnixNanos: j.Accepted.UnixNano(),
 	}
-	if j.State != Open {
-		m.Spec = ""
-		m.EndedUnixNanos = j.Ended.UnixNano()
-	} else {
-		for i := range j.Steps {
-			m.Steps = append(m.Steps, encodeStep(&j.Steps[i]))
-		}
+	for i := range j.Steps {
+		m.Steps = append(m.Steps, encodeStep(&j.Steps[i]))
 	}
+	return encodeJob(jobPrefix+j.ID, m)
+}
+
+// EndRecord encodes the end of a job, of which only identity, state and times are kept.
+func EndRecord(j *Job) (Record, error) {
+	return encodeJob(endPrefix+j.ID, &wire.BatchJob{
+		Id: j.ID, Organisation: j.Organisation, Queue: j.Queue, Reason: j.Reason, State: wire.BatchState(j.State),
+		AcceptedUnixNanos: j.Accepted.UnixNano(), EndedUnixNanos: j.Ended.UnixNano(),
+	})
+}
+
+func encodeJob(key string, m *wire.BatchJob) (Record, error) {
 	b, err := proto.Marshal(m)
 	if err != nil {
-		return Record{}, fmt.Errorf("encode job %s: %w", j.ID, err)
+		return Record{}, fmt.Errorf("encode job %s: %w", m.GetId(), err)
 	}
-	return Record{Key: jobPrefix + j.ID, Value: b}, nil
+	return Record{Key: key, Value: b}, nil
 }
 
 func encodeStep(s *Step) *wire.BatchStep {
@@ -86,11 +94,16 @@
 	return j, nil
 }
 
-// DropJob returns the record that drops what is kept of a job.
+// DropJob returns the record that drops an accepted job.
 func DropJob(id string) Record {
 	return Record{Key: jobPrefix + id}
 }
 
+// DropEnd returns the record that drops the end of a job.
+func DropEnd(id string) Record {
+	return Record{Key: endPrefix + id}
+}
+
 // CancelRecord encodes the caller's cancel of a job.
 func CancelRecord(id string) Record {
 	return Record{Key: cancelPrefix + id, Value: []byte{1}}
--- a/internal/state/jobs/table.go
+++ b/internal/state/jobs/table.go
@@ -42,6 +42,8 @@
 	switch {
 	case strings.HasPrefix(r.Key, jobPrefix):
 		return t.applyJob(offset, r)
+	case strings.HasPrefix(r.Key, endPrefix):
+		return t.applyEnd(offset, r)
 	case strings.HasPrefix(r.Key, cancelPrefix):
 		t.applyCancel(offset, r)
 		return nil
@@ -54,38 +56,44 @@
 
 func (t *Table) applyJob(offset int64, r Record) error {
 	id := strings.TrimPrefix(r.Key, jobPrefix)
-	old := t.jobs[id]
-	if old != nil && old.offset >= offset {
-		return nil
-	}
-	if len(r.Value) == 0 {
-		delete(t.jobs, id)
+	if t.jobs[id] != nil || len(r.Value) == 0 {
+		// A repeat of a request is the same job, and a job is forgotten with its end.
 		return nil
 	}
 	j, err := decodeJob(r.Value)
 	if err != nil {
 		return fmt.Errorf("apply %s: %w", r.Key, err)
 	}
-	if old != nil && j.State == Open {
-		// The first record of an id counts; a repeat of the request is the same job.
-		old.offset = offset
-		return nil
-	}
-	j.offset = offset
 	j.units = map[UnitKey]*Unit{}
-	if old != nil {
-		j.IsCancelling = old.IsCancelling
-	}
 	for _, u := range t.early[id] {
 		j.units[u.Key] = u
 	}
 	delete(t.early, id)
-	if _, ok := t.cancels[id]; ok {
-		j.IsCancelling = true
+	_, j.IsCancelling = t.cancels[id]
+	t.jobs[id] = j
+	t.touch(id)
+	return nil
+}
+
+// applyEnd replaces a job by its end, which stands whatever else comes of the job.
+func (t *Table) applyEnd(offset int64, r Record) error {
+	id := strings.TrimPrefix(r.Key, endPrefix)
+	old := t.jobs[id]
+	if old != nil && old.State != Open && old.offset >= offset {
+		return nil
 	}
-	if j.State != Open {
-		j.units = nil
+	if len(r.Value) == 0 {
+		if old != nil && old.State != Open {
+			delete(t.jobs, id)
+		}
+		return nil
 	}
+	j, err := decodeJob(r.Value)
+	if err != nil {
+		return fmt.Errorf("apply %s: %w", r.Key, err)
+	}
+	j.offset = offset
+	delete(t.early, id)
 	t.jobs[id] = j
 	t.touch(id)
 	return nil
