Start urgent work once its room is clear, and stop what loses least

Cause: a job that waited for borrowers to leave did not see the room that was kept for it, and waited for ever on a full fleet; a stop was priced as if all work saved its progress; a gang avoided every worker that had ever lost one of its tasks, until no rack was left to hold it, while capacity was held back for it.

Change: the planner gives up what a job waits for before it decides anew, prices stops by what is lost, lets a job use workers that it avoids when the others could never hold it, and lets urgent work within a number of guaranteed accelerators take back what others use beyond theirs. Each has a test that failed first (displace_test.go).

--- /dev/null
+++ b/internal/coordination/exec/books.go
@@ -0,0 +1,51 @@
+package exec
+
+import (
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/plan"
+)
+
+// booksInterval is the time between two lines of the log that sum up queue and workers.
+const booksInterval = 2 * time.Second
+
+// logBooks sums up the queue and the workers, with the reason why the oldest queued unit waits.
+func (e *Engine) logBooks(now time.Time) {
+	if now.Sub(e.loggedBooks) < booksInterval {
+		return
+	}
+	e.loggedBooks = now
+	phases := map[phase]int{}
+	var oldest *unit
+	for _, u := range e.units {
+		phases[u.phase]++
+		if u.phase == phaseQueued && (oldest == nil || u.since.Before(oldest.since)) {
+			oldest = u
+		}
+	}
+	workers := map[string]int{}
+	used := 0
+	for _, v := range e.planner.FindWorkers() {
+		workers[v.State]++
+		used += v.AcceleratorsUsed
+	}
+	args := []any{
+		"Term", e.term, "Queued", phases[phaseQueued], "Deferred", len(e.deferred),
+		"Running", phases[phaseRunning], "Starting", phases[phaseStoring] + phases[phaseStarting],
+		"Stopping", phases[phaseStopping], "Ending", phases[phaseEnding], "AcceleratorsUsed", used,
+		"Ready", workers[plan.WorkerReady], "Leaving", workers[plan.WorkerLeaving],
+		"Quarantined", workers[plan.WorkerQuarantined], "Probation", workers[plan.WorkerProbation],
+	}
+	if oldest != nil {
+		s, err := e.planner.Status(oldest.name)
+		reason := s.Reason
+		if err != nil {
+			reason = err.Error()
+		}
+		args = append(args, "Oldest", oldest.name, "Waiting", now.Sub(oldest.since).Round(time.Millisecond).String(), "Reason", reason)
+	}
+	e.log.Info("books", args...)
+	e.scope.Gauge("units_queued").Update(float64(phases[phaseQueued]))
+	e.scope.Gauge("units_running").Update(float64(phases[phaseRunning]))
+	e.scope.Gauge("accelerators_used").Update(float64(used))
+}
--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -64,7 +64,9 @@
 	// deferred are units that the planner did not take yet.
 	deferred map[string]*unit
 	ready    bool
-	wake     chan struct{}
+	// loggedBooks is when the books were last summed up in the log.
+	loggedBooks time.Time
+	wake        chan struct{}
 }
 
 // Option changes how an engine is built.
@@ -89,7 +91,7 @@
 func New(out Outside, b Bounds, term int64, opts ...Option) *Engine {
 	e := &Engine{
 		out: out, bounds: b, term: term, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
-		planner: plan.New(""), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{},
+		planner: plan.New("", plan.WithRestartCost(restartCost)), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{},
 		wake: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
@@ -155,6 +157,8 @@
 	passPause = 15 * time.Millisecond
 	// checkInterval is the time between two looks for silent workers and late units.
 	checkInterval = 150 * time.Millisecond
+	// restartCost is the run time that a stopped unit with a checkpoint loses.
+	restartCost = 500 * time.Millisecond
 	// settle is how long a new owner waits for the answers of the workers before it starts anything.
 	settle = 700 * time.Millisecond
 )
@@ -186,6 +190,7 @@
 		}
 		if e.ready {
 			e.pass(now)
+			e.logBooks(now)
 		}
 		e.mu.Unlock()
 		if e.clock.Sleep(ctx, passPause) != nil {
--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -113,7 +113,7 @@
 	return fleet.Job{
 		ID: u.name, Organisation: u.org, Profile: u.queue, Shape: e.shape(u), RunTime: u.step.Estimate,
 		Submitted: u.since, Progress: u.progress, Group: groupOf(u), PerWorker: u.step.PerWorker, Label: u.step.Label,
-		Rack: u.step.Rack,
+		Rack: u.step.Rack, LosesProgress: !u.step.Checkpoints,
 	}
 }
 
--- a/internal/state/fleet/job.go
+++ b/internal/state/fleet/job.go
@@ -28,6 +28,8 @@
 	PerWorker int
 	// Label is one that each worker of the job must have; empty means any.
 	Label string
+	// LosesProgress tells that the tasks do not checkpoint, so that a stop loses what they did.
+	LosesProgress bool
 	// Rack is the one near the job's data; empty means any.
 	Rack string
 }
--- a/internal/state/plan/clear.go
+++ b/internal/state/plan/clear.go
@@ -11,8 +11,13 @@
 	"github.com/auburncleat/auburncleat/internal/state/place"
 )
 
-// restartCost is the run time that a stopped gang loses besides what its checkpoint takes.
-const restartCost = 30 * time.Second
+// defaultRestartCost is the run time that a stopped gang loses besides what its checkpoint takes.
+const defaultRestartCost = 30 * time.Second
+
+// WithRestartCost sets the run time that a stopped gang loses besides what its checkpoint takes.
+func WithRestartCost(d time.Duration) Option {
+	return func(p *Planner) { p.restartCost = d }
+}
 
 // displaceFrom is the part of its bound that work waits before it has less urgent borrowers stopped.
 const displaceFrom = 0.5
@@ -43,7 +48,10 @@
 
 // loss returns the accelerator seconds that stopping a gang now would lose.
 func (p *Planner) loss(e *entry) float64 {
-	run := min(p.now.Sub(e.since), e.profile.ReclaimBound+restartCost)
+	run := p.now.Sub(e.since)
+	if !e.job.LosesProgress {
+		run = min(run, e.profile.ReclaimBound+p.restartCost)
+	}
 	accs := max(e.shape.TotalAccelerators(), 1)
 	return float64(accs) * (run.Seconds() + 1)
 }
@@ -224,10 +232,6 @@
 // displace lets work outside of a guarantee stop borrowers that are less urgent: urgent work at once, other work when
 // half of its bound has passed.
 func (p *Planner) displace(e *entry, _ *Decisions) bool {
-	if len(e.want) > 0 {
-		p.pend(e, -1)
-		e.want = nil
-	}
 	if e.rank() > 0 && p.overdue(e) < displaceFrom {
 		return false
 	}
@@ -243,3 +247,12 @@
 	p.await(e, c, fmt.Sprintf("more urgent work, %s, takes the capacity that this job borrowed", e.label()))
 	return true
 }
+
+// unwant gives up the sites that a job waits for, which a new decision may choose again.
+func (p *Planner) unwant(e *entry) {
+	if len(e.want) == 0 {
+		return
+	}
+	p.pend(e, -1)
+	e.want = nil
+}
--- /dev/null
+++ b/internal/state/plan/displace_test.go
@@ -0,0 +1,88 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/config"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/stretchr/testify/require"
+)
+
+var urgent = config.Profile{Name: "Urgent", Urgency: config.Urgent, WaitBound: 4 * time.Second, Stoppable: true, ReclaimBound: time.Second}
+
+// end ends all gangs that were asked to stop.
+func end(p *Planner, d Decisions, at time.Time) {
+	for _, s := range d.Stops {
+		p.Ended(Ended{Job: s.Job, Result: ResultStopped, At: at, Requeue: true})
+	}
+}
+
+// TestUrgentGangStartsOnceItsRoomIsClear has an urgent gang of a whole rack arrive while quiet work fills all racks.
+func TestUrgentGangStartsOnceItsRoomIsClear(t *testing.T) {
+	p := planner(t, workers(2, 4), profiles(audit, urgent))
+	for i := range 8 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("a%d", i), "Gear", "Audit", shape(8, 1, fleet.LevelWorker))))
+	}
+	d := p.Pass(start)
+	require.Len(t, d.Starts, 8)
+	run(p, d, start)
+	require.NoError(t, p.Submit(job("big", "CW", "Urgent", shape(4, 8, fleet.LevelRack))))
+	d = p.Pass(start.Add(time.Second))
+	require.Len(t, d.Stops, 4)
+	end(p, d, start.Add(2*time.Second))
+	d = p.Pass(start.Add(2 * time.Second))
+	require.Len(t, d.Starts, 1)
+	require.Equal(t, "big", d.Starts[0].Job.ID)
+}
+
+// TestUrgentWorkStopsWhatLosesLeast has an urgent job choose between work that saves its progress and work that does not.
+func TestUrgentWorkStopsWhatLosesLeast(t *testing.T) {
+	p := planner(t, workers(1, 2), profiles(audit, urgent), WithRestartCost(time.Second))
+	saving := job("saving", "Gear", "Audit", shape(8, 1, fleet.LevelWorker))
+	require.NoError(t, p.Submit(saving))
+	d := p.Pass(start)
+	run(p, d, start)
+	plain := job("plain", "Gear", "Audit", shape(8, 1, fleet.LevelWorker))
+	plain.LosesProgress = true
+	require.NoError(t, p.Submit(plain))
+	at := start.Add(10 * time.Second)
+	d = p.Pass(at)
+	run(p, d, at)
+	require.NoError(t, p.Submit(job("big", "CW", "Urgent", shape(1, 8, fleet.LevelWorker))))
+	d = p.Pass(at.Add(5 * time.Second))
+	require.Len(t, d.Stops, 1)
+	require.Equal(t, "saving", d.Stops[0].Job)
+}
+
+// TestWorkWithinItsGuaranteeTakesBackWhatOthersBorrow has an organisation fill everything with urgent work beyond its
+// guarantee before another one claims its own.
+func TestWorkWithinItsGuaranteeTakesBackWhatOthersBorrow(t *testing.T) {
+	p := planner(t, workers(1, 2), profiles(urgent))
+	p.SetGuaranteed(map[string]int{"Gear": 8, "CW": 8})
+	for i := range 2 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("g%d", i), "Gear", "Urgent", shape(1, 8, fleet.LevelWorker))))
+	}
+	d := p.Pass(start)
+	require.Len(t, d.Starts, 2)
+	run(p, d, start)
+	require.NoError(t, p.Submit(job("own", "CW", "Urgent", shape(2, 4, fleet.LevelWorker))))
+	d = p.Pass(start.Add(time.Second))
+	require.Len(t, d.Stops, 1)
+	end(p, d, start.Add(2*time.Second))
+	d = p.Pass(start.Add(2 * time.Second))
+	require.Len(t, d.Starts, 1)
+	require.Equal(t, "own", d.Starts[0].Job.ID)
+}
+
+// TestGangAvoidsNoMoreWorkersThanItCan has a gang of a whole rack lose a worker, without which no rack holds it.
+func TestGangAvoidsNoMoreWorkersThanItCan(t *testing.T) {
+	p := planner(t, workers(1, 8), profiles(audit))
+	require.NoError(t, p.Submit(job("big", "CW", "Audit", shape(8, 8, fleet.LevelRack))))
+	d := p.Pass(start)
+	require.Len(t, d.Starts, 1)
+	p.Ended(Ended{Job: "big", Result: ResultLost, Workers: []string{"w000"}, At: start.Add(time.Second), Requeue: true})
+	d = p.Pass(start.Add(10 * time.Second))
+	require.Len(t, d.Starts, 1)
+}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -143,6 +143,8 @@
 	if p.claim(e, d) {
 		return
 	}
+	p.unwant(e)
+	p.relent(e)
 	if q := p.quota(e); q > 0 {
 		used := p.usage[e.job.Organisation].Accelerators + p.elsewhere[e.job.Organisation]
 		if used+e.shape.TotalAccelerators() > q {
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -32,22 +32,24 @@
 	total      place.Room
 	tightest   time.Duration
 	weight     float64
-	limits     limits
-	queued     map[lane]int
-	newest     [ranks][]*entry
-	doomed     []*entry
-	rounds     rounds
-	waiting    int
-	refusals   []Refusal
-	fits       map[question]bool
-	throttles  []Throttle
-	blame      *blame.Book
-	guess      *guess.Book
-	dirty      bool
-	now        time.Time
-	born       time.Time
-	targets    []place.Target
-	pass       passNotes
+	// restartCost is the run time that a stopped gang loses besides what its checkpoint takes.
+	restartCost time.Duration
+	limits      limits
+	queued      map[lane]int
+	newest      [ranks][]*entry
+	doomed      []*entry
+	rounds      rounds
+	waiting     int
+	refusals    []Refusal
+	fits        map[question]bool
+	throttles   []Throttle
+	blame       *blame.Book
+	guess       *guess.Book
+	dirty       bool
+	now         time.Time
+	born        time.Time
+	targets     []place.Target
+	pass        passNotes
 	// unproved starts unstoppable work without regard to guarantees, so that tests show that they would notice.
 	unproved bool
 	// greedy holds nothing back for blocked gangs, so that tests show that they would starve.
@@ -68,21 +70,22 @@
 func New(domain string, opts ...Option) *Planner {
 	b := place.New()
 	p := &Planner{
-		domain:    domain,
-		profiles:  map[string]*config.Profile{},
-		books:     b,
-		keeper:    hold.New(b),
-		jobs:      map[string]*entry{},
-		on:        map[*place.Site][]*entry{},
-		fleet:     map[string]fleet.Worker{},
-		usage:     map[string]place.Room{},
-		elsewhere: map[string]int{},
-		weight:    defaultFragmentationWeight,
-		limits:    defaultLimits(),
-		queued:    map[lane]int{},
-		fits:      map[question]bool{},
-		blame:     blame.New(),
-		guess:     guess.New(),
+		domain:      domain,
+		profiles:    map[string]*config.Profile{},
+		books:       b,
+		keeper:      hold.New(b),
+		jobs:        map[string]*entry{},
+		on:          map[*place.Site][]*entry{},
+		fleet:       map[string]fleet.Worker{},
+		usage:       map[string]place.Room{},
+		elsewhere:   map[string]int{},
+		weight:      defaultFragmentationWeight,
+		restartCost: defaultRestartCost,
+		limits:      defaultLimits(),
+		queued:      map[lane]int{},
+		fits:        map[question]bool{},
+		blame:       blame.New(),
+		guess:       guess.New(),
 	}
 	for _, o := range opts {
 		o(p)
--- a/internal/state/plan/trust.go
+++ b/internal/state/plan/trust.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// relent lets a job use the workers that it avoids when the others could not hold it even if nothing ran there.
+func (p *Planner) relent(e *entry) {
+	if len(e.avoid) == 0 {
+		return
+	}
+	empty := p.open(e, p.now, func(s *place.Site) place.Room { return s.Capacity })
+	if p.books.Fit(place.Search{Shape: e.shape, View: empty}) == nil {
+		e.avoid, e.refusedBy = nil, nil
+	}
+}
+
 const (
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 5 * time.Second
