Count tasks on their worker from the stored start on, and let lost looks extend no lease

Ruled out: double starts.

Change: the expectation of a task begins with its stored start; after a look without an answer no lease is extended until the worker answers; workers that drain are emptied of what saves its progress.

--- a/internal/coordination/exec/pass.go
+++ b/internal/coordination/exec/pass.go
@@ -89,6 +89,7 @@
 			m.task = u.key.Index
 		}
 		u.members = append(u.members, m)
+		w.expect(u, m)
 	}
 	e.log.Info("unit starts", "Job", u.job, "Unit", u.name, "Run", u.run, "Workers", len(u.members),
 		"First", u.members[0].worker, "Reason", s.Reason, "Checkpoint", u.checkpoint != "")
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -27,7 +27,6 @@
 	u.phase = phaseStarting
 	for _, m := range u.members {
 		w := e.getWorker(m.worker)
-		w.expect(u, m)
 		if m.instance != w.instance {
 			e.missed(u, m, jobs.Lost, "worker was restarted")
 			continue
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -45,6 +45,8 @@
 	isHeld   bool
 	// isSuspect closes a worker that does not answer until it does.
 	isSuspect bool
+	// isFailing is set after a look without an answer; leases are extended again once the worker has answered.
+	isFailing bool
 	// strangers are tasks that run there and are being stopped.
 	strangers int
 	clockAt   time.Duration
@@ -117,9 +119,13 @@
 	if r.IsDraining && !w.runner.IsDraining {
 		e.log.Info("worker drains", "Worker", w.name, "Tasks", len(w.tasks))
 	}
+	isLeaving := r.IsDraining && !w.runner.IsDraining
 	w.runner = r
 	w.isListed = true
 	e.book(w)
+	if isLeaving {
+		e.evacuate(w)
+	}
 	if isNew && w.cancel == nil {
 		x, cancel := context.WithCancel(e.ctx)
 		w.cancel = cancel
@@ -129,6 +135,15 @@
 	e.kick()
 }
 
+// evacuate stops what saves its progress on a worker that is about to leave, so that it goes on elsewhere.
+func (e *Engine) evacuate(w *worker) {
+	for _, t := range w.tasks {
+		if t.unit.step.Checkpoints {
+			e.stop(t.unit, "a worker is about to leave")
+		}
+	}
+}
+
 // dropRunner takes note that the platform does not list a worker any more.
 func (e *Engine) dropRunner(name string) {
 	e.mu.Lock()
@@ -201,7 +216,7 @@
 	if !w.isHeld || w.isSuspect || w.strangers > 0 {
 		h.Wait = 0
 	}
-	if !w.clockRead.IsZero() && e.mayHold(now) {
+	if !w.clockRead.IsZero() && !w.isFailing && e.mayHold(now) {
 		h.Until = w.until(now, e.bounds.MaxHold)
 		w.leaseEnd = later(w.leaseEnd, now.Add(e.leaseBound()))
 	}
@@ -239,6 +254,7 @@
 		return
 	}
 	e.mu.Lock()
+	w.isFailing = true
 	if errors.Is(err, port.ErrInstance) {
 		// The next look names no lifetime, and its answer tells the new one.
 		e.log.Info("worker was restarted", "Worker", w.name, "Instance", w.instance)
@@ -254,6 +270,7 @@
 func (e *Engine) report(w *worker, asked time.Time, r port.RunReport, stored func()) {
 	now := e.clock.Now()
 	w.answered = now
+	w.isFailing = false
 	w.tick(r.Clock, now)
 	if r.Instance != w.instance {
 		e.reborn(w, r.Instance)
