Acknowledge the end of a task only once the end of its run is stored

Ruled out: the count of failures in the records; it was right in each.

Change: a worker is told of the newest end before the first that no stored record covers.

--- a/internal/coordination/exec/pass.go
+++ b/internal/coordination/exec/pass.go
@@ -106,6 +106,11 @@
 	})
 }
 
+// afterStored calls done with the lock held once all that was handed to the writer before is stored.
+func (e *Engine) afterStored(done func()) {
+	e.store(nil, done)
+}
+
 // store appends records, folds them once they are stored, and then calls done with the lock held.
 func (e *Engine) store(rs []jobs.Record, done func()) {
 	i := &feed.Item{}
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -163,11 +163,7 @@
 
 // release tells the planner of the end of a run and queues the unit again unless it is done or over.
 func (e *Engine) release(u *unit, r jobs.Result) {
-	for _, m := range u.members {
-		if w := e.workers[m.worker]; w != nil {
-			w.unexpect(u, m)
-		}
-	}
+	e.acknowledge(u)
 	isAgain := r != jobs.Done && !u.isOver
 	x := plan.Ended{
 		Job: u.name, Result: planResult(r), Workers: u.blamed(r), Progress: u.progress, At: e.clock.Now(), Requeue: isAgain,
@@ -183,6 +179,25 @@
 	e.kick()
 }
 
+// acknowledge lets the workers forget the ends of a run once all that follows from them is stored.
+func (e *Engine) acknowledge(u *unit) {
+	ms := u.members
+	for _, m := range ms {
+		if w := e.workers[m.worker]; w != nil {
+			w.unexpect(u, m)
+		}
+	}
+	e.afterStored(func() {
+		for _, m := range ms {
+			w := e.workers[m.worker]
+			if w != nil && w.instance == m.instance {
+				delete(w.open, m.number)
+				w.signal()
+			}
+		}
+	})
+}
+
 func planResult(r jobs.Result) plan.Result {
 	switch r {
 	case jobs.Done:
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -50,6 +50,8 @@
 	// barred is when the worker confirmed that the run will not start any more; zero before.
 	barred     time.Time
 	isStopping bool
+	// number is that of the end in the list of the worker; zero when it was not listed.
+	number int64
 }
 
 // unit is what the engine knows of a unit that is not done.
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -18,6 +18,8 @@
 	silence = 900 * time.Millisecond
 	// ackPatience is how long a look waits for the ends of the last one to be stored.
 	ackPatience = 500 * time.Millisecond
+	// openPause is the time between two looks at a worker with ends that cannot be acknowledged yet.
+	openPause = 100 * time.Millisecond
 	// clockSlack covers clocks of workers that run slow, and calls that are on their way.
 	clockSlack = 300 * time.Millisecond
 	// adoptGrace is how long a former owner may have gone on with the leases after this one took over.
@@ -55,12 +57,16 @@
 	leaseEnd time.Time
 	answered time.Time
 	asked    time.Time
-	// handled is the newest end that was taken, and seen the newest that was stored.
-	handled  int64
-	seen     int64
+	// handled is the newest end that was taken, and written the newest whose consequences so far are stored.
+	handled int64
+	written int64
+	// open are taken ends whose run has not ended as a whole, so that no record tells of them yet.
+	open     map[int64]bool
 	wake     chan struct{}
 	cancel   context.CancelFunc
 	isBooked bool
+	// told is the newest end that the worker was told need not be listed again.
+	told int64
 }
 
 func (w *worker) signal() {
@@ -100,7 +106,7 @@
 func (e *Engine) getWorker(name string) *worker {
 	w := e.workers[name]
 	if w == nil {
-		w = &worker{name: name, tasks: map[port.RunRef]task{}, wake: make(chan struct{}, 1)}
+		w = &worker{name: name, tasks: map[port.RunRef]task{}, open: map[int64]bool{}, wake: make(chan struct{}, 1)}
 		w.runner.Worker.Name = name
 		e.workers[name] = w
 	}
@@ -180,7 +186,7 @@
 func (e *Engine) watch(ctx context.Context, w *worker) {
 	for ctx.Err() == nil {
 		e.mu.Lock()
-		isIdle := w.isHeld && !w.isSuspect && len(w.tasks) == 0 && w.strangers == 0 && w.seen == w.handled
+		isIdle := w.isHeld && !w.isSuspect && len(w.tasks) == 0 && w.strangers == 0 && w.told == w.handled
 		isDone := !w.isListed && len(w.tasks) == 0
 		e.mu.Unlock()
 		if isDone {
@@ -212,7 +218,7 @@
 func (e *Engine) look(ctx context.Context, w *worker) {
 	e.mu.Lock()
 	now := e.clock.Now()
-	h := port.RunHold{Token: e.term, Seen: w.seen, Wait: lookWait, Instance: w.instance}
+	h := port.RunHold{Token: e.term, Seen: w.seen(), Wait: lookWait, Instance: w.instance}
 	if !w.isHeld || w.isSuspect || w.strangers > 0 {
 		h.Wait = 0
 	}
@@ -229,6 +235,7 @@
 		e.lookFailed(ctx, w, err)
 		return
 	}
+	w.told = h.Seen
 	stored := make(chan struct{})
 	e.mu.Lock()
 	e.report(w, now, r, func() { close(stored) })
@@ -238,6 +245,22 @@
 	case <-e.clock.After(ackPatience):
 	case <-ctx.Done():
 	}
+	e.mu.Lock()
+	isOpen := len(w.open) > 0
+	e.mu.Unlock()
+	if isOpen {
+		// The worker lists ends that are not acknowledged at once again.
+		_ = e.clock.Sleep(ctx, openPause)
+	}
+}
+
+// seen returns the newest end that the worker need not list again.
+func (w *worker) seen() int64 {
+	n := w.written
+	for x := range w.open {
+		n = min(n, x-1)
+	}
+	return n
 }
 
 // mayHold reports whether this owner may still extend leases: not for long after its term may have ended.
@@ -290,6 +313,8 @@
 		if t, ok := w.tasks[x.Ref]; ok && t.unit.run == x.Ref.Run {
 			e.log.Debug("task ended", "Unit", t.unit.name, "Run", x.Ref.Run, "Worker", w.name, "How", x.How)
 			e.scope.Tagged(map[string]string{"How": x.How}).Counter("task_ends").Inc(1)
+			w.open[x.Number] = true
+			t.member.number = x.Number
 			e.ended(t.unit, t.member, x.Result, x.Checkpoint, x.IsBroken)
 		}
 	}
@@ -299,13 +324,12 @@
 	if isFirst {
 		e.kick()
 	}
-	if top == w.seen {
+	if top == w.written {
 		stored()
 		return
 	}
-	// The ends above stand before this item in the order of the writer.
-	e.store(nil, func() {
-		w.seen = max(w.seen, top)
+	e.afterStored(func() {
+		w.written = max(w.written, top)
 		stored()
 	})
 }
@@ -316,7 +340,8 @@
 		e.log.Info("worker has a new lifetime", "Worker", w.name, "Before", w.instance, "Now", instance)
 	}
 	w.instance = instance
-	w.handled, w.seen = 0, 0
+	w.handled, w.written, w.told = 0, 0, 0
+	w.open = map[int64]bool{}
 	for _, t := range w.tasks {
 		if t.member.instance != instance {
 			e.ended(t.unit, t.member, jobs.Lost, "", false)
