Do not take a job up again while its end is being stored

Ruled out: a lost count of failures.

Change: the engine remembers the jobs whose end it has handed to the writer.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -63,6 +63,8 @@
 	units   map[string]*unit
 	// deferred are units that the planner did not take yet.
 	deferred map[string]*unit
+	// ending are jobs whose end is being stored.
+	ending map[string]bool
 	ready    bool
 	// loggedBooks is when the books were last summed up in the log.
 	loggedBooks time.Time
@@ -91,7 +93,7 @@
 func New(out Outside, b Bounds, term int64, opts ...Option) *Engine {
 	e := &Engine{
 		out: out, bounds: b, term: term, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
-		planner: plan.New("", plan.WithRestartCost(restartCost)), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{},
+		planner: plan.New("", plan.WithRestartCost(restartCost)), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{}, ending: map[string]bool{},
 		wake: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -26,6 +26,9 @@
 
 // syncJob brings the units of a job in line with its record.
 func (e *Engine) syncJob(id string) {
+	if e.ending[id] {
+		return
+	}
 	var fresh []*unit
 	isCancelling, isEnded, isDone := false, false, false
 	e.out.Table.View(id, func(j *jobs.Job) {
@@ -158,7 +161,7 @@
 			records = append(records, jobs.DropUnit(u.Key))
 		}
 	})
-	if final == nil {
+	if final == nil || e.ending[id] {
 		return
 	}
 	r, err := jobs.EndRecord(final)
@@ -172,7 +175,8 @@
 	}
 	e.log.Info("job ends", "Job", id, "State", int(s), "Reason", reason, "Term", e.term)
 	e.scope.Tagged(map[string]string{"State": stateName(s)}).Counter("jobs_ended").Inc(1)
-	e.store(records, nil)
+	e.ending[id] = true
+	e.store(records, func() { delete(e.ending, id) })
 	for _, u := range e.units {
 		if u.job == id {
 			e.giveUp(u, reason)
