Do not take the refusal of a repeated call for the outcome of the first

Cause: a call that changes something is repeated over a fresh connection when the first attempt is silent; a refusal of the repeat counted as 'nothing was done' while the first attempt could still be carried out seconds later.

Figures: TestRefusalOfARepeatDoesNotSettleACall failed before and passes.

--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -38,6 +38,7 @@
 // sendStart repeats the start of one task until the worker has answered or patience is over.
 func (e *Engine) sendStart(u *unit, m *member, run int, w *worker) {
 	until := e.clock.Now().Add(startPatience)
+	isVague := false
 	for {
 		e.mu.Lock()
 		if u.run != run || u.phase != phaseStarting || e.ctx.Err() != nil {
@@ -54,7 +55,8 @@
 		e.mu.Unlock()
 		at, err := e.out.Runners.Start(e.ctx, addr, s)
 		e.mu.Lock()
-		done := e.startAnswered(u, m, run, w, at, err, until)
+		done := e.startAnswered(u, m, run, w, at, err, until, isVague)
+		isVague = isVague || isVagueStart(err)
 		e.mu.Unlock()
 		if done {
 			return
@@ -65,8 +67,19 @@
 	}
 }
 
-// startAnswered takes the answer to a start and reports whether it settles the matter.
-func (e *Engine) startAnswered(u *unit, m *member, run int, w *worker, at time.Duration, err error, until time.Time) bool {
+// isVagueStart reports whether a start that came to this error may still be carried out.
+func isVagueStart(err error) bool {
+	for _, x := range []error{port.ErrInstance, port.ErrNoRoom, port.ErrLate, port.ErrOldRun, port.ErrFenced, port.ErrUnhealthy, port.ErrUnsent} {
+		if errors.Is(err, x) {
+			return false
+		}
+	}
+	return err != nil
+}
+
+// startAnswered takes the answer to a start and reports whether it settles the matter; isVague tells that an earlier
+// try may still be carried out, so that a refusal of this one says nothing about the run.
+func (e *Engine) startAnswered(u *unit, m *member, run int, w *worker, at time.Duration, err error, until time.Time, isVague bool) bool {
 	if u.run != run || m.presence == taskEnded {
 		return true
 	}
@@ -82,7 +95,7 @@
 	case errors.Is(err, port.ErrInstance):
 		e.missed(u, m, jobs.Lost, "another lifetime of the worker answered")
 		return true
-	case errors.Is(err, port.ErrNoRoom), errors.Is(err, port.ErrLate), errors.Is(err, port.ErrOldRun):
+	case !isVague && (errors.Is(err, port.ErrNoRoom) || errors.Is(err, port.ErrLate) || errors.Is(err, port.ErrOldRun)):
 		e.missed(u, m, jobs.Stopped, err.Error())
 		return true
 	case errors.Is(err, port.ErrFenced):
@@ -90,7 +103,8 @@
 		e.stop(u, "a newer owner was seen")
 		return true
 	}
-	if e.clock.Now().Before(until) {
+	isRefused := errors.Is(err, port.ErrNoRoom) || errors.Is(err, port.ErrLate) || errors.Is(err, port.ErrOldRun)
+	if !isRefused && e.clock.Now().Before(until) {
 		return false
 	}
 	e.log.Warn("start is not answered", "Job", u.job, "Unit", u.name, "Run", run, "Worker", m.worker, "Cause", err.Error())
--- a/internal/transport/rest/client.go
+++ b/internal/transport/rest/client.go
@@ -27,6 +27,9 @@
 // ErrTooLong says that a reply exceeds the limit of the client.
 var ErrTooLong = errors.New("reply exceeds the limit")
 
+// ErrUndecided says that an attempt was refused while an earlier one may have been carried out.
+var ErrUndecided = errors.New("one attempt was refused and another not answered")
+
 // ErrStatus is a reply that reports a failure; Code names it when the other side did.
 type ErrStatus struct {
 	Status int
@@ -62,6 +65,8 @@
 	Wait time.Duration
 	// Hedge allows a second attempt over a fresh connection while the first is silent; use it for idempotent calls.
 	Hedge bool
+	// Certain reports a refusal only when no other attempt may still be carried out.
+	Certain bool
 	// Fresh opens a connection for the call, which cannot have fallen silent; use it for calls that must not be doubled.
 	Fresh bool
 }
@@ -195,25 +200,16 @@
 		second = c.clock.After(r.Wait + c.hedge)
 	}
 	expired := c.clock.After(r.Wait + c.timeout)
-	open := 1
-	unsent := true
+	a := attempts{open: 1, unsent: true, certain: r.Certain}
 	for {
 		select {
 		case x := <-results:
-			open--
-			unsent = unsent && isDial(x.err)
-			if x.err == nil || isAnswered(x.err) {
-				return x.reply, x.err
-			}
-			if open == 0 && unsent {
-				return x.reply, fmt.Errorf("%w: %w", port.ErrUnsent, x.err)
-			}
-			if open == 0 {
-				return x.reply, x.err
+			if p, err, ok := a.take(x); ok {
+				return p, err
 			}
 		case <-second:
 			second = nil
-			open++
+			a.open++
 			go launch(c.fresh)
 		case <-expired:
 			return Reply{}, fmt.Errorf("%s %s%s: %w", r.Method, r.Addr, r.Path, context.DeadlineExceeded)
@@ -223,6 +219,41 @@
 	}
 }
 
+// attempts sums up the attempts of one call.
+type attempts struct {
+	open int
+	// unsent is set while no attempt has been sent.
+	unsent bool
+	// certain holds refusals back while another attempt may have been carried out.
+	certain bool
+	// vague is set once an attempt was sent and not answered.
+	vague bool
+}
+
+// take notes the result of an attempt and reports whether it settles the call.
+func (a *attempts) take(x result) (Reply, error, bool) {
+	a.open--
+	a.unsent = a.unsent && isDial(x.err)
+	if x.err == nil {
+		return x.reply, nil, true
+	}
+	isSettled := !a.certain || a.open == 0 && !a.vague
+	if isAnswered(x.err) && isSettled {
+		return x.reply, x.err, true
+	}
+	a.vague = a.vague || !isAnswered(x.err) && !isDial(x.err)
+	switch {
+	case a.open > 0:
+		return Reply{}, nil, false
+	case a.unsent:
+		return x.reply, fmt.Errorf("%w: %w", port.ErrUnsent, x.err), true
+	case isAnswered(x.err):
+		return x.reply, fmt.Errorf("%w: %s", ErrUndecided, x.err.Error()), true
+	default:
+		return x.reply, x.err, true
+	}
+}
+
 func isDial(err error) bool {
 	var o *net.OpError
 	return errors.As(err, &o) && o.Op == "dial"
--- a/internal/transport/rest/client_test.go
+++ b/internal/transport/rest/client_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburncleat/auburncleat/internal/standin"
 	"github.com/auburncleat/auburncleat/internal/transport/rest"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 )
 
@@ -90,3 +91,39 @@
 		require.ErrorIs(t, err, rest.ErrTooLong)
 	})
 }
+
+// TestRefusalOfARepeatDoesNotSettleACall has the first attempt of a call hang, so that it may still be carried out, and
+// the second one refused.
+func TestRefusalOfARepeatDoesNotSettleACall(t *testing.T) {
+	tests := []struct {
+		name      string
+		isCertain bool
+		isRefused bool
+	}{
+		{"calls that change something stay undecided", true, false},
+		{"others take the first answer", false, true},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var calls atomic.Int32
+				dial := standin.Pipes(map[netip.AddrPort]http.Handler{
+					addr: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+						if calls.Add(1) == 1 {
+							<-r.Context().Done()
+							return
+						}
+						w.WriteHeader(http.StatusServiceUnavailable)
+					}),
+				})
+				c := rest.New(rest.WithDial(dial))
+				defer c.Close()
+				q := rest.Request{Method: http.MethodPost, Addr: addr, Path: "/", Hedge: true, Certain: x.isCertain}
+				_, err := c.Do(t.Context(), q)
+				require.Error(t, err)
+				var s *rest.ErrStatus
+				require.Equal(t, x.isRefused, errors.As(err, &s), err)
+			})
+		})
+	}
+}
