Put guaranteed work first, and spread it rather than let it wait beyond its bound

Change: work within a guarantee goes before all others; after two fifths of its bound it takes room in several racks.

Figures: TestGuaranteedGangSpreadsRatherThanWaits fails without the change.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -22,6 +22,8 @@
 	MaxHold time.Duration
 	// StopTimeout is how long a worker takes at most to stop a task.
 	StopTimeout time.Duration
+	// Claim is how long work within a guarantee may wait for its start.
+	Claim time.Duration
 	// GangTimeout is how long the first task of a gang waits for the others.
 	GangTimeout time.Duration
 	// KeepEnded is how long the state of a job is kept after its end.
@@ -65,7 +67,7 @@
 	deferred map[string]*unit
 	// ending are jobs whose end is being stored.
 	ending map[string]bool
-	ready    bool
+	ready  bool
 	// loggedBooks is when the books were last summed up in the log.
 	loggedBooks time.Time
 	wake        chan struct{}
@@ -93,7 +95,7 @@
 func New(out Outside, b Bounds, term int64, opts ...Option) *Engine {
 	e := &Engine{
 		out: out, bounds: b, term: term, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
-		planner: plan.New("", plan.WithRestartCost(restartCost)), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{}, ending: map[string]bool{},
+		planner: plan.New("", plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim)), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{}, ending: map[string]bool{},
 		wake: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -136,7 +136,7 @@
 	x := exec.New(exec.Outside{
 		Store: h.out.Store, Runners: h.out.Runners, Jobs: jobsTopic, Table: h.table, Follower: h.jobs,
 		Config: h.intake.Config, FollowRunners: h.out.FollowRunners,
-	}, exec.Bounds{MaxHold: b.MaxHold, StopTimeout: b.StopTimeout, GangTimeout: b.GangTimeout, KeepEnded: b.KeepEnded},
+	}, exec.Bounds{MaxHold: b.MaxHold, StopTimeout: b.StopTimeout, Claim: b.Claim, GangTimeout: b.GangTimeout, KeepEnded: b.KeepEnded},
 		o.Term, exec.WithClock(h.clock), exec.WithLog(h.log), exec.WithScope(h.scope.SubScope("owner")),
 		exec.WithRenewed(h.elect.Renewed))
 	if err := x.Run(ctx); err != nil && ctx.Err() == nil {
--- a/internal/setup/site.go
+++ b/internal/setup/site.go
@@ -44,6 +44,8 @@
 	MaxHold time.Duration
 	// StopTimeout is how long a worker takes at most to stop a task.
 	StopTimeout time.Duration
+	// Claim is how long work within a guarantee may wait for its start.
+	Claim time.Duration
 	// GangTimeout is how long the first task of a gang waits for the others.
 	GangTimeout time.Duration
 	// Revoke is how long a withdrawn key may still be taken.
@@ -105,6 +107,7 @@
 	return Bounds{
 		MaxHold:     s.duration("MaxHold", defaultHold, time.Second, maxBound),
 		StopTimeout: s.duration("StopTimeout", defaultStop, time.Millisecond, maxBound),
+		Claim:       s.duration("Claim", defaultTimeout, time.Millisecond, maxBound),
 		GangTimeout: s.duration("GangTimeout", defaultTimeout, time.Millisecond, maxBound),
 		Revoke:      s.duration("Revoke", defaultRevoke, time.Second, maxBound),
 		KeepEnded:   s.duration("KeepEnded", defaultKeep, time.Second, maxBound),
--- a/internal/state/plan/displace_test.go
+++ b/internal/state/plan/displace_test.go
@@ -86,3 +86,20 @@
 	d = p.Pass(start.Add(10 * time.Second))
 	require.Len(t, d.Starts, 1)
 }
+
+// TestGuaranteedGangSpreadsRatherThanWaits has a gang that wants one rack find each rack half taken by work that keeps
+// its own guarantee.
+func TestGuaranteedGangSpreadsRatherThanWaits(t *testing.T) {
+	p := planner(t, workers(2, 2), profiles(urgent), WithClaimBound(3*time.Second))
+	p.SetGuaranteed(map[string]int{"Gear": 16, "CW": 16})
+	for i, w := range []string{"w000", "w002"} {
+		g := job(fmt.Sprintf("g%d", i), "Gear", "Urgent", shape(1, 8, fleet.LevelWorker))
+		p.Adopt(g, []fleet.Assignment{{Worker: w}}, start)
+	}
+	require.NoError(t, p.Submit(job("own", "CW", "Urgent", shape(2, 8, fleet.LevelRack))))
+	d := p.Pass(start.Add(500 * time.Millisecond))
+	require.Empty(t, d.Starts)
+	d = p.Pass(start.Add(1500 * time.Millisecond))
+	require.Len(t, d.Starts, 1)
+	require.Equal(t, "own", d.Starts[0].Job.ID)
+}
--- a/internal/state/plan/order.go
+++ b/internal/state/plan/order.go
@@ -8,9 +8,15 @@
 	"github.com/auburncleat/auburncleat/internal/state/place"
 )
 
-// effectiveRank lets work that waits past its bound rise by one rank per bound, but never into the urgent rank.
+// sureRank goes before all urgencies.
+const sureRank = -1
+
+// effectiveRank puts guaranteed work first, and lets work that waits past its bound rise by one rank per bound, but never into the urgent rank.
 func (p *Planner) effectiveRank(e *entry) int {
 	r := e.rank()
+	if p.isSure(e) {
+		return sureRank
+	}
 	if r <= 1 || e.profile.WaitBound <= 0 {
 		return r
 	}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -145,6 +145,7 @@
 	}
 	p.unwant(e)
 	p.relent(e)
+	p.spreadOut(e)
 	if q := p.quota(e); q > 0 {
 		used := p.usage[e.job.Organisation].Accelerators + p.elsewhere[e.job.Organisation]
 		if used+e.shape.TotalAccelerators() > q {
--- a/internal/state/plan/sure.go
+++ b/internal/state/plan/sure.go
@@ -1,5 +1,29 @@
 package plan
 
+import (
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+)
+
+// WithClaimBound sets how long work within a guaranteed number of accelerators may wait for its start.
+func WithClaimBound(d time.Duration) Option {
+	return func(p *Planner) { p.claimBound = d }
+}
+
+// spreadFrom is the part of the bound after which guaranteed work takes room in several racks rather than in one.
+const spreadFrom = 0.4
+
+// spreadOut lets guaranteed work give up the wish for one rack when it would start too late otherwise.
+func (p *Planner) spreadOut(e *entry) {
+	if p.claimBound == 0 || e.shape.Adjacent != fleet.LevelRack || !p.isSure(e) {
+		return
+	}
+	if float64(p.now.Sub(e.job.Submitted)) > spreadFrom*float64(p.claimBound) {
+		e.shape.Adjacent = fleet.LevelDomain
+	}
+}
+
 // SetGuaranteed replaces the accelerators that belong to each organisation's urgent jobs, whatever their shape.
 func (p *Planner) SetGuaranteed(byOrg map[string]int) {
 	p.guaranteed = byOrg
