Take a task for lost only by a report that was asked for after its start was answered

Ruled out: late appends and late orders; the run was alone on its worker.

Change: the engine notes when a task was first known to be on its worker, and compares reports with that.

--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -87,7 +87,7 @@
 	case err == nil:
 		w.tick(at, e.clock.Now())
 		if m.presence == taskUnknown {
-			m.presence = taskThere
+			m.presence, m.seen = taskThere, e.clock.Now()
 			e.started(u)
 		}
 		w.signal()
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -45,6 +45,8 @@
 	instance string
 	task     int
 	presence presence
+	// seen is when the task was first known to be on the worker.
+	seen     time.Time
 	result   jobs.Result
 	isBroken bool
 	// barred is when the worker confirmed that the run will not start any more; zero before.
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -365,7 +365,7 @@
 			e.save(t.unit, x.Checkpoint, x.Percent)
 		}
 		if t.member.presence == taskUnknown {
-			t.member.presence = taskThere
+			t.member.presence, t.member.seen = taskThere, e.clock.Now()
 			e.started(t.unit)
 		}
 	}
@@ -383,7 +383,7 @@
 	m := t.member
 	switch {
 	case t.unit.phase == phaseStoring:
-	case m.presence == taskThere && !m.isStopping && t.unit.phase == phaseRunning && asked.Sub(t.unit.since) > clockSlack:
+	case m.presence == taskThere && !m.isStopping && t.unit.phase == phaseRunning && asked.After(m.seen):
 		e.ended(t.unit, m, jobs.Lost, "", false)
 	case !m.barred.IsZero() && asked.After(m.barred):
 		e.ended(t.unit, m, jobs.Stopped, "", false)
