Clear workers one by one where tasks take most of a worker

Change: all workers are searched, and the cheapest is cleared for the next task each time; the plan that loses least wins.

Figures: TestGuaranteedGangFindsTheWorkersThatItMayClear failed before.

--- a/internal/state/plan/clear.go
+++ b/internal/state/plan/clear.go
@@ -69,15 +69,20 @@
 func (p *Planner) cheapestSpot(e *entry, s fleet.Shape, n place.Room, v, free place.View, may func(*entry) bool) clearing {
 	var best clearing
 	try := func(in []scope) {
-		if c := p.clear(in, e, free, may); c.ok && (!best.ok || c.cost < best.cost) {
-			best = c
+		for _, c := range []clearing{p.clear(in, e, free, may), p.clearBySite(in, e, free, may)} {
+			if c.ok && (!best.ok || c.cost < best.cost) {
+				best = c
+			}
 		}
 	}
 	if s.Adjacent == fleet.LevelDomain {
-		q := place.Search{Shape: s, View: v}
 		var in []scope
-		for _, x := range p.books.Fit(q) {
-			in = addScope(in, x, 1)
+		for _, r := range p.books.Racks() {
+			for _, x := range r.Sites {
+				if m := v(x).Holds(n); m > 0 {
+					in = append(in, scope{x, m})
+				}
+			}
 		}
 		try(in)
 		return best
@@ -119,6 +124,34 @@
 // clear chooses borrowers whose stop lets the job's tasks fit into the scopes: cheapest for what they free first, and
 // then without those that turn out not to be needed.
 func (p *Planner) clear(in []scope, e *entry, free place.View, may func(*entry) bool) clearing {
+	ys, at, bs := p.candidates(in, free, may)
+	bs = p.byLoss(bs, at)
+	sum := func() int {
+		n := 0
+		for i := range ys {
+			n += ys[i].holds(e.need)
+		}
+		return n
+	}
+	var stops []*entry
+	have := sum()
+	for _, b := range bs {
+		if have >= e.shape.Tasks {
+			break
+		}
+		shift(b, at, 1)
+		stops = append(stops, b)
+		have = sum()
+	}
+	if have < e.shape.Tasks {
+		return clearing{}
+	}
+	return p.prune(ys, at, stops, e, sum)
+}
+
+// candidates returns the sites with their room once those that are being stopped have left, and the borrowers that
+// may be stopped besides.
+func (p *Planner) candidates(in []scope, free place.View, may func(*entry) bool) ([]candidate, map[*place.Site]*candidate, []*entry) {
 	ys := make([]candidate, len(in))
 	at := make(map[*place.Site]*candidate, len(in))
 	var bs []*entry
@@ -138,7 +171,17 @@
 			}
 		}
 	}
-	bs = p.byLoss(bs, at)
+	return ys, at, bs
+}
+
+// clearBySite clears one site after the other, each time the one where the next task costs least; it suits tasks that
+// take most of a worker.
+func (p *Planner) clearBySite(in []scope, e *entry, free place.View, may func(*entry) bool) clearing {
+	ys, at, bs := p.candidates(in, free, may)
+	open := make(map[*entry]bool, len(bs))
+	for _, b := range bs {
+		open[b] = true
+	}
 	sum := func() int {
 		n := 0
 		for i := range ys {
@@ -147,21 +190,52 @@
 		return n
 	}
 	var stops []*entry
-	have := sum()
-	for _, b := range bs {
-		if have >= e.shape.Tasks {
-			break
+	for sum() < e.shape.Tasks {
+		var best []*entry
+		cost := 0.0
+		for i := range ys {
+			if bs, c, ok := p.clearOne(&ys[i], e, open); ok && (best == nil || c < cost) {
+				best, cost = bs, c
+			}
+		}
+		if best == nil {
+			return clearing{}
+		}
+		for _, b := range best {
+			delete(open, b)
+			shift(b, at, 1)
+			stops = append(stops, b)
 		}
-		shift(b, at, 1)
-		stops = append(stops, b)
-		have = sum()
-	}
-	if have < e.shape.Tasks {
-		return clearing{}
 	}
 	return p.prune(ys, at, stops, e, sum)
 }
 
+// clearOne returns the borrowers of a site, cheapest first, after which it holds one more task, and what they lose.
+func (p *Planner) clearOne(y *candidate, e *entry, open map[*entry]bool) ([]*entry, float64, bool) {
+	have := y.holds(e.need)
+	if have >= y.tasks {
+		return nil, 0, false
+	}
+	var bs []*entry
+	for _, b := range p.on[y.site] {
+		if open[b] {
+			bs = append(bs, b)
+		}
+	}
+	slices.SortFunc(bs, func(x, y *entry) int {
+		return cmp.Or(cmp.Compare(p.loss(x), p.loss(y)), cmp.Compare(x.job.ID, y.job.ID))
+	})
+	room, cost := y.room, 0.0
+	for i, b := range bs {
+		room = room.Plus(b.roomOn(y.site))
+		cost += p.loss(b)
+		if min(y.tasks, room.Holds(e.need)) > have {
+			return bs[:i+1], cost, true
+		}
+	}
+	return nil, 0, false
+}
+
 // prune takes back stops that are not needed, the dearest first, and picks the sites.
 func (p *Planner) prune(ys []candidate, at map[*place.Site]*candidate, stops []*entry, e *entry, sum func() int) clearing {
 	slices.SortStableFunc(stops, func(x, y *entry) int { return cmp.Compare(p.loss(y), p.loss(x)) })
--- a/internal/state/plan/displace_test.go
+++ b/internal/state/plan/displace_test.go
@@ -103,3 +103,25 @@
 	require.Len(t, d.Starts, 1)
 	require.Equal(t, "own", d.Starts[0].Job.ID)
 }
+
+// TestGuaranteedGangFindsTheWorkersThatItMayClear has a gang of whole workers find most of each rack taken by work that
+// keeps its own guarantee, and one worker in each rack by work that borrows.
+func TestGuaranteedGangFindsTheWorkersThatItMayClear(t *testing.T) {
+	p := planner(t, workers(3, 3), profiles(urgent, audit), WithClaimBound(3*time.Second))
+	p.SetGuaranteed(map[string]int{"Gear": 48, "CW": 24})
+	for i, w := range workers(3, 3) {
+		profile := "Urgent"
+		if i%3 == 2 {
+			profile = "Audit"
+		}
+		x := job(w.Name, "Gear", profile, shape(1, 8, fleet.LevelWorker))
+		p.Adopt(x, []fleet.Assignment{{Worker: w.Name}}, start)
+	}
+	require.NoError(t, p.Submit(job("own", "CW", "Urgent", shape(3, 8, fleet.LevelRack))))
+	d := p.Pass(start.Add(2 * time.Second))
+	require.Len(t, d.Stops, 3)
+	end(p, d, start.Add(2200*time.Millisecond))
+	d = p.Pass(start.Add(2200 * time.Millisecond))
+	require.Len(t, d.Starts, 1)
+	require.Equal(t, "own", d.Starts[0].Job.ID)
+}
