Weigh a stop by what it loses against what the job is worth

Cause: urgent work stopped any less urgent work at once, so that tasks were started and stopped up to eight times and a tenth of the worth was paid for work thrown away.

Change: outside of guarantees, urgent work may cost others three seconds of work for each of its own and other work 0.3; what a gang takes is counted in its scarcest resource instead of accelerators alone.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -95,7 +95,8 @@
 func New(out Outside, b Bounds, term int64, opts ...Option) *Engine {
 	e := &Engine{
 		out: out, bounds: b, term: term, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
-		planner: plan.New("", plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim)), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{}, ending: map[string]bool{},
+		planner: plan.New("", plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim),
+			plan.WithWasteBounds(urgentWaste, otherWaste)), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{}, ending: map[string]bool{},
 		wake: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
@@ -163,6 +164,9 @@
 	checkInterval = 150 * time.Millisecond
 	// restartCost is the run time that a stopped unit with a checkpoint loses.
 	restartCost = 500 * time.Millisecond
+	// urgentWaste and otherWaste are the seconds of others' work that a second of urgent work, or of other work, may cost.
+	urgentWaste = 3
+	otherWaste  = 0.3
 	// settle is how long a new owner waits for the answers of the workers before it starts anything.
 	settle = 700 * time.Millisecond
 )
--- a/internal/state/plan/clear.go
+++ b/internal/state/plan/clear.go
@@ -46,14 +46,40 @@
 	cost  float64
 }
 
+// stopCost is the run time that any stop loses.
+const stopCost = time.Second
+
+// WithWasteBounds sets how much run time urgent work, and other work, may make others lose for each second of its own;
+// zero means any.
+func WithWasteBounds(urgent, other float64) Option {
+	return func(p *Planner) { p.waste = [2]float64{urgent, other} }
+}
+
+// isWorth reports whether a clearing loses no more than the job is worth.
+func (p *Planner) isWorth(e *entry, c clearing) bool {
+	bound := p.waste[1]
+	if e.rank() == 0 {
+		bound = p.waste[0]
+	}
+	if bound == 0 || p.isSure(e) {
+		return true
+	}
+	return c.cost <= bound*p.weightOf(e)*p.runTime(e).Seconds()
+}
+
+// weightOf returns how much of the failure domain a job takes, counted in accelerators.
+func (p *Planner) weightOf(e *entry) float64 {
+	x := p.share(e.need.Times(e.shape.Tasks)) * float64(p.total.Accelerators)
+	return max(x, float64(e.shape.TotalAccelerators()), 1)
+}
+
 // loss returns the accelerator seconds that stopping a gang now would lose.
 func (p *Planner) loss(e *entry) float64 {
 	run := p.now.Sub(e.since)
 	if !e.job.LosesProgress {
 		run = min(run, e.profile.ReclaimBound+p.restartCost)
 	}
-	accs := max(e.shape.TotalAccelerators(), 1)
-	return float64(accs) * (run.Seconds() + 1)
+	return p.weightOf(e) * (run.Seconds() + stopCost.Seconds())
 }
 
 // cheapest compares all spots of an idle gang by what stopping their borrowers would lose.
@@ -315,7 +341,7 @@
 		v = p.open(e, end, func(s *place.Site) place.Room { return s.Capacity })
 	}
 	c := p.cheapestSpot(e, e.shape, e.need, v, (*place.Site).Free, func(b *entry) bool { return p.mayDisplace(e, b) })
-	if !c.ok {
+	if !c.ok || !p.isWorth(e, c) {
 		return false
 	}
 	p.await(e, c, fmt.Sprintf("more urgent work, %s, takes the capacity that this job borrowed", e.label()))
