Let work that can still end on time go first, and useless work last

Change: a job carries how long after its submission it should end; within an urgency jobs that can still keep it go first, and jobs that can be of no use go last, in all urgencies.

--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/auburncleat/auburncleat/internal/state/queue"
 )
 
 // adopt takes over the units that former owners have started.
@@ -113,10 +114,17 @@
 
 // plannerJob returns the unit as the planner knows it.
 func (e *Engine) plannerJob(u *unit) fleet.Job {
+	var q queue.Queue
+	if e.config != nil {
+		if x := e.config.GetQueue(u.queue); x != nil {
+			q = *x
+		}
+	}
 	return fleet.Job{
 		ID: u.name, Organisation: u.org, Profile: u.queue, Shape: e.shape(u), RunTime: u.step.Estimate,
 		Submitted: u.since, Progress: u.progress, Group: groupOf(u), PerWorker: u.step.PerWorker, Label: u.step.Label,
 		Rack: u.step.Rack, LosesProgress: !u.step.Checkpoints,
+		Objective: q.Objective, Stretch: q.Stretch,
 	}
 }
 
--- a/internal/state/fleet/job.go
+++ b/internal/state/fleet/job.go
@@ -28,6 +28,9 @@
 	PerWorker int
 	// Label is one that each worker of the job must have; empty means any.
 	Label string
+	// Objective, and Stretch times the run time, is how long after its submission the job should end; zero means never.
+	Objective time.Duration
+	Stretch   float64
 	// LosesProgress tells that the tasks do not checkpoint, so that a stop loses what they did.
 	LosesProgress bool
 	// Rack is the one near the job's data; empty means any.
--- a/internal/state/plan/clear.go
+++ b/internal/state/plan/clear.go
@@ -55,6 +55,9 @@
 	return func(p *Planner) { p.waste = [2]float64{urgent, other} }
 }
 
+// lateWorth is what a job is worth that cannot end on time any more.
+const lateWorth = 0.25
+
 // isWorth reports whether a clearing loses no more than the job is worth.
 func (p *Planner) isWorth(e *entry, c clearing) bool {
 	bound := p.waste[1]
@@ -64,6 +67,9 @@
 	if bound == 0 || p.isSure(e) {
 		return true
 	}
+	if p.promise(e) != onTime {
+		bound *= lateWorth
+	}
 	return c.cost <= bound*p.weightOf(e)*p.runTime(e).Seconds()
 }
 
--- a/internal/state/plan/order.go
+++ b/internal/state/plan/order.go
@@ -17,6 +17,9 @@
 	if p.isSure(e) {
 		return sureRank
 	}
+	if p.promise(e) == useless {
+		return ranks
+	}
 	if r <= 1 || e.profile.WaitBound <= 0 {
 		return r
 	}
@@ -44,9 +47,10 @@
 const defaultWaitBound = 4 * time.Hour
 
 type ordered struct {
-	e    *entry
-	rank int
-	late float64
+	e       *entry
+	rank    int
+	promise promise
+	late    float64
 }
 
 // order returns the queued jobs by urgency, then by wait against the bound of the profile, where the waits of an
@@ -55,12 +59,13 @@
 	os := make([]ordered, 0, p.waiting)
 	for _, e := range p.jobs {
 		if e.isQueued() {
-			os = append(os, ordered{e: e, rank: p.effectiveRank(e), late: p.late(e)})
+			os = append(os, ordered{e: e, rank: p.effectiveRank(e), promise: p.promise(e), late: p.late(e)})
 		}
 	}
 	slices.SortFunc(os, func(x, y ordered) int {
 		return cmp.Or(
 			cmp.Compare(x.rank, y.rank),
+			cmp.Compare(x.promise, y.promise),
 			cmp.Compare(y.late, x.late),
 			cmp.Compare(x.e.job.ID, y.e.job.ID),
 		)
@@ -72,7 +77,7 @@
 	}
 	for i := 0; i < len(os); {
 		j := i
-		for j < len(os) && os[j].rank == os[i].rank {
+		for j < len(os) && os[j].rank == os[i].rank && os[j].promise == os[i].promise {
 			j++
 		}
 		out = p.interleave(out, os[i:j], use)
