Keep free room in the shapes of recent urgent gangs

Cause: free accelerators were packed for the shapes that waited; between two urgent gangs none did, so small work broke up the racks that the next gang needed, and was stopped for it.

Change: the planner remembers the shapes of the newest 32 urgent gangs among those that free room should serve.

--- a/internal/state/plan/guess.go
+++ b/internal/state/plan/guess.go
@@ -28,8 +28,22 @@
 	return p.now.Add(ran / 2)
 }
 
-// findTargets returns the shapes that the free accelerators should serve: the guaranteed and the queued ones with the
-// most accelerators, weighed by these.
+// maxRecent bounds the shapes of recent urgent gangs that are remembered.
+const maxRecent = 32
+
+// remember keeps the shape of an urgent gang, since others like it will come.
+func (p *Planner) remember(e *entry) {
+	if e.rank() > 0 || e.shape.Tasks < 2 {
+		return
+	}
+	p.recent = append(p.recent, e.shape)
+	if len(p.recent) > maxRecent {
+		p.recent = p.recent[1:]
+	}
+}
+
+// findTargets returns the shapes that the free accelerators should serve: the guaranteed, the queued and the recent
+// urgent ones with the most accelerators, weighed by these.
 func (p *Planner) findTargets(queue []*entry) []place.Target {
 	var ss []fleet.Shape
 	for _, g := range p.keeper.Gangs() {
@@ -38,5 +52,6 @@
 	for _, e := range queue {
 		ss = append(ss, e.job.Shape)
 	}
+	ss = append(ss, p.recent...)
 	return place.NewTargets(ss, maxTargets)
 }
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -108,6 +108,7 @@
 		return fmt.Errorf("submit %s: %w", j.ID, err)
 	}
 	p.jobs[j.ID] = e
+	p.remember(e)
 	p.enqueue(e)
 	return nil
 }
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -32,6 +32,8 @@
 	total      place.Room
 	tightest   time.Duration
 	weight     float64
+	// recent holds the shapes of the newest urgent gangs.
+	recent []fleet.Shape
 	// waste bounds what urgent work, and other work, may make others lose.
 	waste [2]float64
 	// claimBound is how long work within a guaranteed number of accelerators may wait for its start; zero means no bound.
