Keep room for the lately seen peak of urgent work free of work that loses progress

Change: half of the difference between the lately seen peak of urgent work and its present use is kept free of it.

--- a/internal/coordination/exec/books.go
+++ b/internal/coordination/exec/books.go
@@ -9,6 +9,11 @@
 // booksInterval is the time between two lines of the log that sum up queue and workers.
 const booksInterval = 2 * time.Second
 
+// percent returns a part of a whole in percent.
+func percent(part, whole int) int {
+	return int(100 * float64(part) / float64(max(whole, 1)))
+}
+
 // logBooks sums up the queue and the workers, with the reason why the oldest queued unit waits.
 func (e *Engine) logBooks(now time.Time) {
 	if now.Sub(e.loggedBooks) < booksInterval {
@@ -24,15 +29,16 @@
 		}
 	}
 	workers := map[string]int{}
-	used := 0
 	for _, v := range e.planner.FindWorkers() {
 		workers[v.State]++
-		used += v.AcceleratorsUsed
 	}
+	used, total := e.planner.Load()
 	args := []any{
 		"Term", e.term, "Queued", phases[phaseQueued], "Deferred", len(e.deferred),
 		"Running", phases[phaseRunning], "Starting", phases[phaseStoring] + phases[phaseStarting],
-		"Stopping", phases[phaseStopping], "Ending", phases[phaseEnding], "AcceleratorsUsed", used,
+		"Stopping", phases[phaseStopping], "Ending", phases[phaseEnding], "AcceleratorsUsed", used.Accelerators, "Accelerators", total.Accelerators,
+		"ProcessorsUsed", percent(used.Processors, total.Processors), "MemoryUsed", percent(int(used.Memory), int(total.Memory)),
+		"Held", e.planner.CountHeld(),
 		"Ready", workers[plan.WorkerReady], "Leaving", workers[plan.WorkerLeaving],
 		"Quarantined", workers[plan.WorkerQuarantined], "Probation", workers[plan.WorkerProbation],
 	}
@@ -47,5 +53,5 @@
 	e.log.Info("books", args...)
 	e.scope.Gauge("units_queued").Update(float64(phases[phaseQueued]))
 	e.scope.Gauge("units_running").Update(float64(phases[phaseRunning]))
-	e.scope.Gauge("accelerators_used").Update(float64(used))
+	e.scope.Gauge("accelerators_used").Update(float64(used.Accelerators))
 }
--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -96,7 +96,8 @@
 	e := &Engine{
 		out: out, bounds: b, term: term, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
 		planner: plan.New("", plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim),
-			plan.WithWasteBounds(urgentWaste, otherWaste)), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{}, ending: map[string]bool{},
+			plan.WithWasteBounds(urgentWaste, otherWaste),
+			plan.WithHeadroom(headroomMemory, headroomShare)), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{}, ending: map[string]bool{},
 		wake: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
@@ -167,6 +168,9 @@
 	// urgentWaste and otherWaste are the seconds of others' work that a second of urgent work, or of other work, may cost.
 	urgentWaste = 3
 	otherWaste  = 0.3
+	// headroomMemory is how long a peak of urgent work is remembered, and headroomShare the part of it that is kept free.
+	headroomMemory = 10 * time.Second
+	headroomShare  = 0.5
 	// settle is how long a new owner waits for the answers of the workers before it starts anything.
 	settle = 700 * time.Millisecond
 )
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -50,6 +50,7 @@
 	p.refresh()
 	p.repair()
 	p.rependent()
+	p.noteHeadroom()
 	queue := p.order()
 	p.targets = p.findTargets(queue)
 	for _, e := range queue {
@@ -153,7 +154,12 @@
 			return
 		}
 	}
+	if !p.leavesHeadroom(e) {
+		e.why = why{code: whyRoom}
+		return
+	}
 	if sites, reason := p.findSites(e); sites != nil {
+		p.headroom.took(e.need, e.shape.Tasks)
 		p.start(e, sites, reason, d)
 		return
 	}
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -32,6 +32,7 @@
 	total      place.Room
 	tightest   time.Duration
 	weight     float64
+	headroom   headroom
 	// recent holds the shapes of the newest urgent gangs.
 	recent []fleet.Shape
 	// waste bounds what urgent work, and other work, may make others lose.
--- a/internal/state/plan/status.go
+++ b/internal/state/plan/status.go
@@ -189,3 +189,29 @@
 	}
 	return out
 }
+
+// Load returns what started jobs take of the open workers, and what these have.
+func (p *Planner) Load() (used, total place.Room) {
+	for _, r := range p.books.Racks() {
+		for _, s := range r.Sites {
+			if !s.Closed {
+				used = used.Plus(s.Used)
+				total = total.Plus(s.Capacity)
+			}
+		}
+	}
+	return used, total
+}
+
+// CountHeld returns how many workers are held back for a blocked gang.
+func (p *Planner) CountHeld() int {
+	n := 0
+	for _, r := range p.books.Racks() {
+		for _, s := range r.Sites {
+			if !s.HeldFrom.IsZero() {
+				n++
+			}
+		}
+	}
+	return n
+}
