Let urgent work cost others less, and keep the whole of its lately seen peak free

Change: a second of urgent work may cost 1.5 seconds of others' instead of 3; the whole difference to the peak is kept free instead of half.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -166,11 +166,11 @@
 	// restartCost is the run time that a stopped unit with a checkpoint loses.
 	restartCost = 500 * time.Millisecond
 	// urgentWaste and otherWaste are the seconds of others' work that a second of urgent work, or of other work, may cost.
-	urgentWaste = 3
+	urgentWaste = 1.5
 	otherWaste  = 0.3
 	// headroomMemory is how long a peak of urgent work is remembered, and headroomShare the part of it that is kept free.
 	headroomMemory = 10 * time.Second
-	headroomShare  = 0.5
+	headroomShare  = 1.0
 	// settle is how long a new owner waits for the answers of the workers before it starts anything.
 	settle = 700 * time.Millisecond
 )
