--- /dev/null
+++ b/internal/host/fleet_test.go
@@ -0,0 +1,238 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/clock"
+	"github.com/auburncleat/auburncleat/internal/coordination/intake"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/setup"
+	"github.com/auburncleat/auburncleat/internal/standin"
+	"github.com/auburncleat/auburncleat/internal/state/config"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/auburncleat/auburncleat/internal/state/queue"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	attempts = 3
+	maxHold  = 4 * time.Second
+)
+
+var testConfig = &queue.Config{
+	Version: 1,
+	Queues: []queue.Queue{
+		{Name: "urgent", Host: "h", Prefix: "/urgent/", Urgency: config.Urgent, MaxAttempts: attempts},
+		{Name: "quiet", Host: "h", Prefix: "/quiet/", Urgency: config.Quiet, MaxAttempts: attempts},
+	},
+	Organisations: []queue.Organisation{{Name: "Gear", Accelerators: 8}},
+	Keys:          map[string]string{"k": "Gear"},
+}
+
+// site is a whole deployment in memory: store, workers and hosts.
+type site struct {
+	t       *testing.T
+	store   *standin.Store
+	runners *standin.Runners
+	mu      sync.Mutex
+	hosts   map[string]*Host
+	stops   []func()
+	// dead hosts reach nothing.
+	dead map[string]bool
+	// cut names links between hosts and workers.
+	cut map[[2]string]bool
+	ids []string
+	// log shows what the hosts log when a test is run with SITE_LOG set.
+	log *slog.Logger
+}
+
+// inSite runs a test with a deployment of the given hosts and 6 workers of 8 accelerators in 3 racks.
+func inSite(t *testing.T, plan standin.RunPlan, hosts []string, f func(s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := clock.System()
+		s := &site{
+			t: t, store: standin.NewStore(c, 2*time.Millisecond), hosts: map[string]*Host{}, dead: map[string]bool{},
+			cut: map[[2]string]bool{}, log: slog.New(slog.DiscardHandler),
+		}
+		if os.Getenv("SITE_LOG") != "" {
+			s.log = slog.New(slog.NewTextHandler(os.Stderr, nil))
+		}
+		s.runners = standin.NewRunners(c, standin.RunBounds{MaxHold: maxHold, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second}, plan)
+		s.runners.SetCut(s.isCut)
+		for i := range 6 {
+			s.runners.Add(testWorker(i))
+		}
+		_, err := s.store.View("operator").Append(s.t.Context(), port.Append{Topic: testOperators, Entries: []port.Entry{{Key: "config", Value: []byte("1")}}})
+		require.NoError(t, err)
+		for _, h := range hosts {
+			s.start(h)
+		}
+		defer func() {
+			for _, stop := range s.stops {
+				stop()
+			}
+		}()
+		f(s)
+	})
+}
+
+var testOperators = port.Topic{Name: "op", IsKeyed: true}
+
+func testWorker(i int) fleet.Worker {
+	return fleet.Worker{
+		Name: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i/2), Slots: 1 << 20, Accelerators: 8, Processors: 64,
+		Memory: fleet.Gigabyte, Addr: netip.MustParseAddrPort(fmt.Sprintf("127.0.0.%d:1", i+1)),
+	}
+}
+
+func (s *site) isCut(host, worker string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dead[host] || s.cut[[2]string{host, worker}]
+}
+
+// start starts a host, under its own name in the store and towards the workers.
+func (s *site) start(name string) {
+	x := &setup.Site{
+		Host: setup.SiteHost{Name: name, Domain: "d"},
+		Bounds: setup.Bounds{
+			MaxHold: maxHold, StopTimeout: 200 * time.Millisecond, Claim: 3 * time.Second, GangTimeout: 3 * time.Second,
+			Revoke: 5 * time.Second, KeepEnded: time.Minute, Grace: 5 * time.Second,
+		},
+		Limits: setup.SiteLimits{MaxOpenJobs: 1000},
+	}
+	x.Listen.Peer = netip.MustParseAddrPort("127.0.1.1:1")
+	h := New(x, Outside{
+		Store: s.store.View(name), Runners: s.runners.View(name), ConfigTopic: testOperators,
+		FollowRunners: func(ctx context.Context, put func(port.Runner), _ func(string)) error {
+			for i := range 6 {
+				put(port.Runner{Worker: testWorker(i)})
+			}
+			<-ctx.Done()
+			return nil
+		},
+		DecodeConfig: func(port.Entry) (*queue.Config, error) { return testConfig, nil },
+		Door:         func(*intake.Intake, *slog.Logger) http.Handler { return http.NotFoundHandler() },
+		Listen:       func(netip.AddrPort) (net.Listener, error) { return newDeaf(), nil },
+	}, WithLog(s.log.With("Host", name)))
+	ctx, cancel := context.WithCancel(s.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = h.Run(ctx)
+	}()
+	s.hosts[name] = h
+	s.stops = append(s.stops, func() {
+		cancel()
+		<-done
+	})
+}
+
+// kill takes a host away from everything, for good.
+func (s *site) kill(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dead[name] = true
+	s.store.SetSilent(name, true)
+	delete(s.hosts, name)
+}
+
+// owner returns the name of the host that owns the jobs, as any host has read.
+func (s *site) owner() string {
+	for _, h := range s.hosts {
+		if o := h.elect.Owner(); s.hosts[o.Host] != nil {
+			return o.Host
+		}
+	}
+	return ""
+}
+
+// submit hands a job in at a host and returns its id.
+func (s *site) submit(host, id, q string, steps ...jobs.Step) error {
+	h := s.hosts[host]
+	c, err := h.intake.Admit("h", "/"+q+"/"+id, "k")
+	if err != nil {
+		return err
+	}
+	err = h.intake.Submit(s.t.Context(), c, &jobs.Job{ID: id, Spec: id, Steps: steps}, 3*time.Second)
+	if err == nil && !slices.Contains(s.ids, id) {
+		s.ids = append(s.ids, id)
+	}
+	return err
+}
+
+func (s *site) wait(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// requireEnded waits until every accepted job has the state at every host, and that no promise was broken.
+func (s *site) requireEnded(want intake.Progress, within time.Duration) {
+	s.t.Helper()
+	until := time.Now().Add(within)
+	for {
+		open := ""
+		for n, h := range s.hosts {
+			for _, id := range s.ids {
+				if p, err := h.intake.GetState(id); err != nil || p != want {
+					open = fmt.Sprintf("%s at %s: state %d, error %v", id, n, p, err)
+				}
+			}
+		}
+		if open == "" {
+			break
+		}
+		if time.Now().After(until) {
+			require.Fail(s.t, "jobs have not ended", open)
+		}
+		s.wait(100 * time.Millisecond)
+	}
+	require.Empty(s.t, s.runners.Faults())
+}
+
+// deaf is a listener to which nobody connects.
+type deaf struct{ closed chan struct{} }
+
+func newDeaf() *deaf { return &deaf{make(chan struct{})} }
+
+func (d *deaf) Accept() (net.Conn, error) {
+	<-d.closed
+	return nil, net.ErrClosed
+}
+
+func (d *deaf) Close() error {
+	select {
+	case <-d.closed:
+	default:
+		close(d.closed)
+	}
+	return nil
+}
+
+func (d *deaf) Addr() net.Addr { return &net.TCPAddr{} }
+
+// takes plans every run to take the given time and to end well.
+func takes(d time.Duration) standin.RunPlan {
+	return func(port.RunRef, string) (time.Duration, jobs.Result) { return d, jobs.Done }
+}
+
+func gang(tasks, accs int) jobs.Step {
+	return jobs.Step{Tasks: tasks, Accelerators: accs, Processors: 1, Gang: true, Adjacent: true, Estimate: time.Second}
+}
+
+func tasks(n int, after ...int) jobs.Step {
+	return jobs.Step{Tasks: n, Accelerators: 1, Processors: 1, Estimate: time.Second, After: after}
+}
--- /dev/null
+++ b/internal/standin/runner.go
@@ -0,0 +1,321 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/clock"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+)
+
+// RunBounds are the figures that the workers of a stand-in keep to.
+type RunBounds struct {
+	MaxHold     time.Duration
+	StopTimeout time.Duration
+	GangTimeout time.Duration
+}
+
+// RunPlan tells how a run of a task goes: how long it works, and how it ends.
+type RunPlan func(r port.RunRef, spec string) (time.Duration, jobs.Result)
+
+// Runners is a stand-in for workers that run tasks under leases; it notes each promise that its callers break.
+type Runners struct {
+	clock  clock.Clock
+	bounds RunBounds
+	plan   RunPlan
+	mu     sync.Mutex
+	byAddr map[netip.AddrPort]*runWorker
+	born   int
+	// noted holds the tasks whose end as done was acknowledged.
+	noted  map[port.RunRef]bool
+	faults []string
+	starts int
+	// isCut reports whether a host cannot reach a worker.
+	isCut func(host, worker string) bool
+}
+
+type runWorker struct {
+	worker   fleet.Worker
+	instance string
+	start    time.Time
+	token    int64
+	lease    time.Time
+	tasks    map[port.RunRef]*runTask
+	ended    []port.RunEnd
+	numbers  int64
+	barred   map[port.RunRef]int
+	// drop loses the answers of orders, which are carried out after the given time.
+	drop time.Duration
+}
+
+type runTask struct {
+	ref   port.RunRef
+	done  time.Time
+	how   jobs.Result
+	stops time.Time
+}
+
+// NewRunners returns workers whose runs go as planned.
+func NewRunners(c clock.Clock, b RunBounds, p RunPlan) *Runners {
+	return &Runners{
+		clock: c, bounds: b, plan: p, byAddr: map[netip.AddrPort]*runWorker{}, noted: map[port.RunRef]bool{},
+		isCut: func(string, string) bool { return false },
+	}
+}
+
+// SetCut replaces the function that tells which host cannot reach which worker.
+func (r *Runners) SetCut(f func(host, worker string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isCut = f
+}
+
+// Add starts a worker, or a new lifetime of it.
+func (r *Runners) Add(w fleet.Worker) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.born++
+	r.byAddr[w.Addr] = &runWorker{
+		worker: w, instance: fmt.Sprintf("%s-%d", w.Name, r.born), start: r.clock.Now(),
+		tasks: map[port.RunRef]*runTask{}, barred: map[port.RunRef]int{},
+	}
+}
+
+// SetDrop has the orders to a worker go unanswered and be carried out after the given time; zero answers them again.
+func (r *Runners) SetDrop(addr netip.AddrPort, late time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byAddr[addr].drop = late
+}
+
+// Faults returns the promises that were broken.
+func (r *Runners) Faults() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.faults)
+}
+
+// Starts returns how many runs were started.
+func (r *Runners) Starts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.starts
+}
+
+// View returns the workers as a host reaches them.
+func (r *Runners) View(host string) port.Runners {
+	return port.Runners{
+		Start: func(ctx context.Context, to netip.AddrPort, s port.RunStart) (time.Duration, error) {
+			w, err := r.enter(ctx, host, to)
+			if err != nil {
+				return 0, err
+			}
+			return r.order(w, func() (time.Duration, error) { return r.startTask(w, s) })
+		},
+		Stop: func(ctx context.Context, to netip.AddrPort, ref port.RunRef, token int64, instance string) error {
+			w, err := r.enter(ctx, host, to)
+			if err != nil {
+				return err
+			}
+			_, err = r.order(w, func() (time.Duration, error) { return 0, r.stopTask(w, ref, token, instance) })
+			return err
+		},
+		Hold: func(ctx context.Context, to netip.AddrPort, h port.RunHold) (port.RunReport, error) {
+			w, err := r.enter(ctx, host, to)
+			if err != nil {
+				return port.RunReport{}, err
+			}
+			return r.hold(ctx, w, h)
+		},
+	}
+}
+
+// runDelay is the way to a worker and back.
+const runDelay = 5 * time.Millisecond
+
+func (r *Runners) enter(ctx context.Context, host string, to netip.AddrPort) (*runWorker, error) {
+	if err := r.clock.Sleep(ctx, runDelay); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	w := r.byAddr[to]
+	cut := w == nil || r.isCut(host, w.worker.Name)
+	r.mu.Unlock()
+	if !cut {
+		return w, nil
+	}
+	_ = r.clock.Sleep(ctx, silentFor)
+	return nil, ErrSilent
+}
+
+// order carries out an order now, or later and without an answer.
+func (r *Runners) order(w *runWorker, f func() (time.Duration, error)) (time.Duration, error) {
+	r.mu.Lock()
+	late := w.drop
+	if late == 0 {
+		defer r.mu.Unlock()
+		return f()
+	}
+	r.mu.Unlock()
+	go func() {
+		_ = r.clock.Sleep(context.Background(), late)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		_, _ = f()
+	}()
+	return 0, ErrSilent
+}
+
+func taskOf(r port.RunRef) port.RunRef {
+	r.Run = 0
+	return r
+}
+
+// admit checks lifetime and token, and brings the worker up to date.
+func (r *Runners) admit(w *runWorker, token int64, instance string) error {
+	if r.byAddr[w.worker.Addr] != w {
+		return ErrSilent
+	}
+	r.advance(w)
+	if instance != "" && instance != w.instance {
+		return port.ErrInstance
+	}
+	if token < w.token {
+		return port.ErrFenced
+	}
+	w.token = token
+	return nil
+}
+
+func (r *Runners) startTask(w *runWorker, s port.RunStart) (time.Duration, error) {
+	if err := r.admit(w, s.Token, s.Instance); err != nil {
+		return 0, err
+	}
+	now := r.clock.Now()
+	t := taskOf(s.Ref)
+	if x := w.tasks[t]; x != nil && x.ref.Run == s.Ref.Run {
+		return now.Sub(w.start), nil
+	}
+	if s.Ref.Run <= w.barred[t] {
+		return 0, port.ErrOldRun
+	}
+	until := w.start.Add(s.Until)
+	if until.Before(now) {
+		return 0, port.ErrLate
+	}
+	w.lease = later(w.lease, minTime(until, now.Add(r.bounds.MaxHold)))
+	d, how := r.plan(s.Ref, s.Spec)
+	r.checkStart(w, s.Ref)
+	w.tasks[t] = &runTask{ref: s.Ref, done: now.Add(d), how: how}
+	r.starts++
+	return now.Sub(w.start), nil
+}
+
+// checkStart notes the promises that a start breaks.
+func (r *Runners) checkStart(w *runWorker, ref port.RunRef) {
+	t := taskOf(ref)
+	if r.noted[t] {
+		r.faults = append(r.faults, fmt.Sprintf("%v started after it was done", ref))
+	}
+	for _, o := range r.byAddr {
+		r.advance(o)
+		if x := o.tasks[t]; x != nil {
+			r.faults = append(r.faults, fmt.Sprintf("%v started on %s while run %d is on %s", ref, w.worker.Name, x.ref.Run, o.worker.Name))
+		}
+	}
+	if len(w.tasks) >= w.worker.Accelerators {
+		r.faults = append(r.faults, fmt.Sprintf("%v started on %s, which is full", ref, w.worker.Name))
+	}
+}
+
+func (r *Runners) stopTask(w *runWorker, ref port.RunRef, token int64, instance string) error {
+	if err := r.admit(w, token, instance); err != nil {
+		return err
+	}
+	t := taskOf(ref)
+	w.barred[t] = max(w.barred[t], ref.Run)
+	if x := w.tasks[t]; x != nil && x.ref.Run <= ref.Run && x.stops.IsZero() {
+		x.stops = r.clock.Now().Add(r.bounds.StopTimeout / 2)
+	}
+	return nil
+}
+
+func (r *Runners) hold(ctx context.Context, w *runWorker, h port.RunHold) (port.RunReport, error) {
+	until := r.clock.Now().Add(h.Wait)
+	for {
+		r.mu.Lock()
+		if err := r.admit(w, h.Token, h.Instance); err != nil {
+			r.mu.Unlock()
+			return port.RunReport{}, err
+		}
+		now := r.clock.Now()
+		if h.Until > 0 {
+			w.lease = later(w.lease, minTime(w.start.Add(h.Until), now.Add(r.bounds.MaxHold)))
+		}
+		r.forget(w, h.Seen)
+		out := port.RunReport{Instance: w.instance, Clock: now.Sub(w.start), Ended: slices.Clone(w.ended)}
+		for _, x := range w.tasks {
+			out.Running = append(out.Running, port.RunState{Ref: x.ref})
+		}
+		r.mu.Unlock()
+		if len(out.Ended) > 0 || !now.Before(until) {
+			return out, nil
+		}
+		if err := r.clock.Sleep(ctx, runDelay); err != nil {
+			return out, err
+		}
+	}
+}
+
+// forget drops the ends that were acknowledged.
+func (r *Runners) forget(w *runWorker, seen int64) {
+	for len(w.ended) > 0 && w.ended[0].Number <= seen {
+		if w.ended[0].Result == jobs.Done {
+			r.noted[taskOf(w.ended[0].Ref)] = true
+		}
+		w.ended = w.ended[1:]
+	}
+}
+
+// advance ends what has ended by now.
+func (r *Runners) advance(w *runWorker) {
+	now := r.clock.Now()
+	isLapsed := len(w.tasks) > 0 && now.After(w.lease)
+	for t, x := range w.tasks {
+		switch {
+		case !x.stops.IsZero() && !now.Before(x.stops):
+			r.end(w, t, x, jobs.Stopped, "stopped")
+		case !now.Before(x.done) && x.done.Before(w.lease):
+			r.end(w, t, x, x.how, "ended")
+		case isLapsed:
+			r.end(w, t, x, jobs.Lost, "lapsed")
+		}
+	}
+}
+
+func (r *Runners) end(w *runWorker, t port.RunRef, x *runTask, how jobs.Result, word string) {
+	w.numbers++
+	w.ended = append(w.ended, port.RunEnd{Number: w.numbers, Ref: x.ref, Result: how, How: word})
+	w.barred[t] = max(w.barred[t], x.ref.Run)
+	delete(w.tasks, t)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
