Find faults of the owner by random trouble, and mend four of them

TestSiteUnderRandomTrouble plays hosts, store and workers that fail at random. It found, and each is mended: - a look that another lifetime of a worker refuses left the worker open to new work with no lifetime named; starts went to the new lifetime and were then counted as lost (two runs at once); - a report of a former lifetime whose ends were stored late moved the acknowledged end of the new lifetime, which then forgot ends that nobody had read (start after done); - a deposed owner went on with looks until its store told it; a worker that refuses its token ends the term now; - tasks that run for no unit were stopped again with each look, every 5 ms.

--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
@@ -49,8 +50,8 @@
 	isSuspect bool
 	// isFailing is set after a look without an answer; leases are extended again once the worker has answered.
 	isFailing bool
-	// strangers are tasks that run there and are being stopped.
-	strangers int
+	// strangers are tasks that run there for no unit and are being stopped.
+	strangers map[port.RunRef]bool
 	clockAt   time.Duration
 	clockRead time.Time
 	// leaseEnd is when all that runs there has certainly ended, if the worker does not answer any more.
@@ -170,7 +171,7 @@
 		return
 	}
 	x := w.runner.Worker
-	x.Leaving = !w.isListed || w.runner.IsDraining || w.isSuspect || w.strangers > 0 || !w.isHeld
+	x.Leaving = !w.isListed || w.runner.IsDraining || w.isSuspect || len(w.strangers) > 0 || !w.isHeld
 	if !w.isListed && len(w.tasks) == 0 {
 		if w.isBooked {
 			e.planner.DropWorker(w.name)
@@ -186,7 +187,7 @@
 func (e *Engine) watch(ctx context.Context, w *worker) {
 	for ctx.Err() == nil {
 		e.mu.Lock()
-		isIdle := w.isHeld && !w.isSuspect && len(w.tasks) == 0 && w.strangers == 0 && w.told == w.handled
+		isIdle := w.isHeld && !w.isSuspect && len(w.tasks) == 0 && len(w.strangers) == 0 && w.told == w.handled
 		isDone := !w.isListed && len(w.tasks) == 0
 		e.mu.Unlock()
 		if isDone {
@@ -219,7 +220,7 @@
 	e.mu.Lock()
 	now := e.clock.Now()
 	h := port.RunHold{Token: e.term, Seen: w.seen(), Wait: lookWait, Instance: w.instance}
-	if !w.isHeld || w.isSuspect || w.strangers > 0 {
+	if !w.isHeld || w.isSuspect || len(w.strangers) > 0 {
 		h.Wait = 0
 	}
 	if !w.clockRead.IsZero() && !w.isFailing && e.mayHold(now) {
@@ -246,10 +247,10 @@
 	case <-ctx.Done():
 	}
 	e.mu.Lock()
-	isOpen := len(w.open) > 0
+	isOpen := len(w.open) > 0 || len(w.strangers) > 0
 	e.mu.Unlock()
 	if isOpen {
-		// The worker lists ends that are not acknowledged at once again.
+		// The worker answers at once as long as it lists ends that are not acknowledged.
 		_ = e.clock.Sleep(ctx, openPause)
 	}
 }
@@ -280,10 +281,12 @@
 	w.isFailing = true
 	if errors.Is(err, port.ErrInstance) {
 		// The next look names no lifetime, and its answer tells the new one.
-		e.log.Info("worker was restarted", "Worker", w.name, "Instance", w.instance)
-		w.instance = ""
+		e.reborn(w, "")
+		w.isHeld = false
+		e.book(w)
 	} else if errors.Is(err, port.ErrFenced) {
-		e.log.Warn("look refused for a newer owner", "Worker", w.name, "Term", e.term)
+		e.log.Warn("look refused for a newer owner, term is over", "Worker", w.name, "Term", e.term)
+		e.cancel()
 	}
 	e.mu.Unlock()
 	_ = e.clock.Sleep(ctx, lookPause)
@@ -328,8 +331,11 @@
 		stored()
 		return
 	}
+	instance := w.instance
 	e.afterStored(func() {
-		w.written = max(w.written, top)
+		if w.instance == instance {
+			w.written = max(w.written, top)
+		}
 		stored()
 	})
 }
@@ -352,13 +358,15 @@
 // reconcile compares what runs on a worker with what should.
 func (e *Engine) reconcile(w *worker, asked time.Time, r port.RunReport) {
 	there := make(map[port.RunRef]bool, len(r.Running))
-	strangers := 0
+	strangers := map[port.RunRef]bool{}
 	for _, x := range r.Running {
 		there[x.Ref] = true
 		t, ok := w.tasks[x.Ref]
 		if !ok {
-			strangers++
-			e.removeStranger(w, x.Ref)
+			strangers[x.Ref] = true
+			if !w.strangers[x.Ref] {
+				go e.removeStranger(w, x.Ref, w.runner.Worker.Addr, w.instance)
+			}
 			continue
 		}
 		if x.Checkpoint != "" {
@@ -393,18 +401,19 @@
 	}
 }
 
-// removeStranger stops a task that runs for no unit.
-func (e *Engine) removeStranger(w *worker, r port.RunRef) {
+// removeStranger has a task stopped that runs for no unit, until the worker has confirmed it.
+func (e *Engine) removeStranger(w *worker, r port.RunRef, addr netip.AddrPort, instance string) {
 	e.log.Info("task of no unit is stopped", "Worker", w.name, "Job", r.Job, "Step", r.Step, "Task", r.Task, "Run", r.Run)
-	addr, instance := w.runner.Worker.Addr, w.instance
-	go func() {
-		if err := e.out.Runners.Stop(e.ctx, addr, r, e.term, instance); err != nil && e.ctx.Err() == nil {
-			e.log.Info("stop of a task of no unit failed", "Worker", w.name, "Job", r.Job, "Step", r.Step, "Task", r.Task, "Cause", err.Error())
+	for {
+		err := e.out.Runners.Stop(e.ctx, addr, r, e.term, instance)
+		if err == nil || e.ctx.Err() != nil || errors.Is(err, port.ErrInstance) || errors.Is(err, port.ErrFenced) {
+			return
 		}
-		e.mu.Lock()
-		w.signal()
-		e.mu.Unlock()
-	}()
+		e.log.Info("stop of a task of no unit failed", "Worker", w.name, "Job", r.Job, "Task", r.Task, "Cause", err.Error())
+		if e.clock.Sleep(e.ctx, lookPause) != nil {
+			return
+		}
+	}
 }
 
 // check closes workers that are silent, counts their tasks as lost when their leases are over, and looks after units
@@ -416,11 +425,8 @@
 			e.log.Info("worker is silent", "Worker", w.name, "Tasks", len(w.tasks), "Asked", now.Sub(w.asked).String())
 			e.book(w)
 		}
-		if len(w.tasks) > 0 && !w.leaseEnd.IsZero() && now.After(w.leaseEnd) {
-			e.log.Info("leases of a silent worker are over", "Worker", w.name, "Tasks", len(w.tasks))
-			for _, t := range w.tasks {
-				e.ended(t.unit, t.member, jobs.Lost, "", false)
-			}
+		if !w.leaseEnd.IsZero() && now.After(w.leaseEnd) {
+			e.lapse(w)
 		}
 	}
 	for _, u := range e.deferred {
@@ -429,6 +435,17 @@
 	}
 }
 
+// lapse counts the tasks of a worker as lost whose leases are certainly over.
+func (e *Engine) lapse(w *worker) {
+	for _, t := range w.tasks {
+		if t.member.presence == taskEnded || t.unit.phase == phaseStoring {
+			continue
+		}
+		e.log.Info("lease of a task on a silent worker is over", "Worker", w.name, "Unit", t.unit.name, "Run", t.unit.run)
+		e.ended(t.unit, t.member, jobs.Lost, "", false)
+	}
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -48,7 +48,9 @@
 	runners *standin.Runners
 	mu      sync.Mutex
 	hosts   map[string]*Host
-	stops   []func()
+	// names are those of all hosts that ever were, in order.
+	names []string
+	stops []func()
 	// dead hosts reach nothing.
 	dead map[string]bool
 	// cut names links between hosts and workers.
@@ -70,7 +72,7 @@
 		if os.Getenv("SITE_LOG") != "" {
 			s.log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 		}
-		s.runners = standin.NewRunners(c, standin.RunBounds{MaxHold: maxHold, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second}, plan)
+		s.runners = standin.NewRunners(c, standin.RunBounds{Attempts: attempts, MaxHold: maxHold, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second}, plan)
 		s.runners.SetCut(s.isCut)
 		for i := range 6 {
 			s.runners.Add(testWorker(i))
@@ -135,12 +137,24 @@
 		_ = h.Run(ctx)
 	}()
 	s.hosts[name] = h
+	s.names = append(s.names, name)
 	s.stops = append(s.stops, func() {
 		cancel()
 		<-done
 	})
 }
 
+// live returns the names of the hosts that are not dead, in order.
+func (s *site) live() []string {
+	var out []string
+	for _, n := range s.names {
+		if s.hosts[n] != nil {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // kill takes a host away from everything, for good.
 func (s *site) kill(name string) {
 	s.mu.Lock()
@@ -226,7 +240,7 @@
 
 // takes plans every run to take the given time and to end well.
 func takes(d time.Duration) standin.RunPlan {
-	return func(port.RunRef, string) (time.Duration, jobs.Result) { return d, jobs.Done }
+	return func(port.RunRef, string) standin.RunFate { return standin.RunFate{Work: d, Result: jobs.Done} }
 }
 
 func gang(tasks, accs int) jobs.Step {
--- /dev/null
+++ b/internal/host/random_test.go
@@ -0,0 +1,176 @@
+package host
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/intake"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/standin"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	seeds     = flag.Int("site.seeds", 40, "how many seeds TestSiteUnderRandomTrouble plays")
+	firstSeed = flag.Int("site.seed", 1, "the first seed of TestSiteUnderRandomTrouble")
+)
+
+// TestSiteUnderRandomTrouble hands jobs in while hosts, store and workers fail at random, two and more at a time, and
+// then wants every accepted job to end, and no promise of the workers to have been broken on the way.
+func TestSiteUnderRandomTrouble(t *testing.T) {
+	for i := range *seeds {
+		seed := uint64(*firstSeed + i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 0))
+			work := rand.New(rand.NewPCG(seed, 1))
+			poison := map[string]bool{}
+			gangs := map[string]int{}
+			plan := func(x port.RunRef, spec string) standin.RunFate {
+				d := time.Duration(100+work.IntN(3000)) * time.Millisecond
+				f := standin.RunFate{Work: d, Result: jobs.Done, Gang: gangs[fmt.Sprint(x.Job, x.Step)]}
+				if poison[spec] || work.IntN(12) == 0 {
+					f.Work, f.Result = d/4, jobs.FailedRun
+				}
+				return f
+			}
+			inSite(t, plan, three, func(s *site) {
+				s.wait(2 * time.Second)
+				for n := range 24 {
+					s.submitRandom(r, n, poison, gangs)
+					s.wait(time.Duration(r.IntN(600)) * time.Millisecond)
+					for range r.IntN(2) {
+						s.trouble(r, n)
+					}
+				}
+				s.heal()
+				s.requireAllEnded(2 * time.Minute)
+			})
+		})
+	}
+}
+
+// submitRandom hands one job in at a random host, and sometimes again at another one, or cancels it.
+func (s *site) submitRandom(r *rand.Rand, n int, poison map[string]bool, gangs map[string]int) {
+	id := fmt.Sprintf("%016x", n)
+	poison[id] = r.IntN(8) == 0
+	var steps []jobs.Step
+	for k := range 1 + r.IntN(2) {
+		x := tasks(1 + r.IntN(4))
+		if r.IntN(2) == 0 {
+			x = gang(1+r.IntN(4), 1+r.IntN(2))
+			gangs[fmt.Sprint(id, k)] = x.Tasks
+		}
+		if k > 0 {
+			x.After = []int{0}
+		}
+		steps = append(steps, x)
+	}
+	q := []string{"urgent", "quiet"}[r.IntN(2)]
+	host := s.pick(r)
+	err := s.submit(host, id, q, steps...)
+	s.log.Info("submitted", "Job", id, "Host", host, "Cause", err)
+	if err != nil || r.IntN(4) == 0 {
+		_ = s.submit(s.pick(r), id, q, steps...)
+	}
+	if r.IntN(8) == 0 {
+		_ = s.hosts[s.pick(r)].intake.Cancel(s.t.Context(), id, 3*time.Second)
+	}
+}
+
+func (s *site) pick(r *rand.Rand) string {
+	for {
+		for _, h := range s.names[r.IntN(len(s.names)):] {
+			if s.hosts[h] != nil {
+				return h
+			}
+		}
+	}
+}
+
+// trouble brings one fault about; some heal by themselves later, the others with heal.
+func (s *site) trouble(r *rand.Rand, n int) {
+	o := s.owner()
+	if o == "" || r.IntN(3) == 0 {
+		o = s.pick(r)
+	}
+	w := testWorker(r.IntN(6))
+	kind := r.IntN(10)
+	s.log.Info("trouble", "Kind", kind, "Host", o, "Worker", w.Name)
+	switch kind {
+	case 0:
+		s.kill(o)
+		s.start(fmt.Sprintf("n%d-%d", n, r.IntN(1000)))
+	case 1:
+		s.store.SetSilent(o, true)
+	case 2:
+		s.store.SetRefused(o, true)
+	case 3:
+		s.store.SetLossy(o, true, time.Duration(r.IntN(3))*time.Second)
+	case 4:
+		s.runners.SetDrop(w.Addr, time.Duration(1+r.IntN(6))*time.Second)
+	case 5:
+		s.runners.Add(w)
+	case 6:
+		s.mu.Lock()
+		s.cut[[2]string{o, w.Name}] = true
+		s.mu.Unlock()
+	case 7:
+		s.store.Expire(jobsTopic)
+	case 8:
+		for h := range s.hosts {
+			s.store.SetSilent(h, true)
+		}
+	default:
+		s.heal()
+	}
+}
+
+// heal ends all faults.
+func (s *site) heal() {
+	s.mu.Lock()
+	clear(s.cut)
+	s.mu.Unlock()
+	for h := range s.hosts {
+		s.store.SetSilent(h, false)
+		s.store.SetRefused(h, false)
+		s.store.SetLossy(h, false, 0)
+	}
+	for i := range 6 {
+		s.runners.SetDrop(testWorker(i).Addr, 0)
+	}
+}
+
+// requireAllEnded waits until every accepted job has ended in some way, the same at every host.
+func (s *site) requireAllEnded(within time.Duration) {
+	s.t.Helper()
+	until := time.Now().Add(within)
+	for {
+		open := s.findOpen()
+		if open == "" {
+			break
+		}
+		if time.Now().After(until) {
+			require.Fail(s.t, "jobs have not ended", open)
+		}
+		s.wait(200 * time.Millisecond)
+	}
+	require.Empty(s.t, s.runners.Faults())
+}
+
+func (s *site) findOpen() string {
+	for _, id := range s.ids {
+		var first intake.Progress
+		for i, n := range s.live() {
+			p, err := s.hosts[n].intake.GetState(id)
+			if err != nil || p < intake.Completed || i > 0 && p != first {
+				return fmt.Sprintf("%s at %s: state %d, error %v", id, n, p, err)
+			}
+			first = p
+		}
+	}
+	return ""
+}
--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburncleat/auburncleat/internal/coordination/intake"
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/standin"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/stretchr/testify/require"
 )
@@ -183,11 +184,11 @@
 }
 
 // failing fails each run of task 0, after a while.
-func failing(r port.RunRef, _ string) (time.Duration, jobs.Result) {
+func failing(r port.RunRef) standin.RunFate {
 	if r.Task == 0 {
-		return 300 * time.Millisecond, jobs.FailedRun
+		return standin.RunFate{Work: 300 * time.Millisecond, Result: jobs.FailedRun}
 	}
-	return 2 * time.Second, jobs.Done
+	return standin.RunFate{Work: 2 * time.Second, Result: jobs.Done}
 }
 
 // TestFailingTaskIsTriedAsOftenAsItsQueueAllows has the owner replaced while a task fails again and again.
@@ -196,11 +197,15 @@
 		for _, at := range []time.Duration{200, 350, 500, 650, 800, 950, 1100, 1300} {
 			t.Run(fmt.Sprintf("gang %v owner lost at %d ms", step.Gang, at), func(t *testing.T) {
 				failed := 0
-				plan := func(r port.RunRef, spec string) (time.Duration, jobs.Result) {
+				plan := func(r port.RunRef, _ string) standin.RunFate {
 					if r.Task == 0 {
 						failed++
 					}
-					return failing(r, spec)
+					x := failing(r)
+					if step.Gang {
+						x.Gang = step.Tasks
+					}
+					return x
 				}
 				inSite(t, plan, three, func(s *site) {
 					s.wait(2 * time.Second)
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -16,13 +16,23 @@
 
 // RunBounds are the figures that the workers of a stand-in keep to.
 type RunBounds struct {
+	// Attempts bounds the failed runs of a task; zero means no bound.
+	Attempts    int
 	MaxHold     time.Duration
 	StopTimeout time.Duration
 	GangTimeout time.Duration
 }
 
-// RunPlan tells how a run of a task goes: how long it works, and how it ends.
-type RunPlan func(r port.RunRef, spec string) (time.Duration, jobs.Result)
+// RunFate tells how a run of a task goes.
+type RunFate struct {
+	Work   time.Duration
+	Result jobs.Result
+	// Gang is how many tasks have to be present before any of them works; zero for independent tasks.
+	Gang int
+}
+
+// RunPlan tells how a run of a task goes.
+type RunPlan func(r port.RunRef, spec string) RunFate
 
 // Runners is a stand-in for workers that run tasks under leases; it notes each promise that its callers break.
 type Runners struct {
@@ -33,9 +43,12 @@
 	byAddr map[netip.AddrPort]*runWorker
 	born   int
 	// noted holds the tasks whose end as done was acknowledged.
-	noted  map[port.RunRef]bool
+	noted map[port.RunRef]bool
+	// failed counts the runs of each task that ended as failed and were acknowledged or still can be.
+	failed map[port.RunRef]int
 	faults []string
 	starts int
+	gangs  map[port.RunRef]*gangRun
 	// isCut reports whether a host cannot reach a worker.
 	isCut func(host, worker string) bool
 }
@@ -56,15 +69,46 @@
 
 type runTask struct {
 	ref   port.RunRef
+	fate  RunFate
+	begun time.Time
+	// done is when the task ends by itself; zero while its gang is not complete.
 	done  time.Time
 	how   jobs.Result
+	word  string
 	stops time.Time
+	gang  *gangRun
+}
+
+// gangRun holds the tasks of one run of a gang.
+type gangRun struct {
+	tasks []*runTask
+	// broken is when a task of the gang ended before its time; zero while none has.
+	broken time.Time
+}
+
+// complete starts the work of a gang of which all tasks are present.
+func (g *gangRun) complete(now time.Time) {
+	var failed *runTask
+	for _, x := range g.tasks {
+		if x.fate.Result == jobs.FailedRun && (failed == nil || x.fate.Work < failed.fate.Work) {
+			failed = x
+		}
+	}
+	for _, x := range g.tasks {
+		x.done, x.how, x.word = now.Add(g.tasks[0].fate.Work), jobs.Done, "done"
+		if failed != nil {
+			x.done, x.how, x.word = now.Add(failed.fate.Work), jobs.Stopped, "broken"
+		}
+	}
+	if failed != nil {
+		failed.how, failed.word = jobs.FailedRun, "failed"
+	}
 }
 
 // NewRunners returns workers whose runs go as planned.
 func NewRunners(c clock.Clock, b RunBounds, p RunPlan) *Runners {
 	return &Runners{
-		clock: c, bounds: b, plan: p, byAddr: map[netip.AddrPort]*runWorker{}, noted: map[port.RunRef]bool{},
+		clock: c, bounds: b, plan: p, byAddr: map[netip.AddrPort]*runWorker{}, noted: map[port.RunRef]bool{}, failed: map[port.RunRef]int{}, gangs: map[port.RunRef]*gangRun{},
 		isCut: func(string, string) bool { return false },
 	}
 }
@@ -81,6 +125,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.born++
+	if old := r.byAddr[w.Addr]; old != nil {
+		r.advance(old)
+		for _, x := range old.ended {
+			if x.Result == jobs.FailedRun {
+				r.failed[taskOf(x.Ref)]--
+			}
+		}
+		for _, x := range old.tasks {
+			if x.gang != nil && x.gang.broken.IsZero() {
+				x.gang.broken = r.clock.Now()
+			}
+		}
+	}
 	r.byAddr[w.Addr] = &runWorker{
 		worker: w, instance: fmt.Sprintf("%s-%d", w.Name, r.born), start: r.clock.Now(),
 		tasks: map[port.RunRef]*runTask{}, barred: map[port.RunRef]int{},
@@ -210,19 +267,43 @@
 		return 0, port.ErrLate
 	}
 	w.lease = later(w.lease, minTime(until, now.Add(r.bounds.MaxHold)))
-	d, how := r.plan(s.Ref, s.Spec)
 	r.checkStart(w, s.Ref)
-	w.tasks[t] = &runTask{ref: s.Ref, done: now.Add(d), how: how}
+	w.tasks[t] = r.newTask(s, now)
 	r.starts++
 	return now.Sub(w.start), nil
 }
 
+// newTask returns a task that works once its gang is complete.
+func (r *Runners) newTask(s port.RunStart, now time.Time) *runTask {
+	x := &runTask{ref: s.Ref, fate: r.plan(s.Ref, s.Spec), begun: now}
+	if x.fate.Gang == 0 {
+		x.done, x.how, x.word = now.Add(x.fate.Work), x.fate.Result, "ended"
+		return x
+	}
+	k := s.Ref
+	k.Task = 0
+	g := r.gangs[k]
+	if g == nil {
+		g = &gangRun{}
+		r.gangs[k] = g
+	}
+	x.gang = g
+	g.tasks = append(g.tasks, x)
+	if len(g.tasks) == x.fate.Gang && g.broken.IsZero() {
+		g.complete(now)
+	}
+	return x
+}
+
 // checkStart notes the promises that a start breaks.
 func (r *Runners) checkStart(w *runWorker, ref port.RunRef) {
 	t := taskOf(ref)
 	if r.noted[t] {
 		r.faults = append(r.faults, fmt.Sprintf("%v started after it was done", ref))
 	}
+	if n := r.bounds.Attempts; n > 0 && r.failed[t] >= n {
+		r.faults = append(r.faults, fmt.Sprintf("%v started after %d failed runs", ref, n))
+	}
 	for _, o := range r.byAddr {
 		r.advance(o)
 		if x := o.tasks[t]; x != nil {
@@ -288,11 +369,16 @@
 	now := r.clock.Now()
 	isLapsed := len(w.tasks) > 0 && now.After(w.lease)
 	for t, x := range w.tasks {
+		isDone := !x.done.IsZero() && !now.Before(x.done) && x.done.Before(w.lease)
 		switch {
+		case isDone && (x.stops.IsZero() || x.done.Before(x.stops)):
+			r.end(w, t, x, x.how, x.word)
 		case !x.stops.IsZero() && !now.Before(x.stops):
 			r.end(w, t, x, jobs.Stopped, "stopped")
-		case !now.Before(x.done) && x.done.Before(w.lease):
-			r.end(w, t, x, x.how, "ended")
+		case x.gang != nil && !x.gang.broken.IsZero():
+			r.end(w, t, x, jobs.Stopped, "broken")
+		case x.gang != nil && x.done.IsZero() && now.Sub(x.begun) > r.bounds.GangTimeout:
+			r.end(w, t, x, jobs.Stopped, "alone")
 		case isLapsed:
 			r.end(w, t, x, jobs.Lost, "lapsed")
 		}
@@ -301,6 +387,12 @@
 
 func (r *Runners) end(w *runWorker, t port.RunRef, x *runTask, how jobs.Result, word string) {
 	w.numbers++
+	if x.gang != nil && x.gang.broken.IsZero() && (x.done.IsZero() || r.clock.Now().Before(x.done) || word == "lapsed") {
+		x.gang.broken = r.clock.Now()
+	}
+	if how == jobs.FailedRun {
+		r.failed[t]++
+	}
 	w.ended = append(w.ended, port.RunEnd{Number: w.numbers, Ref: x.ref, Result: how, How: word})
 	w.barred[t] = max(w.barred[t], x.ref.Run)
 	delete(w.tasks, t)
