Take a good end that comes after its run was counted as lost, and give up a term whose work has ended

- A run that a silent worker finished was started again although its end came back before the new start; it is taken now.
- When an engine ended by itself (its appends were refused), its host went on renewing the term and nobody did the work; the host gives the term up now and anyone, itself included, begins a new one.

--- a/internal/coordination/elect/elect.go
+++ b/internal/coordination/elect/elect.go
@@ -105,11 +105,15 @@
 		if stop != nil {
 			stop()
 			<-done
-			stop = nil
+			stop, done = nil, nil
 		}
 	}
 	defer end()
 	for ctx.Err() == nil {
+		if isEnded(done) {
+			e.resign(ctx, term)
+			end()
+		}
 		if err := e.step(ctx); err != nil {
 			_ = e.clock.Sleep(ctx, retryPause)
 		}
@@ -133,6 +137,34 @@
 	return nil
 }
 
+// isEnded reports whether the work of a term has ended.
+func isEnded(done chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+		return false
+	}
+}
+
+// resign gives a term up whose work has ended by itself, so that another one begins.
+func (e *Elect) resign(ctx context.Context, term int64) {
+	e.mu.Lock()
+	is, at := e.isOwner() && e.owner.Term == term, e.next
+	e.mu.Unlock()
+	if !is {
+		return
+	}
+	e.log.Warn("term is given up", "Term", term)
+	if err := e.append(ctx, at, &wire.LeadRecord{Released: true, Renewal: true}); err != nil {
+		e.log.Warn("term cannot be given up in the store", "Term", term, "Cause", err.Error())
+		e.mu.Lock()
+		// Without a renewal the others take over, and this host may as well.
+		e.released = true
+		e.mu.Unlock()
+	}
+}
+
 // step reads or renews once.
 func (e *Elect) step(ctx context.Context) error {
 	e.mu.Lock()
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -90,7 +90,7 @@
 
 // finish stores the end of a run, and hands the unit to the planner again unless it is done.
 func (e *Engine) finish(u *unit) {
-	if u.phase == phaseEnding || u.phase == phaseQueued {
+	if u.phase == phaseEnding {
 		return
 	}
 	u.phase = phaseEnding
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -319,7 +319,9 @@
 			w.open[x.Number] = true
 			t.member.number = x.Number
 			e.ended(t.unit, t.member, x.Result, x.Checkpoint, x.IsBroken)
+			continue
 		}
+		e.endedLate(w, x)
 	}
 	w.handled = top
 	e.reconcile(w, asked, r)
@@ -340,6 +342,22 @@
 	})
 }
 
+// endedLate takes the good end of a run that was counted as lost and has not been started again.
+func (e *Engine) endedLate(w *worker, x port.RunEnd) {
+	for _, index := range []int{x.Ref.Task, jobs.WholeGang} {
+		u := e.units[jobs.UnitKey{Job: x.Ref.Job, Step: x.Ref.Step, Index: index}.String()]
+		if u == nil || u.phase != phaseQueued || u.run != x.Ref.Run || x.Result != jobs.Done {
+			continue
+		}
+		e.log.Info("run counted as lost has ended well", "Job", u.job, "Unit", u.name, "Run", u.run, "Worker", w.name)
+		e.planner.Cancel([]string{u.name})
+		delete(e.deferred, u.name)
+		u.members = []*member{{worker: w.name, instance: w.instance, task: x.Ref.Task, number: x.Number}}
+		w.open[x.Number] = true
+		e.ended(u, u.members[0], jobs.Done, x.Checkpoint, false)
+	}
+}
+
 // reborn notes that a worker runs another lifetime, which knows nothing of before.
 func (e *Engine) reborn(w *worker, instance string) {
 	if w.instance != "" || w.isHeld {
