--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -134,7 +134,7 @@
 	if old := r.byAddr[w.Addr]; old != nil {
 		r.advance(old)
 		for _, x := range old.ended {
-			if x.Result == jobs.FailedRun {
+			if x.Result == jobs.FailedRun && x.Number > old.lapsed {
 				r.failed[taskOf(x.Ref)]--
 			}
 		}
@@ -339,11 +339,13 @@
 	if r.noted[t] {
 		r.faults = append(r.faults, fmt.Sprintf("%v started after it was done", ref))
 	}
+	for _, o := range r.byAddr {
+		r.advance(o)
+	}
 	if n := r.bounds.Attempts; n > 0 && r.failed[t] >= n {
 		r.faults = append(r.faults, fmt.Sprintf("%v started after %d failed runs", ref, n))
 	}
 	for _, o := range r.byAddr {
-		r.advance(o)
 		if x := o.tasks[t]; x != nil {
 			r.faults = append(r.faults, fmt.Sprintf("%v started on %s while run %d is on %s", ref, w.worker.Name, x.ref.Run, o.worker.Name))
 		}
@@ -401,9 +403,6 @@
 // forget drops the ends that were acknowledged.
 func (r *Runners) forget(w *runWorker, seen int64) {
 	for len(w.ended) > 0 && w.ended[0].Number <= seen {
-		if w.ended[0].Result == jobs.FailedRun && w.ended[0].Number <= w.lapsed {
-			r.failed[taskOf(w.ended[0].Ref)]--
-		}
 		if w.ended[0].Result == jobs.Done && w.ended[0].Number > w.lapsed {
 			r.noted[taskOf(w.ended[0].Ref)] = true
 		}
@@ -431,8 +430,18 @@
 		}
 	}
 	if isLapsed {
-		w.lapsed = w.numbers
+		r.lapse(w)
+	}
+}
+
+// lapse has the ends that were not acknowledged before the lease lapsed count for nothing.
+func (r *Runners) lapse(w *runWorker) {
+	for _, x := range w.ended {
+		if x.Number > w.lapsed && x.Result == jobs.FailedRun {
+			r.failed[taskOf(x.Ref)]--
+		}
 	}
+	w.lapsed = w.numbers
 }
 
 func (r *Runners) end(w *runWorker, t port.RunRef, x *runTask, how jobs.Result, word string) {
