--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -93,16 +93,6 @@
 	return x
 }
 
-// find returns the member that runs a task.
-func (u *unit) find(task int) *member {
-	for _, m := range u.members {
-		if m.task == task {
-			return m
-		}
-	}
-	return nil
-}
-
 // isGone reports whether no task of the run is or will be on a worker.
 func (u *unit) isGone() bool {
 	for _, m := range u.members {
--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -21,8 +21,8 @@
 
 // Fold takes what a follower reads.
 type Fold struct {
-	// Reset forgets everything, before all keys are read anew; nil means that nothing has to be forgotten.
-	Reset func()
+	// Reload replaces what was known before an offset by the newest entries of all keys; nil means to apply each.
+	Reload func(es []port.Entry, before int64)
 	// Apply takes one entry.
 	Apply func(e port.Entry)
 	// Caught is called after each answered read; nil means that nobody asks.
@@ -155,29 +155,36 @@
 	if !f.topic.IsKeyed {
 		return f.seek(ctx)
 	}
-	if f.fold.Reset != nil {
-		f.fold.Reset()
-	}
 	first, after := int64(-1), ""
+	var es []port.Entry
 	for {
 		p, err := f.store.Newest(ctx, f.topic, after)
 		if err != nil {
 			return fmt.Errorf("read newest of %s: %w", f.topic.Name, err)
 		}
-		for _, e := range p.Entries {
-			f.fold.Apply(e)
-		}
+		es = append(es, p.Entries...)
 		if first < 0 {
 			first = p.End
 		}
 		after = p.Next
 		if after == "" {
+			f.reload(es, first)
 			f.advance(first, p.End, sent)
 			return nil
 		}
 	}
 }
 
+func (f *Follower) reload(es []port.Entry, before int64) {
+	if f.fold.Reload != nil {
+		f.fold.Reload(es, before)
+		return
+	}
+	for _, e := range es {
+		f.fold.Apply(e)
+	}
+}
+
 // seek finds the oldest record of a topic without keys.
 func (f *Follower) seek(ctx context.Context) error {
 	p, err := f.store.Read(ctx, f.topic, 0, 0)
--- a/internal/host/fault_test.go
+++ b/internal/host/fault_test.go
@@ -7,23 +7,12 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/intake"
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/standin"
-	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/stretchr/testify/require"
 )
 
 const jobA = "00000000000000aa"
 
-// workerNamed returns the address under which a worker is reached.
-func workerNamed(name string) fleet.Worker {
-	for i := range 6 {
-		if w := testWorker(i); w.Name == name {
-			return w
-		}
-	}
-	return fleet.Worker{}
-}
-
 // TestEndOfATaskIsKeptUntilItsGangHasEnded has the last allowed run of a gang fail while its owner cannot reach the
 // other worker, and the owner die before it knows how the run ended as a whole.
 func TestEndOfATaskIsKeptUntilItsGangHasEnded(t *testing.T) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -94,7 +94,7 @@
 		o(h)
 	}
 	life := newLifetime()
-	h.jobs = feed.NewFollower(out.Store, jobsTopic, feed.Fold{Reset: h.table.Reset, Apply: h.applyJob}, h.clock, h.log,
+	h.jobs = feed.NewFollower(out.Store, jobsTopic, feed.Fold{Reload: h.reloadJobs, Apply: h.applyJob}, h.clock, h.log,
 		feed.WithPause(standbyPause))
 	h.config = feed.NewFollower(out.Store, out.ConfigTopic, feed.Fold{Apply: h.applyConfig}, h.clock, h.log)
 	h.writer = feed.NewWriter(out.Store, jobsTopic, s.Host.Name+"-"+life, 1, h.clock, h.log)
@@ -111,6 +111,17 @@
 	return hex.EncodeToString(b)
 }
 
+func (h *Host) reloadJobs(es []port.Entry, before int64) {
+	rs := make([]jobs.Stored, len(es))
+	for i, e := range es {
+		rs[i] = jobs.Stored{Record: jobs.Record{Key: e.Key, Value: e.Value}, Offset: e.Offset}
+	}
+	if err := h.table.Reload(rs, before); err != nil {
+		h.log.Error("record of a job cannot be folded", "Cause", err.Error())
+	}
+	h.log.Info("jobs read anew", "Records", len(es), "Before", before)
+}
+
 func (h *Host) applyJob(e port.Entry) {
 	if err := h.table.Apply(e.Offset, jobs.Record{Key: e.Key, Value: e.Value}); err != nil {
 		h.log.Error("record of a job cannot be folded", "Key", e.Key, "Offset", e.Offset, "Cause", err.Error())
--- a/internal/standin/keyed.go
+++ b/internal/standin/keyed.go
@@ -173,7 +173,7 @@
 			p = &producer{epoch: a.Epoch, sequence: a.Sequence - 1}
 			t.producers[a.Producer] = p
 		}
-		if r, err, ok := p.admit(a); ok {
+		if r, ok, err := p.admit(a); ok {
 			return r, err
 		}
 	}
@@ -200,26 +200,26 @@
 }
 
 // admit checks epoch and sequence; it reports whether the answer stands without an append.
-func (p *producer) admit(a port.Append) (port.Appended, error, bool) {
+func (p *producer) admit(a port.Append) (port.Appended, bool, error) {
 	if a.Epoch < p.epoch {
-		return port.Appended{}, port.ErrEpoch, true
+		return port.Appended{}, true, port.ErrEpoch
 	}
 	if a.Epoch > p.epoch {
 		*p = producer{epoch: a.Epoch, sequence: a.Sequence - 1}
 	}
 	if len(a.Entries) == 0 {
 		p.sequence = a.Sequence
-		return port.Appended{}, nil, false
+		return port.Appended{}, false, nil
 	}
 	for _, x := range p.answers {
 		if x.sequence == a.Sequence {
-			return x.reply, nil, true
+			return x.reply, true, nil
 		}
 	}
 	if a.Sequence != p.sequence+1 {
-		return port.Appended{}, port.ErrSequence, true
+		return port.Appended{}, true, port.ErrSequence
 	}
-	return port.Appended{}, nil, false
+	return port.Appended{}, false, nil
 }
 
 func (s *Store) read(ctx context.Context, host string, t port.Topic, from int64, wait time.Duration) (port.Entries, error) {
--- a/internal/state/jobs/table.go
+++ b/internal/state/jobs/table.go
@@ -26,19 +26,59 @@
 	}
 }
 
-// Reset forgets everything, before the records are read anew.
-func (t *Table) Reset() {
+// Stored is a record with the offset under which it is stored.
+type Stored struct {
+	Record
+	Offset int64
+}
+
+// Reload replaces all that was folded from before an offset by the newest records of all keys, and returns the error of
+// the last record that cannot be folded.
+func (t *Table) Reload(rs []Stored, before int64) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	old := t.jobs
 	t.jobs = map[string]*Job{}
 	t.early = map[string][]*Unit{}
 	t.cancels = map[string]int64{}
+	var err error
+	for _, r := range rs {
+		if e := t.apply(r.Offset, r.Record); e != nil {
+			err = e
+		}
+	}
+	for id, j := range old {
+		t.keepNewer(id, j, before)
+	}
+	return err
+}
+
+// keepNewer takes over what was folded of a job from an offset on, which the records that were read may lack.
+func (t *Table) keepNewer(id string, old *Job, from int64) {
+	j := t.jobs[id]
+	if old.offset >= from && (j == nil || j.State == Open && old.State != Open) {
+		t.jobs[id] = old
+		t.touch(id)
+		return
+	}
+	if j == nil || j.State != Open {
+		return
+	}
+	for k, u := range old.units {
+		if x := j.units[k]; u.offset >= from && (x == nil || x.offset < u.offset) {
+			j.units[k] = u
+		}
+	}
 }
 
 // Apply folds the record at an offset; a record older than what is known of its key changes nothing.
 func (t *Table) Apply(offset int64, r Record) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.apply(offset, r)
+}
+
+func (t *Table) apply(offset int64, r Record) error {
 	switch {
 	case strings.HasPrefix(r.Key, jobPrefix):
 		return t.applyJob(offset, r)
@@ -64,6 +104,7 @@
 	if err != nil {
 		return fmt.Errorf("apply %s: %w", r.Key, err)
 	}
+	j.offset = offset
 	j.units = map[UnitKey]*Unit{}
 	for _, u := range t.early[id] {
 		j.units[u.Key] = u
--- a/internal/transport/rest/client.go
+++ b/internal/transport/rest/client.go
@@ -204,7 +204,7 @@
 	for {
 		select {
 		case x := <-results:
-			if p, err, ok := a.take(x); ok {
+			if p, ok, err := a.take(x); ok {
 				return p, err
 			}
 		case <-second:
@@ -231,26 +231,26 @@
 }
 
 // take notes the result of an attempt and reports whether it settles the call.
-func (a *attempts) take(x result) (Reply, error, bool) {
+func (a *attempts) take(x result) (Reply, bool, error) {
 	a.open--
 	a.unsent = a.unsent && isDial(x.err)
 	if x.err == nil {
-		return x.reply, nil, true
+		return x.reply, true, nil
 	}
 	isSettled := !a.certain || a.open == 0 && !a.vague
 	if isAnswered(x.err) && isSettled {
-		return x.reply, x.err, true
+		return x.reply, true, x.err
 	}
 	a.vague = a.vague || !isAnswered(x.err) && !isDial(x.err)
 	switch {
 	case a.open > 0:
-		return Reply{}, nil, false
+		return Reply{}, false, nil
 	case a.unsent:
-		return x.reply, fmt.Errorf("%w: %w", port.ErrUnsent, x.err), true
+		return x.reply, true, fmt.Errorf("%w: %w", port.ErrUnsent, x.err)
 	case isAnswered(x.err):
-		return x.reply, fmt.Errorf("%w: %s", ErrUndecided, x.err.Error()), true
+		return x.reply, true, fmt.Errorf("%w: %s", ErrUndecided, x.err.Error())
 	default:
-		return x.reply, x.err, true
+		return x.reply, true, x.err
 	}
 }
 
