Tell lifetimes of a worker by the time of its start, and name the worker in each order

Change: each order and look names the worker that is meant, and another one at its address refuses; the time of the start in a report tells lifetimes apart. A worker that starts again under its id takes starts that were meant for the last lifetime; what its first report lists is kept, and an unanswered start is barred before it counts as gone.

--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -48,7 +48,7 @@
 		now := e.clock.Now()
 		s := port.RunStart{
 			Ref: u.ref(m), Spec: u.spec, Until: w.until(now, e.bounds.MaxHold), Token: e.term, Checkpoint: u.checkpoint,
-			Instance: m.instance,
+			Worker: m.worker,
 		}
 		w.leaseEnd = later(w.leaseEnd, now.Add(e.leaseBound()))
 		addr := w.runner.Worker.Addr
@@ -69,7 +69,7 @@
 
 // isVagueStart reports whether a start that came to this error may still be carried out.
 func isVagueStart(err error) bool {
-	for _, x := range []error{port.ErrInstance, port.ErrNoRoom, port.ErrLate, port.ErrOldRun, port.ErrFenced, port.ErrUnhealthy, port.ErrUnsent} {
+	for _, x := range []error{port.ErrOther, port.ErrNoRoom, port.ErrLate, port.ErrOldRun, port.ErrFenced, port.ErrUnhealthy, port.ErrUnsent} {
 		if errors.Is(err, x) {
 			return false
 		}
@@ -92,8 +92,8 @@
 		}
 		w.signal()
 		return true
-	case errors.Is(err, port.ErrInstance):
-		e.missed(u, m, jobs.Lost, "another lifetime of the worker answered")
+	case errors.Is(err, port.ErrOther):
+		e.missed(u, m, jobs.Lost, "another worker is at its address")
 		return true
 	case !isVague && (errors.Is(err, port.ErrNoRoom) || errors.Is(err, port.ErrLate) || errors.Is(err, port.ErrOldRun)):
 		e.missed(u, m, jobs.Stopped, err.Error())
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -40,7 +40,7 @@
 		if done || !addr.IsValid() {
 			return
 		}
-		err := e.out.Runners.Stop(e.ctx, addr, r, e.term, m.instance)
+		err := e.out.Runners.Stop(e.ctx, addr, r, e.term, m.worker)
 		if err == nil {
 			e.mu.Lock()
 			m.barred = e.clock.Now()
@@ -48,7 +48,7 @@
 			e.mu.Unlock()
 			return
 		}
-		if errors.Is(err, port.ErrInstance) || errors.Is(err, port.ErrFenced) {
+		if errors.Is(err, port.ErrOther) || errors.Is(err, port.ErrFenced) {
 			// The next report of the worker, or the next owner, settles it.
 			e.mu.Lock()
 			w.signal()
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -219,7 +219,7 @@
 func (e *Engine) look(ctx context.Context, w *worker) {
 	e.mu.Lock()
 	now := e.clock.Now()
-	h := port.RunHold{Token: e.term, Seen: w.seen(), Wait: lookWait, Instance: w.instance}
+	h := port.RunHold{Token: e.term, Seen: w.seen(), Wait: lookWait, Worker: w.name}
 	if !w.isHeld || w.isSuspect || len(w.strangers) > 0 {
 		h.Wait = 0
 	}
@@ -279,9 +279,9 @@
 	}
 	e.mu.Lock()
 	w.isFailing = true
-	if errors.Is(err, port.ErrInstance) {
-		// The next look names no lifetime, and its answer tells the new one.
-		e.reborn(w, "")
+	if errors.Is(err, port.ErrOther) {
+		e.log.Info("another worker is at the address", "Worker", w.name)
+		e.reborn(w, port.RunReport{})
 		w.isHeld = false
 		e.book(w)
 	} else if errors.Is(err, port.ErrFenced) {
@@ -299,7 +299,7 @@
 	w.isFailing = false
 	w.tick(r.Clock, now)
 	if r.Instance != w.instance {
-		e.reborn(w, r.Instance)
+		e.reborn(w, r)
 	}
 	if w.isSuspect {
 		e.log.Info("worker answers again", "Worker", w.name)
@@ -358,16 +358,33 @@
 	}
 }
 
-// reborn notes that a worker runs another lifetime, which knows nothing of before.
-func (e *Engine) reborn(w *worker, instance string) {
+// reborn notes that a worker runs another lifetime, which knows nothing of before but may have taken starts that were
+// meant for the last one.
+func (e *Engine) reborn(w *worker, r port.RunReport) {
+	instance := r.Instance
 	if w.instance != "" || w.isHeld {
 		e.log.Info("worker has a new lifetime", "Worker", w.name, "Before", w.instance, "Now", instance)
 	}
 	w.instance = instance
 	w.handled, w.written, w.told = 0, 0, 0
 	w.open = map[int64]bool{}
-	for _, t := range w.tasks {
-		if t.member.instance != instance {
+	there := map[port.RunRef]bool{}
+	for _, x := range r.Running {
+		there[x.Ref] = true
+	}
+	for _, x := range r.Ended {
+		there[x.Ref] = true
+	}
+	for ref, t := range w.tasks {
+		switch {
+		case t.member.instance == instance, t.unit.phase == phaseStoring:
+		case there[ref]:
+			t.member.instance = instance
+		case t.member.presence == taskUnknown && t.unit.phase == phaseStarting:
+			// The start may still arrive; a confirmed stop keeps it from running.
+			t.member.instance = instance
+			e.stop(t.unit, "its worker was restarted")
+		default:
 			e.ended(t.unit, t.member, jobs.Lost, "", false)
 		}
 	}
@@ -383,7 +400,7 @@
 		if !ok {
 			strangers[x.Ref] = true
 			if !w.strangers[x.Ref] {
-				go e.removeStranger(w, x.Ref, w.runner.Worker.Addr, w.instance)
+				go e.removeStranger(w, x.Ref, w.runner.Worker.Addr)
 			}
 			continue
 		}
@@ -420,11 +437,11 @@
 }
 
 // removeStranger has a task stopped that runs for no unit, until the worker has confirmed it.
-func (e *Engine) removeStranger(w *worker, r port.RunRef, addr netip.AddrPort, instance string) {
+func (e *Engine) removeStranger(w *worker, r port.RunRef, addr netip.AddrPort) {
 	e.log.Info("task of no unit is stopped", "Worker", w.name, "Job", r.Job, "Step", r.Step, "Task", r.Task, "Run", r.Run)
 	for {
-		err := e.out.Runners.Stop(e.ctx, addr, r, e.term, instance)
-		if err == nil || e.ctx.Err() != nil || errors.Is(err, port.ErrInstance) || errors.Is(err, port.ErrFenced) {
+		err := e.out.Runners.Stop(e.ctx, addr, r, e.term, w.name)
+		if err == nil || e.ctx.Err() != nil || errors.Is(err, port.ErrOther) || errors.Is(err, port.ErrFenced) {
 			return
 		}
 		e.log.Info("stop of a task of no unit failed", "Worker", w.name, "Job", r.Job, "Task", r.Task, "Cause", err.Error())
--- a/internal/coordination/port/runner.go
+++ b/internal/coordination/port/runner.go
@@ -12,8 +12,8 @@
 
 // Errors of a runner; after any other error but ErrUnsent an order may have been carried out, or may be later.
 var (
-	// ErrInstance says that another lifetime of the worker answered.
-	ErrInstance = errors.New("worker is another lifetime")
+	// ErrOther says that another worker answered at the address.
+	ErrOther = errors.New("another worker is at the address")
 	// ErrLate says that the lease of a start was over when it arrived.
 	ErrLate = errors.New("lease of the start is over")
 	// ErrOldRun says that the worker has seen this run, or a higher one, end.
@@ -32,8 +32,7 @@
 
 // Runner is a worker that runs tasks under leases, with the time on its own clock.
 type Runner struct {
-	Worker   fleet.Worker
-	Instance string
+	Worker fleet.Worker
 	// IsDraining is set while the worker leaves.
 	IsDraining bool
 }
@@ -45,7 +44,8 @@
 	Until      time.Duration
 	Token      int64
 	Checkpoint string
-	Instance   string
+	// Worker is the one that is meant; another one at its address refuses.
+	Worker string
 }
 
 // RunHold extends the lease of all that runs on a worker and asks for its ends.
@@ -56,8 +56,9 @@
 	// Seen is the number of the newest end that need not be listed again.
 	Seen int64
 	// Wait is how long the worker may hold the answer back for an end.
-	Wait     time.Duration
-	Instance string
+	Wait time.Duration
+	// Worker is the one that is meant; another one at its address refuses.
+	Worker string
 }
 
 // RunState is a task that runs.
@@ -82,6 +83,7 @@
 
 // RunReport lists what runs and what ended on a worker.
 type RunReport struct {
+	// Instance tells the lifetimes of a worker apart; one that starts again under its name knows nothing of before.
 	Instance string
 	Clock    time.Duration
 	Running  []RunState
@@ -93,7 +95,7 @@
 	// Start starts a task; repeating it changes nothing. It returns the worker's clock.
 	Start func(ctx context.Context, to netip.AddrPort, s RunStart) (time.Duration, error)
 	// Stop stops a task, or keeps its run from starting there.
-	Stop func(ctx context.Context, to netip.AddrPort, r RunRef, token int64, instance string) error
+	Stop func(ctx context.Context, to netip.AddrPort, r RunRef, token int64, worker string) error
 	// Hold extends the lease and reports.
 	Hold func(ctx context.Context, to netip.AddrPort, h RunHold) (RunReport, error)
 }
