Acknowledge ends only to a worker that has just reported

Cause: the first look after a worker had crashed carried the acknowledged end of its former lifetime, and the new one forgot ends that nobody had read (seed 5072 of TestSiteUnderRandomTrouble: a failed run was not counted).

--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -21,6 +21,8 @@
 	ackPatience = 500 * time.Millisecond
 	// openPause is the time between two looks at a worker with ends that cannot be acknowledged yet.
 	openPause = 100 * time.Millisecond
+	// ackAge is how long after its last report a worker is taken to be in the same lifetime.
+	ackAge = 700 * time.Millisecond
 	// clockSlack covers clocks of workers that run slow, and calls that are on their way.
 	clockSlack = 300 * time.Millisecond
 	// adoptGrace is how long a former owner may have gone on with the leases after this one took over.
@@ -220,6 +222,10 @@
 	e.mu.Lock()
 	now := e.clock.Now()
 	h := port.RunHold{Token: e.term, Seen: w.seen(), Wait: lookWait, Worker: w.name}
+	if w.isFailing || now.Sub(w.answered) > ackAge {
+		// Another lifetime, whose ends are numbered anew, may answer; it must not forget any unread.
+		h.Seen = 0
+	}
 	if !w.isHeld || w.isSuspect || len(w.strangers) > 0 {
 		h.Wait = 0
 	}
