--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -66,6 +66,10 @@
 	if m.presence == taskEnded {
 		return
 	}
+	if m.isStalled && r == jobs.Stopped {
+		// The planner keeps the next run away from the worker.
+		r = jobs.Lost
+	}
 	m.presence, m.result, m.isBroken = taskEnded, r, isBroken
 	if checkpoint != "" {
 		e.save(u, checkpoint, -1)
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -52,6 +52,11 @@
 	// barred is when the worker confirmed that the run will not start any more; zero before.
 	barred     time.Time
 	isStopping bool
+	// percent is how much of the work was done when last seen, and moved when that last grew.
+	percent int
+	moved   time.Time
+	// isStalled is set when the task is stopped because it does not go on.
+	isStalled bool
 	// number is that of the end in the list of the worker; zero when it was not listed.
 	number int64
 }
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -70,6 +70,8 @@
 	isBooked bool
 	// told is the newest end that the worker was told need not be listed again.
 	told int64
+	// shunned is until when a worker gets no new work on which tasks stood still.
+	shunned time.Time
 }
 
 func (w *worker) signal() {
@@ -173,7 +175,8 @@
 		return
 	}
 	x := w.runner.Worker
-	x.Leaving = !w.isListed || w.runner.IsDraining || w.isSuspect || len(w.strangers) > 0 || !w.isHeld
+	x.Leaving = !w.isListed || w.runner.IsDraining || w.isSuspect || len(w.strangers) > 0 || !w.isHeld ||
+		e.clock.Now().Before(w.shunned)
 	if !w.isListed && len(w.tasks) == 0 {
 		if w.isBooked {
 			e.planner.DropWorker(w.name)
@@ -413,6 +416,7 @@
 		if x.Checkpoint != "" {
 			e.save(t.unit, x.Checkpoint, x.Percent)
 		}
+		e.watchProgress(w, t, x.Percent)
 		if t.member.presence == taskUnknown {
 			t.member.presence, t.member.seen = taskThere, e.clock.Now()
 			e.started(t.unit)
@@ -470,6 +474,12 @@
 			e.lapse(w)
 		}
 	}
+	for _, w := range e.workers {
+		if !w.shunned.IsZero() && now.After(w.shunned) {
+			w.shunned = time.Time{}
+			e.book(w)
+		}
+	}
 	for _, u := range e.deferred {
 		e.planner.Cancel([]string{u.name})
 		e.enqueue(u)
--- a/internal/host/fault_test.go
+++ b/internal/host/fault_test.go
@@ -7,6 +7,7 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/intake"
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/standin"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/stretchr/testify/require"
 )
@@ -126,3 +127,24 @@
 		require.Equal(s.t, 36, s.runners.Starts())
 	})
 }
+
+// TestTaskThatStandsStillRunsElsewhere has all tasks of the worker with most of them stand still for good.
+func TestTaskThatStandsStillRunsElsewhere(t *testing.T) {
+	inSite(t, takes(2*time.Second), three, func(s *site) {
+		s.wait(2 * time.Second)
+		require.NoError(s.t, s.submit("a", jobA, "quiet", tasks(8)))
+		s.wait(500 * time.Millisecond)
+		s.runners.SetStill(workerNamed(s.runners.Find(port.RunRef{Job: jobA})).Addr)
+		s.requireEnded(intake.Completed, 20*time.Second)
+	})
+}
+
+// workerNamed returns the worker of a name.
+func workerNamed(name string) fleet.Worker {
+	for i := range 6 {
+		if w := testWorker(i); w.Name == name {
+			return w
+		}
+	}
+	return fleet.Worker{}
+}
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -67,6 +67,8 @@
 	lapsed int64
 	// isFull refuses starts for want of room, whatever runs there.
 	isFull bool
+	// isStill keeps all tasks from doing any work.
+	isStill bool
 	// slow delays reports on their way back.
 	slow time.Duration
 	// drop loses the answers of orders, which are carried out after the given time.
@@ -85,6 +87,14 @@
 	gang  *gangRun
 }
 
+// percent returns how much of its work a task has done.
+func (x *runTask) percent(now time.Time) int {
+	if x.done.IsZero() || x.fate.Work <= 0 {
+		return 0
+	}
+	return max(100-int(100*x.done.Sub(now)/x.fate.Work), 0)
+}
+
 // gangRun holds the tasks of one run of a gang.
 type gangRun struct {
 	tasks []*runTask
@@ -157,6 +167,17 @@
 	r.byAddr[addr].drop = late
 }
 
+// SetStill has all tasks of a worker stand still from now on.
+func (r *Runners) SetStill(addr netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.byAddr[addr]
+	w.isStill = true
+	for _, x := range w.tasks {
+		x.done = time.Time{}
+	}
+}
+
 // SetFull has a worker refuse starts for want of room, or take them again.
 func (r *Runners) SetFull(addr netip.AddrPort, is bool) {
 	r.mu.Lock()
@@ -307,6 +328,9 @@
 	w.lease = later(w.lease, minTime(until, now.Add(r.bounds.MaxHold)))
 	r.checkStart(w, s.Ref)
 	w.tasks[t] = r.newTask(s, now)
+	if w.isStill {
+		w.tasks[t].done = time.Time{}
+	}
 	r.starts++
 	return now.Sub(w.start), nil
 }
@@ -388,7 +412,7 @@
 		h.Seen = 0
 		out := port.RunReport{Instance: w.instance, Clock: now.Sub(w.start), Ended: slices.Clone(w.ended)}
 		for _, x := range w.tasks {
-			out.Running = append(out.Running, port.RunState{Ref: x.ref})
+			out.Running = append(out.Running, port.RunState{Ref: x.ref, Percent: x.percent(now)})
 		}
 		slow := w.slow
 		r.mu.Unlock()
