--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -20,8 +20,11 @@
 	storePatience = 900 * time.Millisecond
 	// answerMargin is kept of the caller's patience for the answer's way back.
 	answerMargin = 150 * time.Millisecond
-	// retryAfter is when a caller should come back after a refusal for want of the store.
-	retryAfter = time.Second
+	// retryAfter is when a caller should come back after a refusal for want of the store, which another host may still
+	// reach, and longRetryAfter when the store has not answered for longAfter and is probably down for all.
+	retryAfter     = time.Second
+	longRetryAfter = 2 * time.Second
+	longAfter      = 1500 * time.Millisecond
 	// maxTableAge is how old the fold of the jobs may be to say that a job does not exist.
 	maxTableAge = 2500 * time.Millisecond
 )
@@ -82,7 +85,7 @@
 	c := i.config.Load()
 	age := i.clock.Since(i.configFresh())
 	if c == nil || age > i.limits.MaxConfigAge {
-		return Caller{}, ErrBusy{Why: fmt.Sprintf("configuration not confirmed for %s", age.Round(time.Millisecond)), RetryAfter: retryAfter}
+		return Caller{}, ErrBusy{Why: fmt.Sprintf("configuration not confirmed for %s", age.Round(time.Millisecond)), RetryAfter: comeBack(age)}
 	}
 	q, rest := c.Match(host, path)
 	if q == nil {
@@ -127,7 +130,7 @@
 // store appends one record and waits for the store; it is refused only while it was never sent.
 func (i *Intake) store(ctx context.Context, r jobs.Record, patience time.Duration) error {
 	if s := i.writer.Stalled(); s > storePatience {
-		return ErrBusy{Why: fmt.Sprintf("store has not answered for %s", s.Round(time.Millisecond)), RetryAfter: retryAfter}
+		return ErrBusy{Why: fmt.Sprintf("store has not answered for %s", s.Round(time.Millisecond)), RetryAfter: comeBack(s)}
 	}
 	done := make(chan error, 1)
 	it := &feed.Item{Entries: []port.Entry{{Key: r.Key, Value: r.Value}}}
@@ -159,6 +162,14 @@
 	}
 }
 
+// comeBack returns when a caller should come back if the store has not answered for so long.
+func comeBack(silent time.Duration) time.Duration {
+	if silent > longAfter {
+		return longRetryAfter
+	}
+	return retryAfter
+}
+
 func unknownUnless(err error) error {
 	if err == nil {
 		return nil
