--- a/internal/host/random_test.go
+++ b/internal/host/random_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -26,21 +27,11 @@
 		seed := uint64(*firstSeed + i)
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 0))
-			work := rand.New(rand.NewPCG(seed, 1))
-			poison := map[string]bool{}
-			gangs := map[string]int{}
-			plan := func(x port.RunRef, spec string) standin.RunFate {
-				d := time.Duration(100+work.IntN(3000)) * time.Millisecond
-				f := standin.RunFate{Work: d, Result: jobs.Done, Gang: gangs[fmt.Sprint(x.Job, x.Step)]}
-				if poison[spec] || work.IntN(12) == 0 {
-					f.Work, f.Result = d/4, jobs.FailedRun
-				}
-				return f
-			}
-			inSite(t, plan, three, func(s *site) {
+			x := newFates(seed)
+			inSite(t, x.plan, three, func(s *site) {
 				s.wait(2 * time.Second)
 				for n := range 24 {
-					s.submitRandom(r, n, poison, gangs)
+					s.submitRandom(r, n, x)
 					s.wait(time.Duration(r.IntN(600)) * time.Millisecond)
 					for range r.IntN(2) {
 						s.trouble(r, n)
@@ -53,22 +44,59 @@
 	}
 }
 
+// fates draws how runs go.
+type fates struct {
+	mu     sync.Mutex
+	work   *rand.Rand
+	poison map[string]bool
+	gangs  map[string]int
+}
+
+func newFates(seed uint64) *fates {
+	return &fates{work: rand.New(rand.NewPCG(seed, 1)), poison: map[string]bool{}, gangs: map[string]int{}}
+}
+
+func (f *fates) setPoison(id string, is bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.poison[id] = is
+}
+
+func (f *fates) setGang(id string, step, tasks int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.gangs[fmt.Sprint(id, step)] = tasks
+}
+
+// plan draws the fate of a run; those of poisoned jobs fail, and one in twelve of the others.
+func (f *fates) plan(x port.RunRef, spec string) standin.RunFate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := time.Duration(100+f.work.IntN(3000)) * time.Millisecond
+	out := standin.RunFate{Work: d, Result: jobs.Done, Gang: f.gangs[fmt.Sprint(x.Job, x.Step)]}
+	if f.poison[spec] || f.work.IntN(12) == 0 {
+		out.Work, out.Result = d/4, jobs.FailedRun
+	}
+	return out
+}
+
 // submitRandom hands one job in at a random host, and sometimes again at another one, or cancels it.
-func (s *site) submitRandom(r *rand.Rand, n int, poison map[string]bool, gangs map[string]int) {
+func (s *site) submitRandom(r *rand.Rand, n int, f *fates) {
 	id := fmt.Sprintf("%016x", n)
-	poison[id] = r.IntN(8) == 0
+	isPoison := r.IntN(8) == 0
 	var steps []jobs.Step
 	for k := range 1 + r.IntN(2) {
 		x := tasks(1 + r.IntN(4))
 		if r.IntN(2) == 0 {
 			x = gang(1+r.IntN(4), 1+r.IntN(2))
-			gangs[fmt.Sprint(id, k)] = x.Tasks
+			f.setGang(id, k, x.Tasks)
 		}
 		if k > 0 {
 			x.After = []int{0}
 		}
 		steps = append(steps, x)
 	}
+	f.setPoison(id, isPoison)
 	q := []string{"urgent", "quiet"}[r.IntN(2)]
 	host := s.pick(r)
 	err := s.submit(host, id, q, steps...)
