Drop the ends of jobs once they have been told, and count dropped lines of the log

Cause (found by reading): ends and cancels were kept for ever, in the store and in the fold of every host; a start that was stored just after the end of its job left a record as well.

Change: the owner drops them after the promised time and a margin; engine's worker file is split by what is done.

--- a/cmd/auburncleatd/site.go
+++ b/cmd/auburncleatd/site.go
@@ -41,14 +41,14 @@
 	k := logs.NewSink(os.Stdout)
 	defer k.Close()
 	l := logs.New(k, s.Log.Level).With("Host", s.Host.Name)
-	if err := serveSite(o, s, l); err != nil {
+	if err := serveSite(o, s, k, l); err != nil {
 		l.Error("host failed", "Cause", err.Error())
 		return exitFailed
 	}
 	return 0
 }
 
-func serveSite(o *siteOptions, s *setup.Site, l *slog.Logger) error {
+func serveSite(o *siteOptions, s *setup.Site, k *logs.Sink, l *slog.Logger) error {
 	debug.SetMemoryLimit(int64(float64(s.Limits.Memory) * memoryShare))
 	m, err := metric.New(map[string]string{"host": s.Host.Name, "domain": s.Host.Domain})
 	if err != nil {
@@ -60,7 +60,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go reload(ctx, hup, o, l)
-	h := host.New(s, siteOutside(s, l), host.WithLog(l), host.WithMetrics(m.Scope, m.Handler))
+	h := host.New(s, siteOutside(s, l), host.WithLog(l), host.WithMetrics(m.Scope, m.Handler), host.WithDropped(k.Dropped))
 	return h.Run(ctx)
 }
 
--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -70,7 +70,9 @@
 	ready  bool
 	// loggedBooks is when the books were last summed up in the log.
 	loggedBooks time.Time
-	wake        chan struct{}
+	// swept is when ends of jobs were last looked for that need not be kept.
+	swept time.Time
+	wake  chan struct{}
 }
 
 // Option changes how an engine is built.
@@ -195,6 +197,7 @@
 		if !now.Before(next) {
 			next = now.Add(checkInterval)
 			e.check(now)
+			e.sweep(now)
 		}
 		if !e.ready && (now.After(settled) || e.isAnswered()) && len(e.workers) > 0 {
 			e.ready = true
--- /dev/null
+++ b/internal/coordination/exec/silent.go
@@ -0,0 +1,43 @@
+package exec
+
+import (
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+)
+
+// check closes workers that are silent, counts their tasks as lost when their leases are over, and looks after units
+// that wait for something.
+func (e *Engine) check(now time.Time) {
+	for _, w := range e.workers {
+		if !w.isSuspect && !w.asked.IsZero() && w.asked.After(w.answered) && now.Sub(w.asked) > lookWait+silence {
+			w.isSuspect = true
+			e.log.Info("worker is silent", "Worker", w.name, "Tasks", len(w.tasks), "Asked", now.Sub(w.asked).String())
+			e.book(w)
+		}
+		if !w.leaseEnd.IsZero() && now.After(w.leaseEnd) {
+			e.lapse(w)
+		}
+	}
+	for _, w := range e.workers {
+		if !w.shunned.IsZero() && now.After(w.shunned) {
+			w.shunned = time.Time{}
+			e.book(w)
+		}
+	}
+	for _, u := range e.deferred {
+		e.planner.Cancel([]string{u.name})
+		e.enqueue(u)
+	}
+}
+
+// lapse counts the tasks of a worker as lost whose leases are certainly over.
+func (e *Engine) lapse(w *worker) {
+	for _, t := range w.tasks {
+		if t.member.presence == taskEnded || t.unit.phase == phaseStoring {
+			continue
+		}
+		e.log.Info("lease of a task on a silent worker is over", "Worker", w.name, "Unit", t.unit.name, "Run", t.unit.run)
+		e.ended(t.unit, t.member, jobs.Lost, "", false)
+	}
+}
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -173,6 +173,10 @@
 		Job: u.name, Result: planResult(r), Workers: u.blamed(r), Progress: u.progress, At: e.clock.Now(), Requeue: isAgain,
 	}
 	e.planner.Ended(x)
+	if u.isOver {
+		// A start that was stored after the end of its job left a record that nobody reads.
+		e.store([]jobs.Record{jobs.DropUnit(u.key)}, nil)
+	}
 	if !isAgain {
 		e.forget(u)
 		e.kick()
--- a/internal/coordination/feed/writer.go
+++ b/internal/coordination/feed/writer.go
@@ -49,12 +49,11 @@
 	log      *slog.Logger
 	sequence int64
 
-	mu       sync.Mutex
-	queue    []*Item
-	err      error
-	answered time.Time
-	waiting  time.Time
-	wake     chan struct{}
+	mu      sync.Mutex
+	queue   []*Item
+	err     error
+	waiting time.Time
+	wake    chan struct{}
 }
 
 // NewWriter returns a writer for one producer and epoch that Run starts.
@@ -229,5 +228,4 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.waiting = time.Time{}
-	w.answered = w.clock.Now()
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -62,6 +62,7 @@
 	writer   *feed.Writer
 	elect    *elect.Elect
 	intake   *intake.Intake
+	dropped  func() int64
 	leaving  atomic.Bool
 	wasReady atomic.Bool
 	// stopped is closed once the requests in flight are finished.
@@ -82,13 +83,16 @@
 	return func(h *Host) { h.scope, h.metrics = s, m }
 }
 
+// WithDropped sets the function that tells how many lines of the log were dropped.
+func WithDropped(f func() int64) Option { return func(h *Host) { h.dropped = f } }
+
 var jobsTopic = port.Topic{Name: "jobs", IsKeyed: true}
 
 // New returns a host that Run starts.
 func New(s *setup.Site, out Outside, opts ...Option) *Host {
 	h := &Host{
 		settings: s, out: out, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
-		metrics: http.NotFoundHandler(), table: jobs.NewTable(), stopped: make(chan struct{}),
+		metrics: http.NotFoundHandler(), table: jobs.NewTable(), stopped: make(chan struct{}), dropped: func() int64 { return 0 },
 	}
 	for _, o := range opts {
 		o(h)
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -23,7 +23,9 @@
 	// leaveTime lets the balancer see that the host leaves before it refuses connections.
 	leaveTime = 2500 * time.Millisecond
 	// releaseTime bounds the release of the ownership when the host leaves.
-	releaseTime   = time.Second
+	releaseTime = time.Second
+	// dropInterval is the time between two counts of dropped lines.
+	dropInterval  = 5 * time.Second
 	headerTimeout = 5 * time.Second
 	idleTimeout   = time.Minute
 	// shutdownMargin is kept of the grace for the end of the process.
@@ -52,6 +54,7 @@
 	part := func(f func(context.Context) error) {
 		g.Add(func() error { return f(work) }, func(error) { stop() })
 	}
+	part(h.countDropped)
 	part(h.config.Run)
 	part(h.jobs.Run)
 	part(h.writer.Run)
@@ -70,6 +73,14 @@
 	return err
 }
 
+// countDropped reports the lines of the log that a slow reader cost.
+func (h *Host) countDropped(ctx context.Context) error {
+	for h.clock.Sleep(ctx, dropInterval) == nil {
+		h.scope.Gauge("log_lines_dropped").Update(float64(h.dropped()))
+	}
+	return nil
+}
+
 func (h *Host) serve(g *run.Group, s *http.Server, a netip.AddrPort) error {
 	l, err := h.out.Listen(a)
 	if err != nil {
--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -262,3 +262,21 @@
 		require.Equal(t, 1, s.runners.Starts())
 	})
 }
+
+// TestEndsOfJobsAreDroppedOnceTold has jobs end in each way and the store keep nothing of them in the end.
+func TestEndsOfJobsAreDroppedOnceTold(t *testing.T) {
+	inSite(t, takes(3*time.Second), three, func(s *site) {
+		s.wait(2 * time.Second)
+		s.load(8)
+		require.NoError(t, s.submit("a", "00000000000000aa", "quiet", tasks(4)))
+		s.wait(500 * time.Millisecond)
+		require.NoError(t, s.hosts["b"].intake.Cancel(s.t.Context(), "00000000000000aa", 3*time.Second))
+		s.wait(40 * time.Second)
+		_, err := s.hosts["c"].intake.GetState("00000000000000aa")
+		require.NoError(t, err)
+		s.wait(80 * time.Second)
+		require.Empty(t, s.store.Keys(jobsTopic))
+		_, err = s.hosts["c"].intake.GetState("00000000000000aa")
+		require.ErrorIs(t, err, intake.ErrNoJob)
+	})
+}
--- /dev/null
+++ b/internal/setup/site_test.go
@@ -0,0 +1,71 @@
+package setup
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const goodSite = `[Host]
+Name = north-quay-1
+Domain = north-quay
+[Listen]
+Caller = 127.0.0.1:1
+Ready = 127.0.0.1:2
+Status = 127.0.0.1:3
+Peer = 127.0.0.1:4
+[Store]
+Addr = 127.0.0.1:5
+[Bounds]
+MaxHold = 10000ms
+[Limits]
+Memory = 284MB
+[Log]
+Format = json
+`
+
+func loadSite(t *testing.T, content string) (*Site, error) {
+	t.Helper()
+	p := filepath.Join(t.TempDir(), "site.ini")
+	require.NoError(t, os.WriteFile(p, []byte(content), 0o600))
+	return LoadSite(p)
+}
+
+func TestSiteSettings(t *testing.T) {
+	s, err := loadSite(t, goodSite)
+	require.NoError(t, err)
+	require.Equal(t, 10*time.Second, s.Bounds.MaxHold)
+	require.Equal(t, 5*time.Second, s.Bounds.Revoke)
+}
+
+// TestSiteSettingsNameAllFaults has each kind of mistake named, all at once.
+func TestSiteSettingsNameAllFaults(t *testing.T) {
+	bad := strings.NewReplacer("Name = north-quay-1\n", "", "127.0.0.1:2", "somewhere", "10000ms", "soon", "284MB", "-1").Replace(goodSite) +
+		"[Nonsense]\nKey = 1\n"
+	_, err := loadSite(t, bad)
+	var f *ErrFaults
+	require.ErrorAs(t, err, &f)
+	require.Len(t, f.Faults, 5)
+}
+
+// TestDeployedTemplateHasOnlyKnownKeys fills the deployed template in and loads it.
+func TestDeployedTemplateHasOnlyKnownKeys(t *testing.T) {
+	b, err := os.ReadFile("../../deploy/auburncleatd.ini")
+	require.NoError(t, err)
+	x := strings.NewReplacer(
+		"{{node_name}}", "n", "{{zone}}", "z", "{{listen_addrs.front}}", "127.0.0.1:1", "{{listen_addrs.ready}}", "127.0.0.1:2",
+		"{{ip}}", "127.0.0.1", "{{internal_ports.0}}", "7000", "{{internal_ports.1}}", "7015", "{{platform.address}}", "127.0.0.1:5",
+		"{{bounds.grace_s}}", "6", "{{bounds.status_s}}", "120", "{{limits.memory_mb}}", "284",
+	).Replace(string(b))
+	for strings.Contains(x, "{{") {
+		i := strings.Index(x, "{{")
+		j := strings.Index(x, "}}")
+		x = x[:i] + "2500" + x[j+2:]
+	}
+	_, err = loadSite(t, x)
+	require.NoError(t, err)
+}
--- a/internal/standin/keyed.go
+++ b/internal/standin/keyed.go
@@ -94,6 +94,18 @@
 	x.records = nil
 }
 
+// Keys returns the keys of a topic that have a record.
+func (s *Store) Keys(t port.Topic) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for k := range s.topic(t).newest {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
 // View returns the store as a host reaches it.
 func (s *Store) View(host string) port.Store {
 	return port.Store{
