Hold back for a blocked gang only what it can use

Cause: when a gang that may put one task on each worker, or that wants a label, was blocked, the planner counted on room that the gang could not use, and held it back from all other work for as long as the gang waited.

Figures: TestGangHoldsBackNothingThatItCannotUse failed before.

--- a/internal/state/plan/back.go
+++ b/internal/state/plan/back.go
@@ -57,7 +57,7 @@
 func (p *Planner) earliest(e *entry) ([]*place.Site, time.Time) {
 	n := e.need
 	room := map[*place.Site]place.Room{}
-	view := func(s *place.Site) place.Room { return room[s] }
+	view := func(s *place.Site) place.Room { return p.spread(e, s, room[s]) }
 	var all []release
 	var best []*place.Site
 	var bestAt time.Time
@@ -107,7 +107,8 @@
 func (p *Planner) releases(e *entry, r *place.Rack, room map[*place.Site]place.Room) []release {
 	var rs []release
 	for _, s := range r.Sites {
-		if s.Closed || s.Probe || !s.StopFrom.IsZero() || !s.HeldFrom.IsZero() || slices.Contains(e.avoid, s.Worker.Name) {
+		if s.Closed || s.Probe || !s.StopFrom.IsZero() || !s.HeldFrom.IsZero() || slices.Contains(e.avoid, s.Worker.Name) ||
+			!p.canUse(e, s) {
 			continue
 		}
 		room[s] = s.Free()
@@ -128,27 +129,28 @@
 // countUp adds releases in time order until the gang fits on the sites.
 func (p *Planner) countUp(e *entry, n place.Room, rs []release, room map[*place.Site]place.Room, sites []*place.Site) (time.Time, bool) {
 	slices.SortStableFunc(rs, func(x, y release) int { return cmp.Compare(x.at.UnixNano(), y.at.UnixNano()) })
+	holds := func(s *place.Site) int { return p.spread(e, s, room[s]).Holds(n) }
 	have := 0
 	enough := func(s *place.Site, sum int) bool {
 		if e.shape.Adjacent == fleet.LevelWorker {
-			return room[s].Holds(n) >= e.shape.Tasks
+			return holds(s) >= e.shape.Tasks
 		}
 		return sum >= e.shape.Tasks
 	}
 	for _, s := range sites {
-		have += room[s].Holds(n)
+		have += holds(s)
 		if enough(s, have) {
 			return p.now, true
 		}
 	}
 	for _, x := range rs {
-		before := room[x.site].Holds(n)
+		before := holds(x.site)
 		after := room[x.site].Plus(x.room)
 		if !e.soft {
 			after = after.Least(x.site.Capacity)
 		}
 		room[x.site] = after
-		have += after.Holds(n) - before
+		have += holds(x.site) - before
 		if enough(x.site, have) {
 			return x.at, true
 		}
--- a/internal/state/plan/displace_test.go
+++ b/internal/state/plan/displace_test.go
@@ -125,3 +125,27 @@
 	require.Len(t, d.Starts, 1)
 	require.Equal(t, "own", d.Starts[0].Job.ID)
 }
+
+// TestGangHoldsBackNothingThatItCannotUse has a gang wait for a worker that leaves, of which it wants a label or may put
+// only one task on each, while small work could run on the other one.
+func TestGangHoldsBackNothingThatItCannotUse(t *testing.T) {
+	cases := map[string]func(j *fleet.Job){
+		"label":           func(j *fleet.Job) { j.Label = "fast" },
+		"one of a worker": func(j *fleet.Job) { j.PerWorker = 1 },
+	}
+	for name, f := range cases {
+		t.Run(name, func(t *testing.T) {
+			ws := workers(1, 2)
+			ws[0].Labels = "fast,r00"
+			ws[0].Leaving = true
+			p := planner(t, ws, profiles(audit))
+			wide := job("a-wide", "CW", "Audit", shape(2, 4, fleet.LevelDomain))
+			f(&wide)
+			require.NoError(t, p.Submit(wide))
+			require.NoError(t, p.Submit(job("small", "Gear", "Audit", shape(1, 1, fleet.LevelWorker))))
+			d := p.Pass(start.Add(time.Second))
+			require.Len(t, d.Starts, 1)
+			require.Equal(t, "small", d.Starts[0].Job.ID)
+		})
+	}
+}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -238,7 +238,7 @@
 	if !s.StopFrom.IsZero() && end.After(s.StopFrom) {
 		return false
 	}
-	if e.job.Label != "" && !hasLabel(s.Worker, e.job.Label) {
+	if !p.canUse(e, s) {
 		return false
 	}
 	return len(e.avoid) == 0 || !slices.Contains(e.avoid, s.Worker.Name)
@@ -319,6 +319,11 @@
 	return fmt.Sprintf("%s of %s", e.job.Profile, e.job.Organisation)
 }
 
+// canUse reports whether a worker has what the job asks for whatever runs there.
+func (p *Planner) canUse(e *entry, s *place.Site) bool {
+	return e.job.Label == "" || hasLabel(s.Worker, e.job.Label)
+}
+
 func hasLabel(w fleet.Worker, label string) bool {
 	return slices.Contains(strings.Split(w.Labels, ","), label)
 }
