Remember within a pass for which jobs stopping others is of no use

Change: a search that found nothing worth it is not repeated for the same shape, urgency and organisation in the same pass; the pause after a pass is as long as the pass.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -208,7 +208,8 @@
 			e.logBooks(now)
 		}
 		e.mu.Unlock()
-		if e.clock.Sleep(ctx, passPause) != nil {
+		// A pass that takes long leaves the processor to the reports of the workers for as long.
+		if e.clock.Sleep(ctx, max(passPause, e.clock.Since(now))) != nil {
 			return
 		}
 	}
--- a/internal/state/plan/bench_test.go
+++ b/internal/state/plan/bench_test.go
@@ -139,3 +139,32 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkPassUnderOverload lets 2,000 small jobs that are overdue wait for 350 full workers.
+func BenchmarkPassUnderOverload(b *testing.B) {
+	p := New("north-quay", WithWasteBounds(1.5, 0.3))
+	p.Configure(profiles(audit, urgent, config.Profile{Name: "Normal", Urgency: config.Normal, WaitBound: time.Second, Stoppable: true}))
+	for _, w := range workers(18, 20) {
+		p.PutWorker(w)
+	}
+	for i := range 360 {
+		j := volatile(fmt.Sprintf("on%03d", i), "Audit", shape(8, 1, fleet.LevelWorker))
+		if err := p.Submit(j); err != nil {
+			b.Fatal(err)
+		}
+	}
+	d := p.Pass(start)
+	run(p, d, start)
+	for i := range 2000 {
+		j := volatile(fmt.Sprintf("q%04d", i), "Normal", shape(1, 1, fleet.LevelDomain))
+		if err := p.Submit(j); err != nil {
+			b.Fatal(err)
+		}
+	}
+	at := start.Add(10 * time.Minute)
+	b.ResetTimer()
+	for range b.N {
+		p.Pass(at)
+		at = at.Add(time.Millisecond)
+	}
+}
--- a/internal/state/plan/clear.go
+++ b/internal/state/plan/clear.go
@@ -344,6 +344,11 @@
 	if p.promise(e) == useless && !p.isSure(e) {
 		return false
 	}
+	kind := keptKind{e.shape, e.rank(), p.promise(e), p.isSure(e), e.job.Organisation}
+	isPlain := len(e.avoid) == 0 && e.job.PerWorker == 0 && e.job.Label == ""
+	if isPlain && p.pass.kept[kind] {
+		return false
+	}
 	end := p.now.Add(p.runTime(e))
 	v := p.open(e, end, (*place.Site).FreeHard)
 	if e.soft {
@@ -351,6 +356,9 @@
 	}
 	c := p.cheapestSpot(e, e.shape, e.need, v, (*place.Site).Free, func(b *entry) bool { return p.mayDisplace(e, b) })
 	if !c.ok || !p.isWorth(e, c) {
+		if isPlain {
+			p.pass.kept[kind] = true
+		}
 		return false
 	}
 	p.await(e, c, fmt.Sprintf("more urgent work, %s, takes the capacity that this job borrowed", e.label()))
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -27,6 +27,15 @@
 	soft  bool
 }
 
+// keptKind is a shape with all else that decides whether a job may stop others.
+type keptKind struct {
+	shape   fleet.Shape
+	rank    int
+	promise promise
+	isSure  bool
+	org     string
+}
+
 type passNotes struct {
 	// failed holds the shortest run time for which a shape found no room.
 	failed map[failure]time.Duration
@@ -35,6 +44,8 @@
 	moves  int
 	// largest is the number of accelerators of the largest queued gang.
 	largest int
+	// kept holds the kinds of job for which stopping others makes no room that is worth it.
+	kept map[keptKind]bool
 	// urgent holds the accelerators of all urgent jobs of each organisation.
 	urgent map[string]int
 }
@@ -46,7 +57,7 @@
 	if p.born.IsZero() {
 		p.born = now
 	}
-	p.pass = passNotes{failed: map[failure]time.Duration{}, urgent: p.urgentNeed()}
+	p.pass = passNotes{failed: map[failure]time.Duration{}, kept: map[keptKind]bool{}, urgent: p.urgentNeed()}
 	p.refresh()
 	p.repair()
 	p.rependent()
