Leave the ownership to hosts with a larger share of a processor

Change: a host with less than 0.35 of a processor leaves a vacant ownership to others for up to 1.5 s, the longer the less it has.

TestStrongHostsOwnTheJobs tells who owns. The present sites (0.4 of a processor each) are not changed by it.

--- a/internal/coordination/elect/elect.go
+++ b/internal/coordination/elect/elect.go
@@ -22,6 +22,9 @@
 	expiry = 1500 * time.Millisecond
 	// readWait is how long a read for renewals is held back.
 	readWait = 500 * time.Millisecond
+	// ampleShare is the share of a processor from which a host claims at once, and maxPatience what one with none waits.
+	ampleShare  = 0.35
+	maxPatience = 1500 * time.Millisecond
 	// retryPause is the time between two calls that fail.
 	retryPause = 100 * time.Millisecond
 )
@@ -43,6 +46,9 @@
 	clock clock.Clock
 	log   *slog.Logger
 
+	// patience is how long this host leaves a vacant ownership to others.
+	patience time.Duration
+
 	mu        sync.Mutex
 	owner     Owner
 	next      int64
@@ -53,9 +59,24 @@
 	leaving   bool
 }
 
+// Option changes how an election is built.
+type Option func(*Elect)
+
+// WithShare has a host with a small share of a processor leave the ownership to stronger ones, if they want it.
+func WithShare(share float64) Option {
+	return func(e *Elect) {
+		weakness := max(1-share/ampleShare, 0)
+		e.patience = time.Duration(weakness * float64(maxPatience))
+	}
+}
+
 // New returns the election seen by a host, which takes part under the given name, lifetime and address.
-func New(s port.Store, host, lifetime string, addr netip.AddrPort, c clock.Clock, l *slog.Logger) *Elect {
-	return &Elect{store: s, self: Owner{Host: host, Lifetime: lifetime, Addr: addr}, clock: c, log: l, next: -1}
+func New(s port.Store, host, lifetime string, addr netip.AddrPort, c clock.Clock, l *slog.Logger, opts ...Option) *Elect {
+	e := &Elect{store: s, self: Owner{Host: host, Lifetime: lifetime, Addr: addr}, clock: c, log: l, next: -1}
+	for _, o := range opts {
+		o(e)
+	}
+	return e
 }
 
 // Owner returns the owner as far as this host has read.
@@ -195,7 +216,8 @@
 func (e *Elect) isVacant() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.released || e.clock.Since(e.heard) > expiry
+	silent := e.clock.Since(e.heard) - e.patience
+	return e.released && silent >= 0 || silent > expiry
 }
 
 func (e *Elect) renew(ctx context.Context, at int64) error {
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -114,7 +115,7 @@
 			MaxHold: maxHold, StopTimeout: 800 * time.Millisecond, Claim: 3 * time.Second, GangTimeout: 3 * time.Second,
 			Revoke: 5 * time.Second, KeepEnded: time.Minute, Grace: 5 * time.Second,
 		},
-		Limits: setup.SiteLimits{MaxOpenJobs: 1000},
+		Limits: setup.SiteLimits{MaxOpenJobs: 1000, Processors: s.share(name)},
 	}
 	x.Listen.Peer = netip.MustParseAddrPort("127.0.1.1:1")
 	h := New(x, Outside{
@@ -155,6 +156,14 @@
 	return out
 }
 
+// share returns the share of a processor that a host has; those named weak have little.
+func (s *site) share(name string) float64 {
+	if strings.HasPrefix(name, "weak") {
+		return 0.1
+	}
+	return 1
+}
+
 // kill takes a host away from everything, for good.
 func (s *site) kill(name string) {
 	s.mu.Lock()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -102,7 +102,7 @@
 		feed.WithPause(standbyPause))
 	h.config = feed.NewFollower(out.Store, out.ConfigTopic, feed.Fold{Apply: h.applyConfig}, h.clock, h.log)
 	h.writer = feed.NewWriter(out.Store, jobsTopic, s.Host.Name+"-"+life, 1, h.clock, h.log)
-	h.elect = elect.New(out.Store, s.Host.Name, life, s.Listen.Peer, h.clock, h.log)
+	h.elect = elect.New(out.Store, s.Host.Name, life, s.Listen.Peer, h.clock, h.log, elect.WithShare(s.Limits.Processors))
 	m := intake.Limits{MaxConfigAge: s.Bounds.Revoke - revokeMargin, MaxOpen: s.Limits.MaxOpenJobs}
 	h.intake = intake.New(h.table, h.jobs, h.writer, h.config.Fresh, m, h.clock, h.log, h.scope)
 	return h
--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -280,3 +280,16 @@
 		require.ErrorIs(t, err, intake.ErrNoJob)
 	})
 }
+
+// TestStrongHostsOwnTheJobs has the only strong host start late, and die when it is the owner.
+func TestStrongHostsOwnTheJobs(t *testing.T) {
+	inSite(t, takes(time.Second), []string{"weak1", "weak2", "strong"}, func(s *site) {
+		s.wait(3 * time.Second)
+		require.Equal(t, "strong", s.owner())
+		s.load(4)
+		s.kill("strong")
+		s.wait(5 * time.Second)
+		require.Contains(t, s.owner(), "weak")
+		s.requireEnded(intake.Completed, 20*time.Second)
+	})
+}
--- a/internal/setup/site.go
+++ b/internal/setup/site.go
@@ -59,6 +59,8 @@
 // SiteLimits bound what the process uses and takes.
 type SiteLimits struct {
 	Memory fleet.Bytes
+	// Processors is the share of a processor that the host has; one with little leaves the ownership to others.
+	Processors float64
 	// MaxOpenJobs bounds the jobs that have no end yet.
 	MaxOpenJobs int
 }
@@ -93,6 +95,7 @@
 	r.read("Bounds", func(x *section) { s.Bounds = loadBounds(x) })
 	r.read("Limits", func(x *section) {
 		s.Limits.Memory = x.bytes("Memory", defaultMemory, fleet.Megabyte, maxMemory)
+		s.Limits.Processors = x.fraction("Processors", 1)
 		s.Limits.MaxOpenJobs = x.count("MaxOpenJobs", openJobs, 1, maxOpenJobs)
 	})
 	r.read("Log", func(x *section) { s.Log = loadLog(x) })
--- a/internal/setup/site_test.go
+++ b/internal/setup/site_test.go
@@ -59,7 +59,7 @@
 	x := strings.NewReplacer(
 		"{{node_name}}", "n", "{{zone}}", "z", "{{listen_addrs.front}}", "127.0.0.1:1", "{{listen_addrs.ready}}", "127.0.0.1:2",
 		"{{ip}}", "127.0.0.1", "{{internal_ports.0}}", "7000", "{{internal_ports.1}}", "7015", "{{platform.address}}", "127.0.0.1:5",
-		"{{bounds.grace_s}}", "6", "{{bounds.status_s}}", "120", "{{limits.memory_mb}}", "284",
+		"{{bounds.grace_s}}", "6", "{{bounds.status_s}}", "120", "{{limits.memory_mb}}", "284", "{{limits.cpu_share}}", "0.4",
 	).Replace(string(b))
 	for strings.Contains(x, "{{") {
 		i := strings.Index(x, "{{")
