Bar unanswered starts at the next lifetime of a worker, and name things by the field's terms

Change: such a task counts as gone only once the new lifetime has confirmed a stop. Orphaned tasks, restarted workers, guaranteed work and undecided calls are named so.

--- a/cmd/auburncleatd/site.go
+++ b/cmd/auburncleatd/site.go
@@ -88,8 +88,8 @@
 		FollowRunners: platform.NewRunnerList(store, clock.System(), l),
 		ConfigTopic:   platform.ConfigTopic,
 		DecodeConfig:  platform.DecodeConfig,
-		Door: func(i *intake.Intake, l *slog.Logger) http.Handler {
-			return platform.NewDoor(i, l)
+		Callers: func(i *intake.Intake, l *slog.Logger) http.Handler {
+			return platform.NewCallers(i, l)
 		},
 		Listen: func(a netip.AddrPort) (net.Listener, error) {
 			return net.Listen("tcp", a.String())
--- a/internal/coordination/exec/look.go
+++ b/internal/coordination/exec/look.go
@@ -12,7 +12,7 @@
 func (e *Engine) watch(ctx context.Context, w *worker) {
 	for ctx.Err() == nil {
 		e.mu.Lock()
-		isIdle := w.isHeld && !w.isSuspect && len(w.tasks) == 0 && len(w.strangers) == 0 && w.told == w.handled
+		isIdle := w.isHeld && !w.isSuspect && len(w.tasks) == 0 && len(w.orphans) == 0 && w.told == w.handled
 		isDone := !w.isListed && len(w.tasks) == 0
 		e.mu.Unlock()
 		if isDone {
@@ -37,7 +37,7 @@
 	}
 }
 
-// idleLook is the time between two thoughts about a worker on which nothing runs.
+// idleLook is how often a worker on which nothing runs is considered again.
 const idleLook = 5 * time.Second
 
 // look holds a worker once and takes its report.
@@ -49,7 +49,7 @@
 		// Another lifetime, whose ends are numbered anew, may answer; it must not forget any unread.
 		h.Seen = 0
 	}
-	if !w.isHeld || w.isSuspect || len(w.strangers) > 0 {
+	if !w.isHeld || w.isSuspect || len(w.orphans) > 0 {
 		h.Wait = 0
 	}
 	if !w.clockRead.IsZero() && !w.isFailing && e.mayHold(now) {
@@ -65,9 +65,9 @@
 		e.lookFailed(ctx, w, err)
 		return
 	}
-	w.told = h.Seen
 	stored := make(chan struct{})
 	e.mu.Lock()
+	w.told = h.Seen
 	e.report(w, now, r, func() { close(stored) })
 	e.mu.Unlock()
 	select {
@@ -76,7 +76,7 @@
 	case <-ctx.Done():
 	}
 	e.mu.Lock()
-	isOpen := len(w.open) > 0 || len(w.strangers) > 0
+	isOpen := len(w.open) > 0 || len(w.orphans) > 0
 	e.mu.Unlock()
 	if isOpen {
 		// The worker answers at once as long as it lists ends that are not acknowledged.
@@ -110,7 +110,7 @@
 	w.isFailing = true
 	if errors.Is(err, port.ErrOther) {
 		e.log.Info("another worker is at the address", "Worker", w.name)
-		e.reborn(w, port.RunReport{})
+		e.restarted(w, port.RunReport{})
 		w.isHeld = false
 		e.book(w)
 	} else if errors.Is(err, port.ErrFenced) {
--- a/internal/coordination/exec/progress.go
+++ b/internal/coordination/exec/progress.go
@@ -9,8 +9,8 @@
 	stallShare = 0.05
 	// workDone is the percentage at which a task is about to end, however long that takes.
 	workDone = 100
-	// shunFor is how long a worker gets no new work after a task stood still there.
-	shunFor = 5 * time.Second
+	// avoidFor is how long a worker gets no new work after a task stood still there.
+	avoidFor = 5 * time.Second
 )
 
 // watchProgress stops a unit of which a task does not go on, so that it runs elsewhere.
@@ -29,6 +29,6 @@
 		"Since", now.Sub(m.moved).Round(time.Millisecond).String())
 	e.scope.Counter("tasks_stalled").Inc(1)
 	m.isStalled = true
-	w.shunned = now.Add(shunFor)
+	w.avoidUntil = now.Add(avoidFor)
 	e.stop(u, "a task stands still")
 }
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -16,7 +16,7 @@
 	w.isFailing = false
 	w.tick(r.Clock, now)
 	if r.Instance != w.instance {
-		e.reborn(w, r)
+		e.restarted(w, r)
 	}
 	if w.isSuspect {
 		e.log.Info("worker answers again", "Worker", w.name)
@@ -75,9 +75,9 @@
 	}
 }
 
-// reborn notes that a worker runs another lifetime, which knows nothing of before but may have taken starts that were
+// restarted notes that a worker runs another lifetime, which knows nothing of before but may have taken starts that were
 // meant for the last one.
-func (e *Engine) reborn(w *worker, r port.RunReport) {
+func (e *Engine) restarted(w *worker, r port.RunReport) {
 	instance := r.Instance
 	if w.instance != "" || w.isHeld {
 		e.log.Info("worker has a new lifetime", "Worker", w.name, "Before", w.instance, "Now", instance)
@@ -97,27 +97,40 @@
 		case t.member.instance == instance, t.unit.phase == phaseStoring:
 		case there[ref]:
 			t.member.instance = instance
-		case t.member.presence == taskUnknown && t.unit.phase == phaseStarting:
-			// The start may still arrive; a confirmed stop keeps it from running.
+		case t.member.isUndecided && t.member.presence != taskEnded:
 			t.member.instance = instance
-			e.stop(t.unit, "its worker was restarted")
+			e.bar(t.unit, t.member, w)
 		default:
 			e.ended(t.unit, t.member, jobs.Lost, "", false)
 		}
 	}
 }
 
+// bar keeps a start that may still arrive at a new lifetime of its worker from running there: only once the worker has
+// confirmed a stop, the task counts as gone.
+func (e *Engine) bar(u *unit, m *member, w *worker) {
+	m.presence = taskUnknown
+	if u.phase != phaseStopping {
+		e.stop(u, "its worker was restarted")
+		return
+	}
+	if !m.barred.IsZero() {
+		m.barred = time.Time{}
+		go e.sendStop(u.ref(m), m, w)
+	}
+}
+
 // reconcile compares what runs on a worker with what should.
 func (e *Engine) reconcile(w *worker, asked time.Time, r port.RunReport) {
 	there := make(map[port.RunRef]bool, len(r.Running))
-	strangers := map[port.RunRef]bool{}
+	orphans := map[port.RunRef]bool{}
 	for _, x := range r.Running {
 		there[x.Ref] = true
 		t, ok := w.tasks[x.Ref]
 		if !ok {
-			strangers[x.Ref] = true
-			if !w.strangers[x.Ref] {
-				go e.removeStranger(w, x.Ref, w.runner.Worker.Addr)
+			orphans[x.Ref] = true
+			if !w.orphans[x.Ref] {
+				go e.stopOrphan(w, x.Ref, w.runner.Worker.Addr)
 			}
 			continue
 		}
@@ -130,7 +143,7 @@
 			e.started(t.unit)
 		}
 	}
-	w.strangers = strangers
+	w.orphans = orphans
 	for ref, t := range w.tasks {
 		if there[ref] || t.member.presence == taskEnded {
 			continue
@@ -154,15 +167,15 @@
 	}
 }
 
-// removeStranger has a task stopped that runs for no unit, until the worker has confirmed it.
-func (e *Engine) removeStranger(w *worker, r port.RunRef, addr netip.AddrPort) {
-	e.log.Info("task of no unit is stopped", "Worker", w.name, "Job", r.Job, "Step", r.Step, "Task", r.Task, "Run", r.Run)
+// stopOrphan has a task stopped that runs for no unit, until the worker has confirmed it.
+func (e *Engine) stopOrphan(w *worker, r port.RunRef, addr netip.AddrPort) {
+	e.log.Info("orphaned task is stopped", "Worker", w.name, "Job", r.Job, "Step", r.Step, "Task", r.Task, "Run", r.Run)
 	for {
 		err := e.out.Runners.Stop(e.ctx, addr, r, e.term, w.name)
 		if err == nil || e.ctx.Err() != nil || errors.Is(err, port.ErrOther) || errors.Is(err, port.ErrFenced) {
 			return
 		}
-		e.log.Info("stop of a task of no unit failed", "Worker", w.name, "Job", r.Job, "Task", r.Task, "Cause", err.Error())
+		e.log.Info("stop of an orphaned task failed", "Worker", w.name, "Job", r.Job, "Task", r.Task, "Cause", err.Error())
 		if e.clock.Sleep(e.ctx, lookPause) != nil {
 			return
 		}
--- a/internal/coordination/exec/silent.go
+++ b/internal/coordination/exec/silent.go
@@ -16,12 +16,12 @@
 			e.book(w)
 		}
 		if !w.leaseEnd.IsZero() && now.After(w.leaseEnd) {
-			e.lapse(w)
+			e.expire(w)
 		}
 	}
 	for _, w := range e.workers {
-		if !w.shunned.IsZero() && now.After(w.shunned) {
-			w.shunned = time.Time{}
+		if !w.avoidUntil.IsZero() && now.After(w.avoidUntil) {
+			w.avoidUntil = time.Time{}
 			e.book(w)
 		}
 	}
@@ -31,8 +31,8 @@
 	}
 }
 
-// lapse counts the tasks of a worker as lost whose leases are certainly over.
-func (e *Engine) lapse(w *worker) {
+// expire counts the tasks of a worker as lost whose leases are certainly over.
+func (e *Engine) expire(w *worker) {
 	for _, t := range w.tasks {
 		if t.member.presence == taskEnded || t.unit.phase == phaseStoring {
 			continue
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -38,7 +38,7 @@
 // sendStart repeats the start of one task until the worker has answered or patience is over.
 func (e *Engine) sendStart(u *unit, m *member, run int, w *worker) {
 	until := e.clock.Now().Add(startPatience)
-	isVague := false
+	isUndecided := false
 	for {
 		e.mu.Lock()
 		if u.run != run || u.phase != phaseStarting || e.ctx.Err() != nil {
@@ -52,11 +52,13 @@
 		}
 		w.leaseEnd = later(w.leaseEnd, now.Add(e.leaseBound()))
 		addr := w.runner.Worker.Addr
+		m.isUndecided = true
 		e.mu.Unlock()
 		at, err := e.out.Runners.Start(e.ctx, addr, s)
 		e.mu.Lock()
-		done := e.startAnswered(u, m, run, w, at, err, until, isVague)
-		isVague = isVague || isVagueStart(err)
+		done := e.startAnswered(u, m, run, w, at, err, until, isUndecided)
+		isUndecided = isUndecided || isUndecidedStart(err)
+		m.isUndecided = isUndecided
 		e.mu.Unlock()
 		if done {
 			return
@@ -67,8 +69,8 @@
 	}
 }
 
-// isVagueStart reports whether a start that came to this error may still be carried out.
-func isVagueStart(err error) bool {
+// isUndecidedStart reports whether a start that came to this error may still be carried out.
+func isUndecidedStart(err error) bool {
 	for _, x := range []error{port.ErrOther, port.ErrNoRoom, port.ErrLate, port.ErrOldRun, port.ErrFenced, port.ErrUnhealthy, port.ErrUnsent} {
 		if errors.Is(err, x) {
 			return false
@@ -77,9 +79,14 @@
 	return err != nil
 }
 
-// startAnswered takes the answer to a start and reports whether it settles the matter; isVague tells that an earlier
+// isRefusedStart reports whether the worker refused a start for good.
+func isRefusedStart(err error) bool {
+	return errors.Is(err, port.ErrNoRoom) || errors.Is(err, port.ErrLate) || errors.Is(err, port.ErrOldRun)
+}
+
+// startAnswered takes the answer to a start and reports whether it settles the matter; isUndecided tells that an earlier
 // try may still be carried out, so that a refusal of this one says nothing about the run.
-func (e *Engine) startAnswered(u *unit, m *member, run int, w *worker, at time.Duration, err error, until time.Time, isVague bool) bool {
+func (e *Engine) startAnswered(u *unit, m *member, run int, w *worker, at time.Duration, err error, until time.Time, isUndecided bool) bool {
 	if u.run != run || m.presence == taskEnded {
 		return true
 	}
@@ -95,7 +102,7 @@
 	case errors.Is(err, port.ErrOther):
 		e.missed(u, m, jobs.Lost, "another worker is at its address")
 		return true
-	case !isVague && (errors.Is(err, port.ErrNoRoom) || errors.Is(err, port.ErrLate) || errors.Is(err, port.ErrOldRun)):
+	case !isUndecided && isRefusedStart(err):
 		e.missed(u, m, jobs.Stopped, err.Error())
 		return true
 	case errors.Is(err, port.ErrFenced):
@@ -103,8 +110,7 @@
 		e.stop(u, "a newer owner was seen")
 		return true
 	}
-	isRefused := errors.Is(err, port.ErrNoRoom) || errors.Is(err, port.ErrLate) || errors.Is(err, port.ErrOldRun)
-	if !isRefused && e.clock.Now().Before(until) {
+	if !isRefusedStart(err) && e.clock.Now().Before(until) {
 		return false
 	}
 	e.log.Warn("start is not answered", "Job", u.job, "Unit", u.name, "Run", run, "Worker", m.worker, "Cause", err.Error())
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -57,6 +57,8 @@
 	moved   time.Time
 	// isStalled is set when the task is stopped because it does not go on.
 	isStalled bool
+	// isUndecided is set while a try to start the task is on its way or was not answered, so that it may be carried out.
+	isUndecided bool
 	// number is that of the end in the list of the worker; zero when it was not listed.
 	number int64
 }
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -49,8 +49,8 @@
 	isSuspect bool
 	// isFailing is set after a look without an answer; leases are extended again once the worker has answered.
 	isFailing bool
-	// strangers are tasks that run there for no unit and are being stopped.
-	strangers map[port.RunRef]bool
+	// orphans are tasks that run there for no unit and are being stopped.
+	orphans   map[port.RunRef]bool
 	clockAt   time.Duration
 	clockRead time.Time
 	// leaseEnd is when all that runs there has certainly ended, if the worker does not answer any more.
@@ -67,8 +67,8 @@
 	isBooked bool
 	// told is the newest end that the worker was told need not be listed again.
 	told int64
-	// shunned is until when a worker gets no new work on which tasks stood still.
-	shunned time.Time
+	// avoidUntil is until when a worker gets no new work on which tasks stood still.
+	avoidUntil time.Time
 }
 
 func (w *worker) signal() {
@@ -172,8 +172,8 @@
 		return
 	}
 	x := w.runner.Worker
-	x.Leaving = !w.isListed || w.runner.IsDraining || w.isSuspect || len(w.strangers) > 0 || !w.isHeld ||
-		e.clock.Now().Before(w.shunned)
+	x.Leaving = !w.isListed || w.runner.IsDraining || w.isSuspect || len(w.orphans) > 0 || !w.isHeld ||
+		e.clock.Now().Before(w.avoidUntil)
 	if !w.isListed && len(w.tasks) == 0 {
 		if w.isBooked {
 			e.planner.DropWorker(w.name)
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -128,7 +128,7 @@
 			return nil
 		},
 		DecodeConfig: func(port.Entry) (*queue.Config, error) { return testConfig, nil },
-		Door:         func(*intake.Intake, *slog.Logger) http.Handler { return http.NotFoundHandler() },
+		Callers:      func(*intake.Intake, *slog.Logger) http.Handler { return http.NotFoundHandler() },
 		Listen:       func(netip.AddrPort) (net.Listener, error) { return newDeaf(), nil },
 	}, WithLog(s.log.With("Host", name)))
 	ctx, cancel := context.WithCancel(s.t.Context())
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -33,9 +33,9 @@
 	// ConfigTopic holds the operator's configuration, and DecodeConfig returns it, or nil for other entries.
 	ConfigTopic  port.Topic
 	DecodeConfig func(e port.Entry) (*queue.Config, error)
-	// Door makes the handler for callers.
-	Door   func(i *intake.Intake, l *slog.Logger) http.Handler
-	Listen func(a netip.AddrPort) (net.Listener, error)
+	// Callers makes the handler for callers.
+	Callers func(i *intake.Intake, l *slog.Logger) http.Handler
+	Listen  func(a netip.AddrPort) (net.Listener, error)
 }
 
 const (
--- a/internal/host/random_test.go
+++ b/internal/host/random_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -20,11 +21,26 @@
 	firstSeed = flag.Int("site.seed", 1, "the first seed of TestSiteUnderRandomTrouble")
 )
 
+// failedSeeds are seeds that failed once, each with its cause.
+var failedSeeds = []uint64{
+	12118, // starts went to the next lifetime of a worker and were then counted as lost
+	7302,  // ends stored late moved what the next lifetime of the worker may forget
+	24589, // a term whose engine had ended was renewed for ever
+	5178,  // a good end came back after its run was counted as lost
+	32379, // a look with the acknowledged end of the former lifetime
+	5072,  // the first look after a crash acknowledged ends that nobody had read
+	14189, // an end that the first report of a lifetime lists was counted as lost
+	24265, // a start that was never answered reached the next lifetime after its run counted as lost
+}
+
 // TestSiteUnderRandomTrouble hands jobs in while hosts, store and workers fail at random, two and more at a time, and
 // then wants every accepted job to end, and no promise of the workers to have been broken on the way.
 func TestSiteUnderRandomTrouble(t *testing.T) {
+	all := slices.Clone(failedSeeds)
 	for i := range *seeds {
-		seed := uint64(*firstSeed + i)
+		all = append(all, uint64(*firstSeed+i))
+	}
+	for _, seed := range all {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, 0))
 			x := newFates(seed)
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -39,7 +39,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	front := &http.Server{
-		Handler: h.out.Door(h.intake, h.log), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: h.out.Callers(h.intake, h.log), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout}
 	status := &http.Server{Handler: h.metrics, ReadHeaderTimeout: headerTimeout}
--- a/internal/state/plan/clear.go
+++ b/internal/state/plan/clear.go
@@ -64,7 +64,7 @@
 	if e.rank() == 0 {
 		bound = p.waste[0]
 	}
-	if bound == 0 || p.isSure(e) {
+	if bound == 0 || p.isGuaranteed(e) {
 		return true
 	}
 	if p.promise(e) != onTime {
@@ -341,10 +341,10 @@
 	if e.rank() > 0 && p.overdue(e) < displaceFrom {
 		return false
 	}
-	if p.promise(e) == useless && !p.isSure(e) {
+	if p.promise(e) == useless && !p.isGuaranteed(e) {
 		return false
 	}
-	kind := keptKind{e.shape, e.rank(), p.promise(e), p.isSure(e), e.job.Organisation}
+	kind := keptKind{e.shape, e.rank(), p.promise(e), p.isGuaranteed(e), e.job.Organisation}
 	isPlain := len(e.avoid) == 0 && e.job.PerWorker == 0 && e.job.Label == ""
 	if isPlain && p.pass.kept[kind] {
 		return false
--- a/internal/state/plan/sure.go
+++ b/internal/state/plan/guaranteed.go
@@ -16,7 +16,7 @@
 
 // spreadOut lets guaranteed work give up the wish for one rack when it would start too late otherwise.
 func (p *Planner) spreadOut(e *entry) {
-	if p.claimBound == 0 || e.shape.Adjacent != fleet.LevelRack || !p.isSure(e) {
+	if p.claimBound == 0 || e.shape.Adjacent != fleet.LevelRack || !p.isGuaranteed(e) {
 		return
 	}
 	if float64(p.now.Sub(e.job.Submitted)) > spreadFrom*float64(p.claimBound) {
@@ -40,8 +40,8 @@
 	return out
 }
 
-// isSure reports whether an urgent job and all others of its organisation need no more than is guaranteed.
-func (p *Planner) isSure(e *entry) bool {
+// isGuaranteed reports whether an urgent job and all others of its organisation need no more than is guaranteed.
+func (p *Planner) isGuaranteed(e *entry) bool {
 	g := p.guaranteed[e.job.Organisation]
 	return g > 0 && e.rank() == 0 && p.pass.urgent[e.job.Organisation] <= g
 }
@@ -52,5 +52,5 @@
 	if b.rank() > e.rank() {
 		return true
 	}
-	return p.isSure(e) && b.rank() == 0 && !p.isSure(b)
+	return p.isGuaranteed(e) && b.rank() == 0 && !p.isGuaranteed(b)
 }
--- a/internal/state/plan/order.go
+++ b/internal/state/plan/order.go
@@ -8,14 +8,14 @@
 	"github.com/auburncleat/auburncleat/internal/state/place"
 )
 
-// sureRank goes before all urgencies.
-const sureRank = -1
+// guaranteedRank goes before all urgencies.
+const guaranteedRank = -1
 
 // effectiveRank puts guaranteed work first, and lets work that waits past its bound rise by one rank per bound, but never into the urgent rank.
 func (p *Planner) effectiveRank(e *entry) int {
 	r := e.rank()
-	if p.isSure(e) {
-		return sureRank
+	if p.isGuaranteed(e) {
+		return guaranteedRank
 	}
 	if p.promise(e) == useless {
 		return ranks
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -29,11 +29,11 @@
 
 // keptKind is a shape with all else that decides whether a job may stop others.
 type keptKind struct {
-	shape   fleet.Shape
-	rank    int
-	promise promise
-	isSure  bool
-	org     string
+	shape        fleet.Shape
+	rank         int
+	promise      promise
+	isGuaranteed bool
+	org          string
 }
 
 type passNotes struct {
--- a/internal/transport/rest/client.go
+++ b/internal/transport/rest/client.go
@@ -226,8 +226,8 @@
 	unsent bool
 	// certain holds refusals back while another attempt may have been carried out.
 	certain bool
-	// vague is set once an attempt was sent and not answered.
-	vague bool
+	// undecided is set once an attempt was sent and not answered.
+	undecided bool
 }
 
 // take notes the result of an attempt and reports whether it settles the call.
@@ -237,11 +237,11 @@
 	if x.err == nil {
 		return x.reply, true, nil
 	}
-	isSettled := !a.certain || a.open == 0 && !a.vague
+	isSettled := !a.certain || a.open == 0 && !a.undecided
 	if isAnswered(x.err) && isSettled {
 		return x.reply, true, x.err
 	}
-	a.vague = a.vague || !isAnswered(x.err) && !isDial(x.err)
+	a.undecided = a.undecided || !isAnswered(x.err) && !isDial(x.err)
 	switch {
 	case a.open > 0:
 		return Reply{}, false, nil
