--- a/cmd/auburncleatd/main.go
+++ b/cmd/auburncleatd/main.go
@@ -33,7 +33,7 @@
 
 type options struct {
 	Site     *siteOptions `arg:"subcommand:site" help:"serve jobs that are kept in the platform's store"`
-	Settings string       `arg:"--settings" help:"INI file with the settings of this host"`
+	Settings string       `arg:"--settings,env:AUBURNCLEAT_BOOT" help:"INI file with the settings of this host"`
 }
 
 // Version renders what --version prints.
@@ -49,12 +49,12 @@
 func main() {
 	var o options
 	p := arg.MustParse(&o)
-	if o.Site != nil {
-		os.Exit(runSite(o.Site))
-	}
 	if o.Settings == "" {
 		p.Fail("--settings is required")
 	}
+	if o.Site != nil {
+		os.Exit(runSite(o.Settings))
+	}
 	s, err := setup.Load(o.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "auburncleatd:", err)
--- a/cmd/auburncleatd/site.go
+++ b/cmd/auburncleatd/site.go
@@ -28,12 +28,11 @@
 // workerConnections are the connections to one worker: one for its reports and some for orders.
 const workerConnections = 6
 
-type siteOptions struct {
-	Settings string `arg:"--settings,env:AUBURNCLEAT_BOOT,required" help:"INI file with the settings of this host"`
-}
+// siteOptions has none of its own: the settings are named before or behind the sub-command.
+type siteOptions struct{}
 
-func runSite(o *siteOptions) int {
-	s, err := setup.LoadSite(o.Settings)
+func runSite(path string) int {
+	s, err := setup.LoadSite(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "auburncleatd:", err)
 		return exitBadUsage
@@ -41,14 +40,14 @@
 	k := logs.NewSink(os.Stdout)
 	defer k.Close()
 	l := logs.New(k, s.Log.Level).With("Host", s.Host.Name)
-	if err := serveSite(o, s, k, l); err != nil {
+	if err := serveSite(path, s, k, l); err != nil {
 		l.Error("host failed", "Cause", err.Error())
 		return exitFailed
 	}
 	return 0
 }
 
-func serveSite(o *siteOptions, s *setup.Site, k *logs.Sink, l *slog.Logger) error {
+func serveSite(path string, s *setup.Site, k *logs.Sink, l *slog.Logger) error {
 	debug.SetMemoryLimit(int64(float64(s.Limits.Memory) * memoryShare))
 	m, err := metric.New(map[string]string{"host": s.Host.Name, "domain": s.Host.Domain})
 	if err != nil {
@@ -59,20 +58,20 @@
 	defer stop()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	go reload(ctx, hup, o, l)
+	go reload(ctx, hup, path, l)
 	h := host.New(s, siteOutside(s, l), host.WithLog(l), host.WithMetrics(m.Scope, m.Handler), host.WithDropped(k.Dropped))
 	return h.Run(ctx)
 }
 
 // reload reads the settings again when asked to; a change of addresses needs a new start.
-func reload(ctx context.Context, hup <-chan os.Signal, o *siteOptions, l *slog.Logger) {
+func reload(ctx context.Context, hup <-chan os.Signal, path string, l *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hup:
 		}
-		if _, err := setup.LoadSite(o.Settings); err != nil {
+		if _, err := setup.LoadSite(path); err != nil {
 			l.Warn("settings not reloaded", "Cause", err.Error())
 			continue
 		}
--- a/internal/coordination/exec/look.go
+++ b/internal/coordination/exec/look.go
@@ -44,10 +44,11 @@
 func (e *Engine) look(ctx context.Context, w *worker) {
 	e.mu.Lock()
 	now := e.clock.Now()
-	h := port.RunHold{Token: e.term, Seen: w.seen(), Wait: lookWait, Worker: w.name}
-	if w.isFailing || now.Sub(w.answered) > ackAge {
-		// Another lifetime, whose ends are numbered anew, may answer; it must not forget any unread.
-		h.Seen = 0
+	h := port.RunHold{Token: e.term, Wait: lookWait, Worker: w.name}
+	// Another lifetime, whose ends are numbered anew, must not forget any unread: ends are acknowledged to a worker that
+	// has just reported, in one attempt.
+	if !w.isFailing && now.Sub(w.answered) <= ackAge && w.seen() > w.told {
+		h.Seen, h.Once, h.Within = w.seen(), true, silence
 	}
 	if !w.isHeld || w.isSuspect || len(w.orphans) > 0 {
 		h.Wait = 0
@@ -67,7 +68,7 @@
 	}
 	stored := make(chan struct{})
 	e.mu.Lock()
-	w.told = h.Seen
+	w.told = max(w.told, h.Seen)
 	e.report(w, now, r, func() { close(stored) })
 	e.mu.Unlock()
 	select {
--- a/internal/coordination/port/runner.go
+++ b/internal/coordination/port/runner.go
@@ -57,6 +57,9 @@
 	Seen int64
 	// Wait is how long the worker may hold the answer back for an end.
 	Wait time.Duration
+	// Once forbids a second attempt beside the first, and Within bounds the time beyond Wait; zero means the usual one.
+	Once   bool
+	Within time.Duration
 	// Worker is the one that is meant; another one at its address refuses.
 	Worker string
 }
--- a/internal/host/fault_test.go
+++ b/internal/host/fault_test.go
@@ -148,3 +148,27 @@
 	}
 	return fleet.Worker{}
 }
+
+// TestEndsAreAcknowledgedOnce guards against a second attempt at an acknowledgement, which would reach the next lifetime
+// of a worker that restarts meanwhile and make it forget ends that nobody has read.
+func TestEndsAreAcknowledgedOnce(t *testing.T) {
+	inSite(t, takes(300*time.Millisecond), three, func(s *site) {
+		s.wait(2 * time.Second)
+		s.load(12)
+		s.requireEnded(intake.Completed, 20*time.Second)
+		s.wait(5 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		acks := 0
+		for _, h := range s.holds {
+			if h.Seen == 0 {
+				continue
+			}
+			acks++
+			require.True(t, h.Once, "%+v", h)
+			require.Less(t, h.Within, 2*time.Second)
+			require.Positive(t, h.Within)
+		}
+		require.Positive(t, acks)
+	})
+}
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -57,6 +57,8 @@
 	// cut names links between hosts and workers.
 	cut map[[2]string]bool
 	ids []string
+	// holds are the calls by which hosts extended leases and acknowledged ends.
+	holds []port.RunHold
 	// log shows what the hosts log when a test is run with SITE_LOG set.
 	log *slog.Logger
 }
@@ -119,7 +121,7 @@
 	}
 	x.Listen.Peer = netip.MustParseAddrPort("127.0.1.1:1")
 	h := New(x, Outside{
-		Store: s.store.View(name), Runners: s.runners.View(name), ConfigTopic: testOperators,
+		Store: s.store.View(name), Runners: s.runnersOf(name), ConfigTopic: testOperators,
 		FollowRunners: func(ctx context.Context, put func(port.Runner), _ func(string)) error {
 			for i := range 6 {
 				put(port.Runner{Worker: testWorker(i)})
@@ -145,6 +147,19 @@
 	})
 }
 
+// runnersOf returns the workers as a host reaches them, and notes the calls that hold them.
+func (s *site) runnersOf(host string) port.Runners {
+	v := s.runners.View(host)
+	hold := v.Hold
+	v.Hold = func(ctx context.Context, to netip.AddrPort, h port.RunHold) (port.RunReport, error) {
+		s.mu.Lock()
+		s.holds = append(s.holds, h)
+		s.mu.Unlock()
+		return hold(ctx, to, h)
+	}
+	return v
+}
+
 // live returns the names of the hosts that are not dead, in order.
 func (s *site) live() []string {
 	var out []string
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -48,7 +48,12 @@
 	failed map[port.RunRef]int
 	faults []string
 	starts int
-	gangs  map[port.RunRef]*gangRun
+	// begun holds the jobs of which a task was ever started, and done the tasks of which a run ended well.
+	begun map[string]bool
+	done  map[port.RunRef]bool
+	// everFailed counts the failed runs of each task, and of each gang under the index of its whole.
+	everFailed map[port.RunRef]int
+	gangs map[port.RunRef]*gangRun
 	// isCut reports whether a host cannot reach a worker.
 	isCut func(host, worker string) bool
 }
@@ -125,6 +130,7 @@
 func NewRunners(c clock.Clock, b RunBounds, p RunPlan) *Runners {
 	return &Runners{
 		clock: c, bounds: b, plan: p, byAddr: map[netip.AddrPort]*runWorker{}, noted: map[port.RunRef]bool{}, failed: map[port.RunRef]int{}, gangs: map[port.RunRef]*gangRun{},
+		begun: map[string]bool{}, done: map[port.RunRef]bool{}, everFailed: map[port.RunRef]int{},
 		isCut: func(string, string) bool { return false },
 	}
 }
@@ -218,6 +224,56 @@
 	return r.starts
 }
 
+// HasBegun reports whether a task of a job was ever started.
+func (r *Runners) HasBegun(job string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.begun[job]
+}
+
+// CountDone returns how many tasks of a job have ended well.
+func (r *Runners) CountDone(job string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, w := range r.byAddr {
+		r.advance(w)
+	}
+	for t := range r.done {
+		if t.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
+// CountFailed returns the most runs of one task or gang of a job that have failed.
+func (r *Runners) CountFailed(job string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for t, x := range r.everFailed {
+		if t.Job == job {
+			n = max(n, x)
+		}
+	}
+	return n
+}
+
+// FindRunning returns the tasks that run anywhere.
+func (r *Runners) FindRunning() []port.RunRef {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []port.RunRef
+	for _, w := range r.byAddr {
+		r.advance(w)
+		for _, x := range w.tasks {
+			out = append(out, x.ref)
+		}
+	}
+	return out
+}
+
 // View returns the workers as a host reaches them.
 func (r *Runners) View(host string) port.Runners {
 	return port.Runners{
@@ -332,6 +388,7 @@
 		w.tasks[t].done = time.Time{}
 	}
 	r.starts++
+	r.begun[s.Ref.Job] = true
 	return now.Sub(w.start), nil
 }
 
@@ -476,6 +533,14 @@
 	}
 	if how == jobs.FailedRun {
 		r.failed[t]++
+		k := t
+		if x.gang != nil {
+			k.Task = jobs.WholeGang
+		}
+		r.everFailed[k]++
+	}
+	if how == jobs.Done {
+		r.done[t] = true
 	}
 	w.ended = append(w.ended, port.RunEnd{Number: w.numbers, Ref: x.ref, Result: how, How: word})
 	w.barred[t] = max(w.barred[t], x.ref.Run)
--- /dev/null
+++ b/internal/standin/runnerweb.go
@@ -0,0 +1,156 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/pkg/errors"
+)
+
+// meantHeader names the worker that a call is meant for.
+const meantHeader = "X-Target-Instance"
+
+// runnerCall is the body of all calls to a worker that runs tasks.
+type runnerCall struct {
+	Task         string `json:"task"`
+	Run          int    `json:"run"`
+	Spec         string `json:"spec"`
+	DeadlineMs   int64  `json:"deadline_ms"`
+	FencingToken int64  `json:"fencing_token"`
+	Checkpoint   string `json:"checkpoint"`
+	LastSeen     int64  `json:"last_seen"`
+	WaitMs       int64  `json:"wait_ms"`
+}
+
+type runnerReply struct {
+	ClockMs  int64   `json:"clock_ms"`
+	Born     int64   `json:"born"`
+	Reason   string  `json:"reason,omitempty"`
+	Running  [][]any `json:"running,omitempty"`
+	Finished [][]any `json:"finished,omitempty"`
+}
+
+// Handler serves the worker at an address by the platform's protocol; a call that it does not answer hangs.
+func (r *Runners) Handler(at netip.AddrPort) http.Handler {
+	v := r.View("")
+	m := http.NewServeMux()
+	m.HandleFunc("POST /run-start", runnerCommand(func(q *http.Request, c runnerCall, t port.RunRef) (runnerReply, error) {
+		clock, err := v.Start(q.Context(), at, port.RunStart{
+			Ref: t, Spec: c.Spec, Until: time.Duration(c.DeadlineMs) * time.Millisecond, Token: c.FencingToken,
+			Checkpoint: c.Checkpoint, Worker: q.Header.Get(meantHeader),
+		})
+		return runnerReply{ClockMs: clock.Milliseconds()}, err
+	}))
+	m.HandleFunc("POST /run-stop", runnerCommand(func(q *http.Request, c runnerCall, t port.RunRef) (runnerReply, error) {
+		return runnerReply{}, v.Stop(q.Context(), at, t, c.FencingToken, q.Header.Get(meantHeader))
+	}))
+	m.HandleFunc("POST /hold", runnerCommand(func(q *http.Request, c runnerCall, _ port.RunRef) (runnerReply, error) {
+		x, err := v.Hold(q.Context(), at, port.RunHold{
+			Token: c.FencingToken, Until: time.Duration(c.DeadlineMs) * time.Millisecond, Seen: c.LastSeen,
+			Wait: time.Duration(c.WaitMs) * time.Millisecond, Worker: q.Header.Get(meantHeader),
+		})
+		return renderReport(x), err
+	}))
+	return m
+}
+
+func runnerCommand(f func(q *http.Request, c runnerCall, t port.RunRef) (runnerReply, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		var c runnerCall
+		if err := json.NewDecoder(q.Body).Decode(&c); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		t, err := parseTask(c.Task, c.Run)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		p, err := f(q, c, t)
+		if err != nil {
+			refuseRunner(w, q, err)
+			return
+		}
+		answer(w, http.StatusOK, p)
+	}
+}
+
+// parseTask reads a task's name; a call that names none concerns the whole worker.
+func parseTask(name string, run int) (port.RunRef, error) {
+	if name == "" {
+		return port.RunRef{}, nil
+	}
+	out := port.RunRef{Run: run}
+	p := strings.Split(name, ".")
+	if len(p) != 4 {
+		return out, fmt.Errorf("task %q has %d parts", name, len(p))
+	}
+	out.Job = p[0]
+	var err error
+	if out.Step, err = strconv.Atoi(p[2]); err != nil {
+		return out, fmt.Errorf("step of task %q: %w", name, err)
+	}
+	if out.Task, err = strconv.Atoi(p[3]); err != nil {
+		return out, fmt.Errorf("index of task %q: %w", name, err)
+	}
+	return out, nil
+}
+
+func taskText(r port.RunRef) string {
+	return fmt.Sprintf("%s.0.%d.%d", r.Job, r.Step, r.Task)
+}
+
+func renderReport(x port.RunReport) runnerReply {
+	// The lifetime's name is all that tells it apart here; the platform tells it by the time of its start.
+	born, _ := strconv.ParseInt(x.Instance[strings.LastIndex(x.Instance, "-")+1:], 10, 64)
+	p := runnerReply{ClockMs: x.Clock.Milliseconds(), Born: born}
+	for _, t := range x.Running {
+		p.Running = append(p.Running, []any{taskText(t.Ref), t.Ref.Run, t.Checkpoint, t.Percent})
+	}
+	for _, t := range x.Ended {
+		p.Finished = append(p.Finished, []any{t.Number, taskText(t.Ref), t.Ref.Run, endWord(t), t.Checkpoint})
+	}
+	return p
+}
+
+// endWord names an end as the platform does.
+func endWord(x port.RunEnd) string {
+	switch x.Result {
+	case jobs.Done:
+		return "done"
+	case jobs.FailedRun:
+		return "failed"
+	default:
+		return x.How
+	}
+}
+
+func refuseRunner(w http.ResponseWriter, q *http.Request, err error) {
+	reason := ""
+	switch {
+	case errors.Is(err, ErrSilent):
+		hang(q)
+	case errors.Is(err, port.ErrOther):
+		answer(w, http.StatusMisdirectedRequest, runnerReply{})
+		return
+	case errors.Is(err, port.ErrFenced):
+		reason = "fence"
+	case errors.Is(err, port.ErrOldRun):
+		reason = "old"
+	case errors.Is(err, port.ErrLate):
+		reason = "late"
+	case errors.Is(err, port.ErrNoRoom):
+		reason = "room"
+	default:
+		answer(w, http.StatusServiceUnavailable, runnerReply{Reason: err.Error()})
+		return
+	}
+	answer(w, http.StatusConflict, runnerReply{Reason: reason})
+}
--- a/internal/transport/rest/client.go
+++ b/internal/transport/rest/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -67,6 +68,8 @@
 	Hedge bool
 	// Certain reports a refusal only when no other attempt may still be carried out.
 	Certain bool
+	// Timeout bounds the call beyond Wait; zero means the timeout of the client.
+	Timeout time.Duration
 	// Fresh opens a connection for the call, which cannot have fallen silent; use it for calls that must not be doubled.
 	Fresh bool
 }
@@ -199,7 +202,7 @@
 	if r.Hedge {
 		second = c.clock.After(r.Wait + c.hedge)
 	}
-	expired := c.clock.After(r.Wait + c.timeout)
+	expired := c.clock.After(r.Wait + cmp.Or(r.Timeout, c.timeout))
 	a := attempts{open: 1, unsent: true, certain: r.Certain}
 	for {
 		select {
--- a/tests/fleet_test.go
+++ b/tests/fleet_test.go
@@ -10,11 +10,9 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
-	"github.com/auburncleat/auburncleat/internal/clock"
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
 	"github.com/auburncleat/auburncleat/internal/standin"
 	"github.com/auburncleat/auburncleat/internal/state/config"
@@ -84,16 +82,6 @@
 	return 0
 }
 
-// process is a program that the test has started.
-type process struct {
-	name string
-	cmd  *exec.Cmd
-	log  string
-	done chan struct{}
-	// paused is set while the process is stopped by SIGSTOP.
-	paused bool
-}
-
 // domain is a failure domain with the number of its hosts.
 type domain struct {
 	name  string
@@ -108,12 +96,10 @@
 
 // fleetRun is one platform with workers and hosts, all real processes.
 type fleetRun struct {
-	t        *testing.T
+	*programs
 	net      int
-	dir      string
 	domains  []domain
 	platform netip.AddrPort
-	procs    map[string]*process
 	hosts    map[string]host
 	workers  []store.Worker
 	client   *http.Client
@@ -127,11 +113,9 @@
 // newFleet makes a fleet; nothing runs before start.
 func newFleet(t *testing.T, domains ...domain) *fleetRun {
 	f := &fleetRun{
-		t:          t,
+		programs:   newPrograms(t),
 		net:        takeNet(t),
-		dir:        t.TempDir(),
 		domains:    domains,
-		procs:      map[string]*process{},
 		hosts:      map[string]host{},
 		client:     &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 15 * time.Second},
 		platforms:  map[string]netip.AddrPort{},
@@ -244,78 +228,10 @@
 	return f.run(name, "auburncleatd", "--settings", f.settings(f.hosts[name]))
 }
 
-// run starts a program; its output goes to a file of the test's folder.
-func (f *fleetRun) run(name, program string, args ...string) *process {
-	f.t.Helper()
-	p := &process{name: name, log: filepath.Join(f.dir, name+".log"), done: make(chan struct{})}
-	out, err := os.Create(p.log)
-	require.NoError(f.t, err)
-	p.cmd = exec.Command(filepath.Join(bin, program), args...)
-	p.cmd.Stdout, p.cmd.Stderr = out, out
-	require.NoError(f.t, p.cmd.Start())
-	f.procs[name] = p
-	go func() {
-		defer close(p.done)
-		_ = p.cmd.Wait()
-		_ = out.Close()
-	}()
-	return p
-}
-
-// signal sends a signal to a process that this test has started.
-func (f *fleetRun) signal(name string, s syscall.Signal) {
-	f.t.Helper()
-	p := f.procs[name]
-	require.NoError(f.t, p.cmd.Process.Signal(s), name)
-	p.paused = s == syscall.SIGSTOP || p.paused && s != syscall.SIGCONT
-}
-
-// kill ends a process at once.
-func (f *fleetRun) kill(name string) {
-	f.t.Helper()
-	f.signal(name, syscall.SIGKILL)
-	<-f.procs[name].done
-	delete(f.procs, name)
-}
-
-// wait returns the exit code of a process that ends within the bound.
-func (f *fleetRun) wait(p *process, bound time.Duration) int {
-	f.t.Helper()
-	select {
-	case <-p.done:
-	case <-clock.System().After(bound):
-		require.Fail(f.t, "process does not end", "%s within %s: %s", p.name, bound, p.output())
-	}
-	return p.cmd.ProcessState.ExitCode()
-}
-
-func (p *process) output() string {
-	b, _ := os.ReadFile(p.log)
-	return string(b)
-}
-
 func (f *fleetRun) stop() {
 	if f.t.Failed() {
 		f.dump()
 	}
-	for _, p := range f.procs {
-		_ = p.cmd.Process.Kill()
-	}
-	for _, p := range f.procs {
-		<-p.done
-	}
+	f.programs.stop()
 	f.client.CloseIdleConnections()
 }
-
-// eventually polls until g holds and returns how long that took.
-func (f *fleetRun) eventually(bound time.Duration, what string, g func() bool) time.Duration {
-	f.t.Helper()
-	begin := time.Now()
-	for !g() {
-		if time.Since(begin) > bound {
-			require.Fail(f.t, "not in time", "%s within %s", what, bound)
-		}
-		pause(f.t, pollInterval)
-	}
-	return time.Since(begin)
-}
--- /dev/null
+++ b/tests/program_test.go
@@ -0,0 +1,119 @@
+package tests
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/clock"
+	"github.com/stretchr/testify/require"
+)
+
+// process is a program that the test has started.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	log  string
+	done chan struct{}
+	// paused is set while the process is stopped by SIGSTOP.
+	paused bool
+}
+
+// programs are the processes that a test has started, and the folder of their files.
+type programs struct {
+	t   *testing.T
+	dir string
+	// mu guards procs where faults are brought about at the same time.
+	mu    sync.Mutex
+	procs map[string]*process
+}
+
+func newPrograms(t *testing.T) *programs {
+	return &programs{t: t, dir: t.TempDir(), procs: map[string]*process{}}
+}
+
+// run starts a program; its output goes to a file of the test's folder.
+func (r *programs) run(name, program string, args ...string) *process {
+	r.t.Helper()
+	p := &process{name: name, log: filepath.Join(r.dir, name+".log"), done: make(chan struct{})}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	require.NoError(r.t, err)
+	p.cmd = exec.Command(filepath.Join(bin, program), args...)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	require.NoError(r.t, p.cmd.Start())
+	r.mu.Lock()
+	r.procs[name] = p
+	r.mu.Unlock()
+	go func() {
+		defer close(p.done)
+		_ = p.cmd.Wait()
+		_ = out.Close()
+	}()
+	return p
+}
+
+// process returns the process of a name that was started last.
+func (r *programs) process(name string) *process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.procs[name]
+}
+
+// signal sends a signal to a process that this test has started.
+func (r *programs) signal(name string, s syscall.Signal) {
+	r.t.Helper()
+	p := r.procs[name]
+	require.NoError(r.t, p.cmd.Process.Signal(s), name)
+	p.paused = s == syscall.SIGSTOP || p.paused && s != syscall.SIGCONT
+}
+
+// kill ends a process at once.
+func (r *programs) kill(name string) {
+	r.t.Helper()
+	r.signal(name, syscall.SIGKILL)
+	<-r.procs[name].done
+	delete(r.procs, name)
+}
+
+// wait returns the exit code of a process that ends within the bound.
+func (r *programs) wait(p *process, bound time.Duration) int {
+	r.t.Helper()
+	select {
+	case <-p.done:
+	case <-clock.System().After(bound):
+		require.Fail(r.t, "process does not end", "%s within %s: %s", p.name, bound, p.output())
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (p *process) output() string {
+	b, _ := os.ReadFile(p.log)
+	return string(b)
+}
+
+// stop ends all processes.
+func (r *programs) stop() {
+	for _, p := range r.procs {
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range r.procs {
+		<-p.done
+	}
+}
+
+// eventually polls until g holds and returns how long that took.
+func (r *programs) eventually(bound time.Duration, what string, g func() bool) time.Duration {
+	r.t.Helper()
+	begin := time.Now()
+	for !g() {
+		if time.Since(begin) > bound {
+			require.Fail(r.t, "not in time", "%s within %s", what, bound)
+		}
+		pause(r.t, pollInterval)
+	}
+	return time.Since(begin)
+}
--- a/tests/relay_test.go
+++ b/tests/relay_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -19,10 +20,40 @@
 	links    []*link
 	cut      atomic.Bool
 	running  sync.WaitGroup
+	// held keeps what comes from the callers (0) or goes back to them (1) until it is let go.
+	held [2]atomic.Bool
+	// delay is added to everything that is passed on, in nanoseconds.
+	delay atomic.Int64
+}
+
+// holdPoll is how often a held direction is looked at again.
+const holdPoll = 20 * time.Millisecond
+
+// hold keeps the bytes of both directions, or of one, until release.
+func (r *relay) hold(toward, back bool) {
+	r.held[0].Store(toward)
+	r.held[1].Store(back)
+}
+
+// release lets go of what was held and delays nothing any more.
+func (r *relay) release() {
+	r.hold(false, false)
+	r.delay.Store(0)
+}
+
+// await returns once bytes of a direction may be passed on, or the relay is closed.
+func (r *relay) await(direction int) {
+	if d := r.delay.Load(); d > 0 {
+		time.Sleep(time.Duration(d))
+	}
+	for r.held[direction].Load() && !r.cut.Load() {
+		time.Sleep(holdPoll)
+	}
 }
 
 // link is one connection through a relay.
 type link struct {
+	relay   *relay
 	in, out net.Conn
 	silent  atomic.Bool
 	// swallowed is set once a byte was dropped.
@@ -61,18 +92,18 @@
 		return
 	}
 	defer out.Close()
-	l := &link{in: in, out: out}
+	l := &link{relay: r, in: in, out: out}
 	r.mu.Lock()
 	r.links = append(r.links, l)
 	r.mu.Unlock()
 	var g sync.WaitGroup
-	g.Go(func() { l.copy(out, in) })
-	g.Go(func() { l.copy(in, out) })
+	g.Go(func() { l.copy(out, in, 0) })
+	g.Go(func() { l.copy(in, out, 1) })
 	g.Wait()
 }
 
 // copy passes bytes on; on a silent link it swallows them, and the end of the connection too.
-func (l *link) copy(to, from net.Conn) {
+func (l *link) copy(to, from net.Conn, direction int) {
 	b := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(b)
@@ -85,6 +116,7 @@
 			}
 			continue
 		}
+		l.relay.await(direction)
 		if n > 0 {
 			if _, e := to.Write(b[:n]); e != nil {
 				return
