--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -53,7 +53,7 @@
 	done  map[port.RunRef]bool
 	// everFailed counts the failed runs of each task, and of each gang under the index of its whole.
 	everFailed map[port.RunRef]int
-	gangs map[port.RunRef]*gangRun
+	gangs      map[port.RunRef]*gangRun
 	// isCut reports whether a host cannot reach a worker.
 	isCut func(host, worker string) bool
 }
--- a/tests/soak_site_test.go
+++ b/tests/soak_site_test.go
@@ -99,7 +99,7 @@
 		programs: newPrograms(t), net: takeNet(t), plan: p, keys: map[string]string{}, storeCalm: time.Now(),
 		store: standin.NewStore(c, soakStoreCall),
 	}
-	t.Cleanup(s.programs.stop)
+	t.Cleanup(s.stop)
 	s.runners = standin.NewRunners(c, standin.RunBounds{
 		Attempts: soakAttempts, MaxHold: soakHold, StopTimeout: soakStop, GangTimeout: soakGang,
 	}, p.fate)
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,8 +35,16 @@
 
 var jobsTopic = port.Topic{Name: "jobs", IsKeyed: true}
 
-// soakFailed are seeds that failed once, each with its cause.
-var soakFailed = []uint64{}
+// soakCase is a seed with the length that it was played at.
+type soakCase struct {
+	seed   uint64
+	length time.Duration
+}
+
+// soakFailed are cases that failed once, each with its cause.
+var soakFailed = []soakCase{
+	{104, 14 * time.Second}, // a second attempt at an acknowledgement reached the next lifetime of a worker
+}
 
 const (
 	// soakParallel bounds the seeds that are played at a time.
@@ -53,17 +62,17 @@
 // TestSoak plays real hosts under faults that are brought about from outside, drawn from seeds, and checks the promises
 // to callers and workers meanwhile.
 func TestSoak(t *testing.T) {
-	seeds := append([]uint64{}, soakFailed...)
+	cases := slices.Clone(soakFailed)
 	for i := range *soakSeeds {
-		seeds = append(seeds, *soakFirst+uint64(i))
+		cases = append(cases, soakCase{*soakFirst + uint64(i), *soakLength})
 	}
 	slots := make(chan struct{}, soakParallel)
-	for _, x := range seeds {
-		t.Run(fmt.Sprintf("seed %d", x), func(t *testing.T) {
+	for _, x := range cases {
+		t.Run(fmt.Sprintf("seed %d", x.seed), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			soak(t, newSoakPlan(x, *soakHosts, *soakWorkers, *soakLength))
+			soak(t, newSoakPlan(x.seed, *soakHosts, *soakWorkers, x.length))
 		})
 	}
 }
