Run jobs at set times, and tasks that last until their job is cancelled

Cause: jobs with occurrences or lasting tasks were refused with 400, though deployments of these kinds may send them.

Change: a unit's key names its occurrence; the owner takes an occurrence up when it is due, steps wait for those of the same occurrence, and a job is done when all occurrences are. Tasks that last run again however they end, with at most 1 s between, are never hopeless and do not count as standing still; those of which few may be missed are not stopped for other work. A job is bounded to 10,000 occurrences and 100,000 tasks. Records of jobs without times keep their form.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -67,7 +67,9 @@
 	deferred map[string]*unit
 	// ending are jobs whose end is being stored.
 	ending map[string]bool
-	ready  bool
+	// due is when the next occurrence of a job is due.
+	due   map[string]time.Time
+	ready bool
 	// loggedBooks is when the books were last summed up in the log.
 	loggedBooks time.Time
 	// swept is when ends of jobs were last looked for that need not be kept.
@@ -99,7 +101,7 @@
 		out: out, bounds: b, term: term, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
 		planner: plan.New("", plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim),
 			plan.WithWasteBounds(urgentWaste, otherWaste),
-			plan.WithHeadroom(headroomMemory, headroomShare)), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{}, ending: map[string]bool{},
+			plan.WithHeadroom(headroomMemory, headroomShare)), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{}, ending: map[string]bool{}, due: map[string]time.Time{},
 		wake: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
@@ -194,6 +196,7 @@
 		e.syncConfig()
 		e.syncJobs()
 		now := e.clock.Now()
+		e.syncDue(now)
 		if !now.Before(next) {
 			next = now.Add(checkInterval)
 			e.check(now)
--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -1,6 +1,8 @@
 package exec
 
 import (
+	"time"
+
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/auburncleat/auburncleat/internal/state/queue"
@@ -39,15 +41,8 @@
 		}
 		isCancelling = j.IsCancelling
 		isDone = j.IsDone()
-		for s := range j.Steps {
-			if isCancelling || !j.IsStepReady(s) {
-				continue
-			}
-			for _, k := range j.UnitKeys(s) {
-				if u := e.newUnit(j, k); u != nil {
-					fresh = append(fresh, u)
-				}
-			}
+		if !isCancelling {
+			fresh = e.findFresh(j)
 		}
 	})
 	if isCancelling {
@@ -71,6 +66,41 @@
 	}
 }
 
+// findFresh returns the units whose turn has come and that the engine does not know yet, and notes when the next
+// occurrence of the job is due.
+func (e *Engine) findFresh(j *jobs.Job) []*unit {
+	var out []*unit
+	now := e.clock.Now()
+	for o := range j.Occurrences() {
+		if at := j.DueAt(o); j.Times != nil && now.Before(at) {
+			e.due[j.ID] = at
+			break
+		}
+		for s := range j.Steps {
+			if !j.IsStepReady(o, s) {
+				continue
+			}
+			for _, k := range j.UnitKeys(o, s) {
+				if u := e.newUnit(j, k); u != nil {
+					out = append(out, u)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// syncDue takes up the jobs of which an occurrence has come due.
+func (e *Engine) syncDue(now time.Time) {
+	for id, at := range e.due {
+		if now.Before(at) {
+			continue
+		}
+		delete(e.due, id)
+		e.syncJob(id)
+	}
+}
+
 // newUnit returns a unit that the engine does not know yet, unless it is done.
 func (e *Engine) newUnit(j *jobs.Job, k jobs.UnitKey) *unit {
 	name := k.String()
@@ -79,7 +109,7 @@
 	}
 	u := &unit{
 		key: k, name: name, job: j.ID, org: j.Organisation, queue: j.Queue, spec: j.Spec, step: j.Steps[k.Step],
-		since: j.Accepted,
+		since: j.DueAt(k.Occurrence),
 	}
 	x := j.GetUnit(k)
 	if x == nil {
@@ -124,7 +154,7 @@
 		ID: u.name, Organisation: u.org, Profile: u.queue, Shape: e.shape(u), RunTime: u.step.Estimate,
 		Submitted: u.since, Progress: u.progress, Group: groupOf(u), PerWorker: u.step.PerWorker, Label: u.step.Label,
 		Rack: u.step.Rack, LosesProgress: !u.step.Checkpoints,
-		Objective: q.Objective, Stretch: q.Stretch,
+		Objective: q.Objective, Stretch: q.Stretch, Lasts: u.step.Lasts, IsFirm: u.step.Lasts && u.step.MayMiss > 0,
 	}
 }
 
@@ -133,7 +163,7 @@
 	if u.step.PerWorker == 0 {
 		return ""
 	}
-	return jobs.UnitKey{Job: u.key.Job, Step: u.key.Step, Index: jobs.WholeGang}.String()
+	return jobs.UnitKey{Job: u.key.Job, Occurrence: u.key.Occurrence, Step: u.key.Step, Index: jobs.WholeGang}.String()
 }
 
 // enqueue hands a unit to the planner; one that it does not take now is handed in again later.
--- a/internal/coordination/exec/progress.go
+++ b/internal/coordination/exec/progress.go
@@ -17,6 +17,9 @@
 func (e *Engine) watchProgress(w *worker, t task, percent int) {
 	now := e.clock.Now()
 	m, u := t.member, t.unit
+	if u.step.Lasts {
+		return
+	}
 	if m.moved.IsZero() || percent != m.percent || percent >= workDone || u.phase != phaseRunning {
 		m.percent, m.moved = percent, now
 		return
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -62,7 +62,7 @@
 // endedLate takes the good end of a run that was counted as lost and has not been started again.
 func (e *Engine) endedLate(w *worker, x port.RunEnd) {
 	for _, index := range []int{x.Ref.Task, jobs.WholeGang} {
-		u := e.units[jobs.UnitKey{Job: x.Ref.Job, Step: x.Ref.Step, Index: index}.String()]
+		u := e.units[jobs.UnitKey{Job: x.Ref.Job, Occurrence: x.Ref.Occurrence, Step: x.Ref.Step, Index: index}.String()]
 		if u == nil || u.phase != phaseQueued || u.run != x.Ref.Run || x.Result != jobs.Done {
 			continue
 		}
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -99,6 +99,10 @@
 	}
 	u.phase = phaseEnding
 	res := u.result()
+	if res == jobs.Done && u.step.Lasts {
+		// Tasks that last run again however they end.
+		res = jobs.Stopped
+	}
 	if res == jobs.FailedRun {
 		u.failures++
 	}
@@ -135,7 +139,7 @@
 
 // isHopeless reports whether the unit has failed as often as its queue allows.
 func (e *Engine) isHopeless(u *unit) bool {
-	if e.config == nil {
+	if e.config == nil || u.step.Lasts {
 		return false
 	}
 	q := e.config.GetQueue(u.queue)
@@ -150,17 +154,7 @@
 			ok = false
 			return
 		}
-		for s := range j.Steps {
-			for _, k := range j.UnitKeys(s) {
-				if k == u.key {
-					continue
-				}
-				if x := j.GetUnit(k); x == nil || x.Result != jobs.Done {
-					ok = false
-					return
-				}
-			}
-		}
+		ok = !j.HasOpenUnitBeside(u.key)
 	})
 	return ok
 }
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -86,7 +86,7 @@
 }
 
 func (u *unit) ref(m *member) port.RunRef {
-	return port.RunRef{Job: u.job, Step: u.key.Step, Task: m.task, Run: u.run}
+	return port.RunRef{Job: u.job, Occurrence: u.key.Occurrence, Step: u.key.Step, Task: m.task, Run: u.run}
 }
 
 // record returns the unit as it is stored.
--- a/internal/coordination/port/runner.go
+++ b/internal/coordination/port/runner.go
@@ -22,12 +22,13 @@
 	ErrUnhealthy = errors.New("worker is unhealthy")
 )
 
-// RunRef names one run of a task.
+// RunRef names one run of a task; occurrences of its job count from 0.
 type RunRef struct {
-	Job  string
-	Step int
-	Task int
-	Run  int
+	Job        string
+	Occurrence int
+	Step       int
+	Task       int
+	Run        int
 }
 
 // Runner is a worker that runs tasks under leases, with the time on its own clock.
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -184,6 +184,13 @@
 	}
 }
 
+// SetAttempts changes how many runs of a task may fail; zero means any number.
+func (r *Runners) SetAttempts(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bounds.Attempts = n
+}
+
 // SetFull has a worker refuse starts for want of room, or take them again.
 func (r *Runners) SetFull(addr netip.AddrPort, is bool) {
 	r.mu.Lock()
--- a/internal/state/fleet/job.go
+++ b/internal/state/fleet/job.go
@@ -35,6 +35,9 @@
 	LosesProgress bool
 	// Rack is the one near the job's data; empty means any.
 	Rack string
+	// Lasts is set for work that runs until it is cancelled, and IsFirm for work that is never stopped for other work.
+	Lasts  bool
+	IsFirm bool
 }
 
 // IsOnce reports whether the job must not run twice.
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
@@ -39,6 +40,17 @@
 	PerWorker int
 	// After lists the steps that must have ended before.
 	After []int
+	// Lasts is set for tasks that run until their job is cancelled and are started again however they end; MayMiss of them
+	// may be away at a time.
+	Lasts   bool
+	MayMiss int
+}
+
+// Times says how often the steps of a job run, and when each occurrence is due.
+type Times struct {
+	Count int
+	First time.Time
+	Every time.Duration
 }
 
 // Units returns how many units the step has.
@@ -55,8 +67,10 @@
 	Organisation string
 	Queue        string
 	// Spec is handed to the workers unread.
-	Spec     string
-	Steps    []Step
+	Spec  string
+	Steps []Step
+	// Times is nil for a job that runs once, at once.
+	Times    *Times
 	Accepted time.Time
 	State    State
 	Ended    time.Time
@@ -93,21 +107,37 @@
 	return out
 }
 
-// UnitKeys lists the keys of all units of a step.
-func (j *Job) UnitKeys(step int) []UnitKey {
+// Occurrences returns how often the steps run.
+func (j *Job) Occurrences() int {
+	if j.Times == nil {
+		return 1
+	}
+	return j.Times.Count
+}
+
+// DueAt returns when an occurrence is due.
+func (j *Job) DueAt(occurrence int) time.Time {
+	if j.Times == nil {
+		return j.Accepted
+	}
+	return j.Times.First.Add(time.Duration(occurrence) * j.Times.Every)
+}
+
+// UnitKeys lists the keys of all units of a step in one occurrence.
+func (j *Job) UnitKeys(occurrence, step int) []UnitKey {
 	if j.Steps[step].Gang {
-		return []UnitKey{{Job: j.ID, Step: step, Index: WholeGang}}
+		return []UnitKey{{Job: j.ID, Occurrence: occurrence, Step: step, Index: WholeGang}}
 	}
 	out := make([]UnitKey, j.Steps[step].Tasks)
 	for i := range out {
-		out[i] = UnitKey{Job: j.ID, Step: step, Index: i}
+		out[i] = UnitKey{Job: j.ID, Occurrence: occurrence, Step: step, Index: i}
 	}
 	return out
 }
 
-// IsStepDone reports whether all units of a step have ended well.
-func (j *Job) IsStepDone(step int) bool {
-	for _, k := range j.UnitKeys(step) {
+// IsStepDone reports whether all units of a step have ended well in one occurrence.
+func (j *Job) IsStepDone(occurrence, step int) bool {
+	for _, k := range j.UnitKeys(occurrence, step) {
 		u := j.units[k]
 		if u == nil || u.Result != Done {
 			return false
@@ -116,35 +146,68 @@
 	return true
 }
 
-// IsStepReady reports whether all steps before have ended well.
-func (j *Job) IsStepReady(step int) bool {
+// IsStepReady reports whether all steps before have ended well in the same occurrence.
+func (j *Job) IsStepReady(occurrence, step int) bool {
 	for _, s := range j.Steps[step].After {
-		if !j.IsStepDone(s) {
+		if !j.IsStepDone(occurrence, s) {
 			return false
 		}
 	}
 	return true
 }
 
-// IsDone reports whether all steps have ended well.
+// IsDone reports whether all steps have ended well in all occurrences.
 func (j *Job) IsDone() bool {
-	for s := range j.Steps {
-		if !j.IsStepDone(s) {
-			return false
+	for o := range j.Occurrences() {
+		for s := range j.Steps {
+			if !j.IsStepDone(o, s) {
+				return false
+			}
 		}
 	}
 	return true
 }
 
+// HasOpenUnitBeside reports whether a unit other than the given one has not ended well yet.
+func (j *Job) HasOpenUnitBeside(but UnitKey) bool {
+	for o := range j.Occurrences() {
+		for s := range j.Steps {
+			for _, k := range j.UnitKeys(o, s) {
+				if k == but {
+					continue
+				}
+				if x := j.units[k]; x == nil || x.Result != Done {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+const (
+	// maxOccurrences and maxTasks bound a job, so that one request cannot exhaust the memory of the hosts.
+	maxOccurrences = 10_000
+	maxTasks       = 100_000
+)
+
 // Check returns why the job cannot be scheduled, or an empty text.
 func (j *Job) Check() string {
 	if len(j.Steps) == 0 {
 		return "a job needs a step"
 	}
+	if t := j.Times; t != nil && (t.Count < 1 || t.Count > maxOccurrences || t.Every < 0) {
+		return fmt.Sprintf("a job has 1 to %d occurrences, one after the other", maxOccurrences)
+	}
+	tasks := 0
 	for i, s := range j.Steps {
 		if s.Tasks < 1 {
 			return "a step needs a task"
 		}
+		tasks += s.Tasks * j.Occurrences()
+		if s.Tasks > maxTasks || tasks > maxTasks {
+			return fmt.Sprintf("a job has at most %d tasks", maxTasks)
+		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
 				return "a step can only start after earlier steps"
--- a/internal/state/jobs/record.go
+++ b/internal/state/jobs/record.go
@@ -32,6 +32,9 @@
 	for i := range j.Steps {
 		m.Steps = append(m.Steps, encodeStep(&j.Steps[i]))
 	}
+	if t := j.Times; t != nil {
+		m.Times = &wire.BatchTimes{Count: int32(t.Count), FirstUnixNanos: t.First.UnixNano(), EveryNanos: int64(t.Every)}
+	}
 	return encodeJob(jobPrefix+j.ID, m)
 }
 
@@ -56,6 +59,7 @@
 		Tasks: int32(s.Tasks), Processors: int64(s.Processors), MemoryBytes: int64(s.Memory),
 		Accelerators: int32(s.Accelerators), EstimateNanos: int64(s.Estimate), Gang: s.Gang, Adjacent: s.Adjacent,
 		Checkpoints: s.Checkpoints, Label: s.Label, Rack: s.Rack, PerWorker: int32(s.PerWorker),
+		Lasts: s.Lasts, MayMiss: int32(s.MayMiss),
 	}
 	for _, a := range s.After {
 		m.After = append(m.After, int32(a))
@@ -68,7 +72,7 @@
 		Tasks: int(m.GetTasks()), Processors: int(m.GetProcessors()), Memory: fleet.Bytes(m.GetMemoryBytes()),
 		Accelerators: int(m.GetAccelerators()), Estimate: time.Duration(m.GetEstimateNanos()), Gang: m.GetGang(),
 		Adjacent: m.GetAdjacent(), Checkpoints: m.GetCheckpoints(), Label: m.GetLabel(), Rack: m.GetRack(),
-		PerWorker: int(m.GetPerWorker()),
+		PerWorker: int(m.GetPerWorker()), Lasts: m.GetLasts(), MayMiss: int(m.GetMayMiss()),
 	}
 	for _, a := range m.GetAfter() {
 		s.After = append(s.After, int(a))
@@ -85,6 +89,11 @@
 		ID: m.GetId(), Organisation: m.GetOrganisation(), Queue: m.GetQueue(), Spec: m.GetSpec(),
 		Accepted: time.Unix(0, m.GetAcceptedUnixNanos()), State: State(m.GetState()), Reason: m.GetReason(),
 	}
+	if t := m.GetTimes(); t != nil {
+		j.Times = &Times{
+			Count: int(t.GetCount()), First: time.Unix(0, t.GetFirstUnixNanos()), Every: time.Duration(t.GetEveryNanos()),
+		}
+	}
 	if j.State != Open {
 		j.Ended = time.Unix(0, m.GetEndedUnixNanos())
 	}
@@ -119,7 +128,7 @@
 	m := &wire.BatchUnit{
 		Job: u.Key.Job, Step: int32(u.Key.Step), Index: int32(u.Key.Index), Run: int32(u.Run),
 		Failures: int32(u.Failures), Result: wire.BatchResult(u.Result), Checkpoint: u.Checkpoint,
-		ProgressNanos: int64(u.Progress),
+		ProgressNanos: int64(u.Progress), Occurrence: int32(u.Key.Occurrence),
 	}
 	if u.Result == Running {
 		for _, x := range u.Members {
@@ -144,7 +153,9 @@
 		return nil, fmt.Errorf("decode unit: %w", err)
 	}
 	u := &Unit{
-		Key: UnitKey{Job: m.GetJob(), Step: int(m.GetStep()), Index: int(m.GetIndex())},
+		Key: UnitKey{
+			Job: m.GetJob(), Occurrence: int(m.GetOccurrence()), Step: int(m.GetStep()), Index: int(m.GetIndex()),
+		},
 		Run: int(m.GetRun()), Failures: int(m.GetFailures()), Result: Result(m.GetResult()),
 		Checkpoint: m.GetCheckpoint(), Progress: time.Duration(m.GetProgressNanos()),
 	}
--- a/internal/state/jobs/unit.go
+++ b/internal/state/jobs/unit.go
@@ -10,33 +10,37 @@
 // WholeGang is the index of a unit that holds all tasks of a gang.
 const WholeGang = -1
 
-// UnitKey names a unit.
+// UnitKey names a unit; occurrences count from 0.
 type UnitKey struct {
-	Job   string
-	Step  int
-	Index int
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
 }
 
-// String renders the key as job, step and index.
+// String renders the key as job, step and index, and the occurrence behind them unless it is the first.
 func (k UnitKey) String() string {
-	return fmt.Sprintf("%s/%d/%d", k.Job, k.Step, k.Index)
+	if k.Occurrence == 0 {
+		return fmt.Sprintf("%s/%d/%d", k.Job, k.Step, k.Index)
+	}
+	return fmt.Sprintf("%s/%d/%d/%d", k.Job, k.Step, k.Index, k.Occurrence)
 }
 
 // ParseUnitKey reads what String renders.
 func ParseUnitKey(s string) (UnitKey, bool) {
 	p := strings.Split(s, "/")
-	if len(p) != 3 {
-		return UnitKey{}, false
-	}
-	step, err := strconv.Atoi(p[1])
-	if err != nil {
+	if len(p) != 3 && len(p) != 4 {
 		return UnitKey{}, false
 	}
-	index, err := strconv.Atoi(p[2])
-	if err != nil {
-		return UnitKey{}, false
+	k := UnitKey{Job: p[0]}
+	for i, to := range []*int{&k.Step, &k.Index, &k.Occurrence}[:len(p)-1] {
+		n, err := strconv.Atoi(p[i+1])
+		if err != nil {
+			return UnitKey{}, false
+		}
+		*to = n
 	}
-	return UnitKey{Job: p[0], Step: step, Index: index}, true
+	return k, true
 }
 
 // Result says how a run ended.
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -86,7 +86,7 @@
 
 // isSoft reports whether the job may be stopped for others in time for every guarantee of the failure domain.
 func (p *Planner) isSoft(e *entry) bool {
-	if !e.profile.Stoppable || e.job.IsOnce() || e.profile.Once {
+	if !e.profile.Stoppable || e.job.IsOnce() || e.profile.Once || e.job.IsFirm {
 		return false
 	}
 	return p.tightest == 0 || e.profile.ReclaimBound <= p.tightest
--- a/internal/state/plan/trust.go
+++ b/internal/state/plan/trust.go
@@ -60,6 +60,8 @@
 const (
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 5 * time.Second
+	// maxLastingBackoff is the same for work that lasts, which is missed all the while.
+	maxLastingBackoff = time.Second
 )
 
 // postpone lets a job whose attempt came to nothing wait, twice as long each time in a row.
@@ -68,7 +70,11 @@
 		e.backoff = 0
 		return
 	}
-	e.backoff = min(max(2*e.backoff, minBackoff), maxBackoff)
+	most := maxBackoff
+	if e.job.Lasts {
+		most = maxLastingBackoff
+	}
+	e.backoff = min(max(2*e.backoff, minBackoff), most)
 	e.after = p.now.Add(e.backoff)
 	if x.At.After(p.now) {
 		e.after = x.At.Add(e.backoff)
