--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -82,6 +82,7 @@
 
 type runTask struct {
 	ref   port.RunRef
+	on    *runWorker
 	fate  RunFate
 	begun time.Time
 	// done is when the task ends by itself; zero while its gang is not complete.
@@ -100,6 +101,19 @@
 	return max(100-int(100*x.done.Sub(now)/x.fate.Work), 0)
 }
 
+// isHeldUntilDone reports whether the leases of the task, and of all others of its gang, outlast its work.
+func (x *runTask) isHeldUntilDone() bool {
+	if x.gang == nil {
+		return x.done.Before(x.on.lease)
+	}
+	for _, o := range x.gang.tasks {
+		if !x.done.Before(o.on.lease) {
+			return false
+		}
+	}
+	return true
+}
+
 // gangRun holds the tasks of one run of a gang.
 type gangRun struct {
 	tasks []*runTask
@@ -390,7 +404,7 @@
 	}
 	w.lease = later(w.lease, minTime(until, now.Add(r.bounds.MaxHold)))
 	r.checkStart(w, s.Ref)
-	w.tasks[t] = r.newTask(s, now)
+	w.tasks[t] = r.newTask(w, s, now)
 	if w.isStill {
 		w.tasks[t].done = time.Time{}
 	}
@@ -400,8 +414,8 @@
 }
 
 // newTask returns a task that works once its gang is complete.
-func (r *Runners) newTask(s port.RunStart, now time.Time) *runTask {
-	x := &runTask{ref: s.Ref, fate: r.plan(s.Ref, s.Spec), begun: now}
+func (r *Runners) newTask(w *runWorker, s port.RunStart, now time.Time) *runTask {
+	x := &runTask{ref: s.Ref, on: w, fate: r.plan(s.Ref, s.Spec), begun: now}
 	if x.fate.Gang == 0 {
 		x.done, x.how, x.word = now.Add(x.fate.Work), x.fate.Result, "ended"
 		return x
@@ -504,7 +518,7 @@
 	now := r.clock.Now()
 	isLapsed := now.After(w.lease)
 	for t, x := range w.tasks {
-		isDone := !x.done.IsZero() && !now.Before(x.done) && x.done.Before(w.lease)
+		isDone := !x.done.IsZero() && !now.Before(x.done) && x.isHeldUntilDone()
 		switch {
 		case isDone && (x.stops.IsZero() || x.done.Before(x.stops)):
 			r.end(w, t, x, x.how, x.word)
