Pass requests on to hosts that reach the store

Ruled out: a longer wait at the host (the callers' patience is 3 s, the trouble lasts for 5 to 9), a redirect (the platform's callers know none).

Change: package relay. Hosts list themselves in the store (keyed topic hosts, one append at the start, read with 10 s of patience). A request that a host has surely not carried out for want of the store, or not heard of for 1 s, goes by net/rpc to the owner or to a host of the own failure domain, which admits it by its own configuration. A job is the same job wherever it is handed in, so that an unknown outcome may be tried elsewhere too; it is refused only when surely nobody has taken it. A host that said no is not asked for 1.5 s, and when none reaches the store the refusal goes out at once and asks to come back after 2 s. The intake serves requests as a whole; platform/ decodes and renders them.

--- a/cmd/auburncleatd/site.go
+++ b/cmd/auburncleatd/site.go
@@ -18,8 +18,10 @@
 	"github.com/auburncleat/auburncleat/internal/logs"
 	"github.com/auburncleat/auburncleat/internal/metric"
 	"github.com/auburncleat/auburncleat/internal/setup"
+	"github.com/auburncleat/auburncleat/internal/transport/peer"
 	"github.com/auburncleat/auburncleat/internal/transport/rest"
 	"github.com/auburncleat/auburncleat/platform"
+	"github.com/uber-go/tally/v4"
 )
 
 // memoryShare is the part of the memory limit that the garbage collector keeps to.
@@ -59,7 +61,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go reload(ctx, hup, path, l)
-	h := host.New(s, siteOutside(s, l), host.WithLog(l), host.WithMetrics(m.Scope, m.Handler), host.WithDropped(k.Dropped))
+	h := host.New(s, siteOutside(s, l, m.Scope), host.WithLog(l), host.WithMetrics(m.Scope, m.Handler), host.WithDropped(k.Dropped))
 	return h.Run(ctx)
 }
 
@@ -79,7 +81,19 @@
 	}
 }
 
-func siteOutside(s *setup.Site, l *slog.Logger) host.Outside {
+// servePeers answers the calls of other hosts until ctx ends.
+func servePeers(ctx context.Context, l net.Listener, take host.Take) error {
+	p, err := peer.NewServer(ctx, peer.Handlers{Take: take})
+	if err != nil {
+		return fmt.Errorf("serve other hosts: %w", err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	defer p.Close()
+	return p.Serve(l)
+}
+
+func siteOutside(s *setup.Site, l *slog.Logger, c tally.Scope) host.Outside {
 	store := platform.NewStore(rest.New(), s.Store.Addr)
 	return host.Outside{
 		Store:         store,
@@ -87,9 +101,11 @@
 		FollowRunners: platform.NewRunnerList(store, clock.System(), l),
 		ConfigTopic:   platform.ConfigTopic,
 		DecodeConfig:  platform.DecodeConfig,
-		Callers: func(i *intake.Intake, l *slog.Logger) http.Handler {
-			return platform.NewCallers(i, l)
+		Callers: func(serve func(context.Context, intake.Request) (intake.Reply, error), l *slog.Logger) http.Handler {
+			return platform.NewCallers(serve, l)
 		},
+		Peers:      peer.NewPool(peer.WithScope(c)).Peers(),
+		ServePeers: servePeers,
 		Listen: func(a netip.AddrPort) (net.Listener, error) {
 			return net.Listen("tcp", a.String())
 		},
--- a/internal/coordination/feed/writer.go
+++ b/internal/coordination/feed/writer.go
@@ -53,6 +53,8 @@
 	queue   []*Item
 	err     error
 	waiting time.Time
+	// refused is when the store last did nothing; zero once it has taken an append.
+	refused time.Time
 	wake    chan struct{}
 }
 
@@ -108,6 +110,21 @@
 	return w.clock.Since(w.waiting)
 }
 
+// refusalMemory is how long after a refusal the store is taken to refuse again.
+const refusalMemory = 400 * time.Millisecond
+
+// Refused returns how long ago the store refused the last append, or zero when it has not, or so long ago that another
+// try is worth it.
+func (w *Writer) Refused() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ago := w.clock.Since(w.refused)
+	if w.refused.IsZero() || ago > refusalMemory {
+		return 0
+	}
+	return max(ago, 1)
+}
+
 // Run appends until ctx ends or the producer is fenced off, and then fails what is left.
 func (w *Writer) Run(ctx context.Context) error {
 	err := w.run(ctx)
@@ -178,6 +195,7 @@
 	for _, i := range b {
 		i.isSent = false
 	}
+	w.refused = w.clock.Now()
 	w.queue = append(b, w.queue...)
 }
 
@@ -227,5 +245,5 @@
 func (w *Writer) answer() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.waiting = time.Time{}
+	w.waiting, w.refused = time.Time{}, time.Time{}
 }
--- a/internal/coordination/intake/error.go
+++ b/internal/coordination/intake/error.go
@@ -25,25 +25,11 @@
 type ErrBusy struct {
 	Why        string
 	RetryAfter time.Duration
+	// IsFull is set when no other host would take the request either.
+	IsFull bool
 }
 
 // Error renders the reason and when to come back.
 func (e ErrBusy) Error() string {
 	return fmt.Sprintf("%s; come back in %s", e.Why, e.RetryAfter)
 }
-
-// ErrUnsupported says that a job asks for what this version does not offer; it matches ErrInvalid.
-type ErrUnsupported struct {
-	Job  string
-	What string
-}
-
-// Error names what is not offered.
-func (e ErrUnsupported) Error() string {
-	return fmt.Sprintf("job %s asks for %s, which is not offered", e.Job, e.What)
-}
-
-// Is matches ErrInvalid.
-func (e ErrUnsupported) Is(target error) bool {
-	return target == ErrInvalid
-}
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -110,7 +110,7 @@
 		return nil
 	}
 	if n := i.table.CountOpen(); i.limits.MaxOpen > 0 && n >= i.limits.MaxOpen {
-		return ErrBusy{Why: fmt.Sprintf("%d jobs are open, the limit is %d", n, i.limits.MaxOpen), RetryAfter: retryAfter}
+		return ErrBusy{Why: fmt.Sprintf("%d jobs are open, the limit is %d", n, i.limits.MaxOpen), RetryAfter: retryAfter, IsFull: true}
 	}
 	j.Queue, j.Organisation, j.Accepted = c.Queue.Name, c.Organisation, i.clock.Now()
 	r, err := jobs.JobRecord(j)
@@ -132,6 +132,9 @@
 	if s := i.writer.Stalled(); s > storePatience {
 		return ErrBusy{Why: fmt.Sprintf("store has not answered for %s", s.Round(time.Millisecond)), RetryAfter: comeBack(s)}
 	}
+	if s := i.writer.Refused(); s > 0 {
+		return ErrBusy{Why: fmt.Sprintf("store refused an append %s ago", s.Round(time.Millisecond)), RetryAfter: retryAfter}
+	}
 	done := make(chan error, 1)
 	it := &feed.Item{Entries: []port.Entry{{Key: r.Key, Value: r.Value}}}
 	it.Done = func(first int64, err error) {
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/auburncleat/auburncleat/internal/clock"
 	"github.com/auburncleat/auburncleat/internal/coordination/intake"
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
 	"github.com/auburncleat/auburncleat/internal/setup"
 	"github.com/auburncleat/auburncleat/internal/standin"
 	"github.com/auburncleat/auburncleat/internal/state/config"
@@ -25,6 +26,7 @@
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/auburncleat/auburncleat/internal/state/queue"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -57,6 +59,8 @@
 	// cut names links between hosts and workers.
 	cut map[[2]string]bool
 	ids []string
+	// takes are what hosts serve for others, by address.
+	takes map[netip.AddrPort]peerOf
 	// holds are the calls by which hosts extended leases and acknowledged ends.
 	holds []port.RunHold
 	// log shows what the hosts log when a test is run with SITE_LOG set.
@@ -70,7 +74,7 @@
 		c := clock.System()
 		s := &site{
 			t: t, store: standin.NewStore(c, 2*time.Millisecond), hosts: map[string]*Host{}, dead: map[string]bool{},
-			cut: map[[2]string]bool{}, log: slog.New(slog.DiscardHandler),
+			cut: map[[2]string]bool{}, takes: map[netip.AddrPort]peerOf{}, log: slog.New(slog.DiscardHandler),
 		}
 		if os.Getenv("SITE_LOG") != "" {
 			s.log = slog.New(slog.NewTextHandler(os.Stderr, nil))
@@ -119,7 +123,7 @@
 		},
 		Limits: setup.SiteLimits{MaxOpenJobs: 1000, Processors: s.share(name)},
 	}
-	x.Listen.Peer = netip.MustParseAddrPort("127.0.1.1:1")
+	x.Listen.Peer = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(len(s.names) + 1)}), 1)
 	h := New(x, Outside{
 		Store: s.store.View(name), Runners: s.runnersOf(name), ConfigTopic: testOperators,
 		FollowRunners: func(ctx context.Context, put func(port.Runner), _ func(string)) error {
@@ -130,8 +134,20 @@
 			return nil
 		},
 		DecodeConfig: func(port.Entry) (*queue.Config, error) { return testConfig, nil },
-		Callers:      func(*intake.Intake, *slog.Logger) http.Handler { return http.NotFoundHandler() },
-		Listen:       func(netip.AddrPort) (net.Listener, error) { return newDeaf(), nil },
+		Callers: func(func(context.Context, intake.Request) (intake.Reply, error), *slog.Logger) http.Handler {
+			return http.NotFoundHandler()
+		},
+		Peers: port.Peers{Call: func(ctx context.Context, to netip.AddrPort, method string, q, r proto.Message) error {
+			return s.callPeer(ctx, name, to, method, q, r)
+		}},
+		ServePeers: func(ctx context.Context, _ net.Listener, take Take) error {
+			s.mu.Lock()
+			s.takes[x.Listen.Peer] = peerOf{name, take}
+			s.mu.Unlock()
+			<-ctx.Done()
+			return nil
+		},
+		Listen: func(netip.AddrPort) (net.Listener, error) { return newDeaf(), nil },
 	}, WithLog(s.log.With("Host", name)))
 	ctx, cancel := context.WithCancel(s.t.Context())
 	done := make(chan struct{})
@@ -147,6 +163,24 @@
 	})
 }
 
+// peerOf is a host as others call it.
+type peerOf struct {
+	name string
+	take Take
+}
+
+// callPeer passes a request on to the host at an address, unless one of the two is dead or the way between them is cut.
+func (s *site) callPeer(ctx context.Context, from string, to netip.AddrPort, _ string, q, r proto.Message) error {
+	s.mu.Lock()
+	p, ok := s.takes[to]
+	isCut := !ok || s.dead[from] || s.dead[p.name] || s.cut[[2]string{from, p.name}]
+	s.mu.Unlock()
+	if isCut {
+		return port.ErrUnsent
+	}
+	return p.take(ctx, q.(*wire.TakeRequest), r.(*wire.TakeReply))
+}
+
 // runnersOf returns the workers as a host reaches them, and notes the calls that hold them.
 func (s *site) runnersOf(host string) port.Runners {
 	v := s.runners.View(host)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,8 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/feed"
 	"github.com/auburncleat/auburncleat/internal/coordination/intake"
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/coordination/relay"
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
 	"github.com/auburncleat/auburncleat/internal/setup"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/auburncleat/auburncleat/internal/state/queue"
@@ -33,11 +36,17 @@
 	// ConfigTopic holds the operator's configuration, and DecodeConfig returns it, or nil for other entries.
 	ConfigTopic  port.Topic
 	DecodeConfig func(e port.Entry) (*queue.Config, error)
-	// Callers makes the handler for callers.
-	Callers func(i *intake.Intake, l *slog.Logger) http.Handler
-	Listen  func(a netip.AddrPort) (net.Listener, error)
+	// Callers makes the handler for callers, whose requests serve carries out.
+	Callers func(serve func(context.Context, intake.Request) (intake.Reply, error), l *slog.Logger) http.Handler
+	// Peers calls other hosts, and ServePeers answers their calls on a listener until ctx ends.
+	Peers      port.Peers
+	ServePeers func(ctx context.Context, l net.Listener, take Take) error
+	Listen     func(a netip.AddrPort) (net.Listener, error)
 }
 
+// Take serves a request that another host passes on.
+type Take func(context.Context, *wire.TakeRequest, *wire.TakeReply) error
+
 const (
 	// standbyPause is the least time between two reads of the jobs on a host that does not own them.
 	standbyPause = 150 * time.Millisecond
@@ -62,6 +71,8 @@
 	writer   *feed.Writer
 	elect    *elect.Elect
 	intake   *intake.Intake
+	hosts    *relay.Hosts
+	relay    *relay.Relay
 	dropped  func() int64
 	leaving  atomic.Bool
 	wasReady atomic.Bool
@@ -105,9 +116,26 @@
 	h.elect = elect.New(out.Store, s.Host.Name, life, s.Listen.Peer, h.clock, h.log, elect.WithShare(s.Limits.Processors))
 	m := intake.Limits{MaxConfigAge: s.Bounds.Revoke - revokeMargin, MaxOpen: s.Limits.MaxOpenJobs}
 	h.intake = intake.New(h.table, h.jobs, h.writer, h.config.Fresh, m, h.clock, h.log, h.scope)
+	self := relay.Host{Name: s.Host.Name, Domain: s.Host.Domain, Addr: s.Listen.Peer}
+	h.hosts = relay.NewHosts(out.Store, self, h.clock, h.log)
+	h.relay = relay.New(h.intake, out.Peers, h.findOthers, h.clock, h.log, h.scope)
 	return h
 }
 
+// findOthers returns the addresses of the other hosts, the owner's first, which has reached the store lately.
+func (h *Host) findOthers() []netip.AddrPort {
+	var out []netip.AddrPort
+	if o := h.elect.Owner(); o.Addr.IsValid() && o.Addr != h.settings.Listen.Peer {
+		out = append(out, o.Addr)
+	}
+	for _, x := range h.hosts.Find() {
+		if !slices.Contains(out, x.Addr) {
+			out = append(out, x.Addr)
+		}
+	}
+	return out
+}
+
 // newLifetime returns a name for this run of the process.
 func newLifetime() string {
 	b := make([]byte, lifetimeLen)
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -39,7 +39,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	front := &http.Server{
-		Handler: h.out.Callers(h.intake, h.log), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: h.out.Callers(h.relay.Serve, h.log), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout}
 	status := &http.Server{Handler: h.metrics, ReadHeaderTimeout: headerTimeout}
@@ -58,6 +58,7 @@
 	part(h.config.Run)
 	part(h.jobs.Run)
 	part(h.writer.Run)
+	part(h.hosts.Run)
 	part(func(c context.Context) error { return h.elect.Run(c, h.own) })
 	if err := h.serve(&g, front, h.settings.Listen.Caller); err != nil {
 		return err
@@ -68,7 +69,12 @@
 	if err := h.serve(&g, status, h.settings.Listen.Status); err != nil {
 		return err
 	}
-	err := g.Run()
+	l, err := h.out.Listen(h.settings.Listen.Peer)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", h.settings.Listen.Peer, err)
+	}
+	part(func(c context.Context) error { return h.out.ServePeers(c, l, h.relay.Take) })
+	err = g.Run()
 	h.log.Info("stopped", "Host", h.settings.Host.Name)
 	return err
 }
@@ -130,6 +136,9 @@
 	if err := h.elect.Leave(r); err != nil {
 		h.log.Warn("ownership not released", "Cause", err.Error())
 	}
+	if err := h.hosts.Leave(r); err != nil {
+		h.log.Warn("host stays listed", "Cause", err.Error())
+	}
 	done()
 	front.SetKeepAlivesEnabled(false)
 	_ = h.clock.Sleep(c, leaveTime)
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"regexp"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
@@ -61,6 +62,13 @@
 	return s.Tasks
 }
 
+var id = regexp.MustCompile(`^[0-9a-f]{16}$`)
+
+// IsID reports whether a text can name a job.
+func IsID(s string) bool {
+	return id.MatchString(s)
+}
+
 // Job is one accepted job.
 type Job struct {
 	ID           string
--- a/internal/state/jobs/record.go
+++ b/internal/state/jobs/record.go
@@ -26,6 +26,11 @@
 
 // JobRecord encodes an accepted job.
 func JobRecord(j *Job) (Record, error) {
+	return encodeJob(jobPrefix+j.ID, ToWire(j))
+}
+
+// ToWire returns a job as it is stored and passed on.
+func ToWire(j *Job) *wire.BatchJob {
 	m := &wire.BatchJob{
 		Id: j.ID, Organisation: j.Organisation, Queue: j.Queue, Spec: j.Spec, AcceptedUnixNanos: j.Accepted.UnixNano(),
 	}
@@ -35,7 +40,7 @@
 	if t := j.Times; t != nil {
 		m.Times = &wire.BatchTimes{Count: int32(t.Count), FirstUnixNanos: t.First.UnixNano(), EveryNanos: int64(t.Every)}
 	}
-	return encodeJob(jobPrefix+j.ID, m)
+	return m
 }
 
 // EndRecord encodes the end of a job, of which only identity, state and times are kept.
@@ -85,6 +90,11 @@
 	if err := proto.Unmarshal(b, &m); err != nil {
 		return nil, fmt.Errorf("decode job: %w", err)
 	}
+	return FromWire(&m), nil
+}
+
+// FromWire returns the job that ToWire rendered.
+func FromWire(m *wire.BatchJob) *Job {
 	j := &Job{
 		ID: m.GetId(), Organisation: m.GetOrganisation(), Queue: m.GetQueue(), Spec: m.GetSpec(),
 		Accepted: time.Unix(0, m.GetAcceptedUnixNanos()), State: State(m.GetState()), Reason: m.GetReason(),
@@ -100,7 +110,7 @@
 	for _, s := range m.GetSteps() {
 		j.Steps = append(j.Steps, decodeStep(s))
 	}
-	return j, nil
+	return j
 }
 
 // DropJob returns the record that drops an accepted job.
--- a/internal/transport/peer/service.go
+++ b/internal/transport/peer/service.go
@@ -4,9 +4,10 @@
 	"context"
 
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/pkg/errors"
 )
 
-// Handlers are the functions of one host that its peers may call; all but Ping have to be set.
+// Handlers are the functions of one host that its peers may call; a call of one that is not set is refused.
 type Handlers struct {
 	Heartbeat func(context.Context, *wire.Heartbeat, *wire.HeartbeatReply) error
 	Digest    func(context.Context, *wire.Digest, *wire.DigestReply) error
@@ -22,6 +23,17 @@
 	Ack       func(context.Context, *wire.AckRequest, *wire.Empty) error
 	Jobs      func(context.Context, *wire.JobsRequest, *wire.JobsReply) error
 	Workers   func(context.Context, *wire.Empty, *wire.WorkersReply) error
+	Take      func(context.Context, *wire.TakeRequest, *wire.TakeReply) error
+}
+
+var errNotServed = errors.New("this host does not serve the call")
+
+// serve calls a handler if there is one.
+func serve[Q, R any](ctx context.Context, f func(context.Context, Q, R) error, q Q, r R) error {
+	if f == nil {
+		return errNotServed
+	}
+	return f(ctx, q, r)
 }
 
 // Peer is the net/rpc service of calls among equals.
@@ -37,42 +49,47 @@
 
 // Heartbeat takes the heartbeat of another host of the failure domain.
 func (p *Peer) Heartbeat(q *wire.Heartbeat, r *wire.HeartbeatReply) error {
-	return p.h.Heartbeat(p.ctx, q, r)
+	return serve(p.ctx, p.h.Heartbeat, q, r)
 }
 
 // Digest takes the digest of another failure domain.
 func (p *Peer) Digest(q *wire.Digest, r *wire.DigestReply) error {
-	return p.h.Digest(p.ctx, q, r)
+	return serve(p.ctx, p.h.Digest, q, r)
 }
 
 // Records returns log records that this host has read.
 func (p *Peer) Records(q *wire.RecordsRequest, r *wire.RecordsReply) error {
-	return p.h.Records(p.ctx, q, r)
+	return serve(p.ctx, p.h.Records, q, r)
 }
 
 // Snapshot returns the folded state of this host.
 func (p *Peer) Snapshot(q *wire.Empty, r *wire.SnapshotReply) error {
-	return p.h.Snapshot(p.ctx, q, r)
+	return serve(p.ctx, p.h.Snapshot, q, r)
 }
 
 // Keep holds jobs and outcomes for the owner.
 func (p *Peer) Keep(q *wire.KeepRequest, r *wire.Empty) error {
-	return p.h.Keep(p.ctx, q, r)
+	return serve(p.ctx, p.h.Keep, q, r)
 }
 
 // Kept returns the jobs and outcomes that this host holds.
 func (p *Peer) Kept(q *wire.Empty, r *wire.KeptReply) error {
-	return p.h.Kept(p.ctx, q, r)
+	return serve(p.ctx, p.h.Kept, q, r)
 }
 
 // Claim holds claims of idempotency keys for the owner.
 func (p *Peer) Claim(q *wire.ClaimRequest, r *wire.ClaimReply) error {
-	return p.h.Claim(p.ctx, q, r)
+	return serve(p.ctx, p.h.Claim, q, r)
 }
 
 // Claims returns the claims that this host holds.
 func (p *Peer) Claims(q *wire.ClaimsRequest, r *wire.ClaimsReply) error {
-	return p.h.Claims(p.ctx, q, r)
+	return serve(p.ctx, p.h.Claims, q, r)
+}
+
+// Take serves a request of a caller that another host cannot serve.
+func (p *Peer) Take(q *wire.TakeRequest, r *wire.TakeReply) error {
+	return serve(p.ctx, p.h.Take, q, r)
 }
 
 // Owner is the net/rpc service of calls to the owner of a failure domain.
@@ -83,30 +100,30 @@
 
 // Submit queues a job.
 func (o *Owner) Submit(q *wire.SubmitRequest, r *wire.SubmitReply) error {
-	return o.h.Submit(o.ctx, q, r)
+	return serve(o.ctx, o.h.Submit, q, r)
 }
 
 // Await waits for the end of a job.
 func (o *Owner) Await(q *wire.AwaitRequest, r *wire.AwaitReply) error {
-	return o.h.Await(o.ctx, q, r)
+	return serve(o.ctx, o.h.Await, q, r)
 }
 
 // Cancel withdraws jobs.
 func (o *Owner) Cancel(q *wire.CancelRequest, r *wire.CancelReply) error {
-	return o.h.Cancel(o.ctx, q, r)
+	return serve(o.ctx, o.h.Cancel, q, r)
 }
 
 // Ack lets the owner drop answers that the caller holds.
 func (o *Owner) Ack(q *wire.AckRequest, r *wire.Empty) error {
-	return o.h.Ack(o.ctx, q, r)
+	return serve(o.ctx, o.h.Ack, q, r)
 }
 
 // Jobs lists jobs.
 func (o *Owner) Jobs(q *wire.JobsRequest, r *wire.JobsReply) error {
-	return o.h.Jobs(o.ctx, q, r)
+	return serve(o.ctx, o.h.Jobs, q, r)
 }
 
 // Workers lists the owner's books of its workers.
 func (o *Owner) Workers(q *wire.Empty, r *wire.WorkersReply) error {
-	return o.h.Workers(o.ctx, q, r)
+	return serve(o.ctx, o.h.Workers, q, r)
 }
