Take jobs again after the store has refused a host

Cause: a writer whose append the store refused went on counting it as not answered after the request had been withdrawn. From 0.9 s on the host refused every job as "store has not answered", with nothing left in its queue that could show otherwise: for good, on all hosts, after each outage in which the store answers 503 or 429 and callers ask.

Ruled out: the store (its readers had regained it at 22.3 s), the configuration (confirmed at 22.5 s).

Change: a refused append is answered, so it no longer counts as waiting. TestHostsTakeJobsAgainAfterTheStoreRefusedThem failed before ("store has not answered for 4.032s").

--- a/internal/coordination/feed/writer.go
+++ b/internal/coordination/feed/writer.go
@@ -195,7 +195,7 @@
 	for _, i := range b {
 		i.isSent = false
 	}
-	w.refused = w.clock.Now()
+	w.waiting, w.refused = time.Time{}, w.clock.Now()
 	w.queue = append(b, w.queue...)
 }
 
--- a/internal/host/relay_test.go
+++ b/internal/host/relay_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/intake"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -128,3 +130,29 @@
 		})
 	}
 }
+
+// TestHostsTakeJobsAgainAfterTheStoreRefusedThem has the store refuse everybody for a while in which callers ask.
+func TestHostsTakeJobsAgainAfterTheStoreRefusedThem(t *testing.T) {
+	inSite(t, takes(time.Second), three, func(s *site) {
+		s.wait(2 * time.Second)
+		for _, n := range s.live() {
+			s.store.SetRefused(n, true)
+		}
+		var asked sync.WaitGroup
+		for i, n := range s.live() {
+			asked.Go(func() {
+				var busy intake.ErrBusy
+				assert.ErrorAs(t, s.submit(n, fmt.Sprintf("%016x", i), "quiet", tasks(1)), &busy)
+			})
+		}
+		asked.Wait()
+		s.wait(2 * time.Second)
+		for _, n := range s.live() {
+			s.store.SetRefused(n, false)
+		}
+		s.wait(2 * time.Second)
+		for i, n := range s.live() {
+			require.NoError(t, s.submit(n, fmt.Sprintf("%016x", 10+i), "quiet", tasks(1)), "at %s", n)
+		}
+	})
+}
