--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -101,13 +101,17 @@
 	return max(100-int(100*x.done.Sub(now)/x.fate.Work), 0)
 }
 
-// isHeldUntilDone reports whether the leases of the task, and of all others of its gang, outlast its work.
+// isHeldUntilDone reports whether the leases of the task, and of all others of its gang, outlast its work, and no other
+// task of the gang ended before.
 func (x *runTask) isHeldUntilDone() bool {
 	if x.gang == nil {
 		return x.done.Before(x.on.lease)
 	}
+	if b := x.gang.broken; !b.IsZero() && x.done.After(b) {
+		return false
+	}
 	for _, o := range x.gang.tasks {
-		if !x.done.Before(o.on.lease) {
+		if !x.done.Before(o.on.lease) || !o.stops.IsZero() && o.stops.Before(x.done) {
 			return false
 		}
 	}
@@ -547,10 +551,24 @@
 	w.lapsed = w.numbers
 }
 
+// endedAt returns when a task ended that is found to have ended by now.
+func (r *Runners) endedAt(w *runWorker, x *runTask, word string) time.Time {
+	switch {
+	case word == "lapsed":
+		return w.lease
+	case word == "stopped":
+		return x.stops
+	case !x.done.IsZero():
+		return minTime(x.done, r.clock.Now())
+	default:
+		return r.clock.Now()
+	}
+}
+
 func (r *Runners) end(w *runWorker, t port.RunRef, x *runTask, how jobs.Result, word string) {
 	w.numbers++
-	if x.gang != nil && x.gang.broken.IsZero() && (x.done.IsZero() || r.clock.Now().Before(x.done) || word == "lapsed") {
-		x.gang.broken = r.clock.Now()
+	if x.gang != nil && x.gang.broken.IsZero() && how != jobs.Done {
+		x.gang.broken = r.endedAt(w, x, word)
 	}
 	if how == jobs.FailedRun {
 		r.failed[t]++
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -43,7 +43,8 @@
 
 // soakFailed are cases that failed once, each with its cause.
 var soakFailed = []soakCase{
-	{1018, 16 * time.Second}, // a stand-in let a task of a gang end well after a sibling had lapsed
+	{1018, 16 * time.Second}, // the stand-in let tasks of a gang end well whose siblings had lapsed or were stopped
+	{2021, 16 * time.Second}, // the same
 	{104, 14 * time.Second},  // a second attempt at an acknowledgement reached the next lifetime of a worker
 }
 
