Put changed settings in force while the host runs

Cause: SIGHUP only checked the settings file, and a file that changed without a signal was not seen.

Change: SIGHUP, and every 5 s a changed content, put log level, memory limit, bound on open jobs and the age of the configuration in force; sections that need a new start are named in the line `settings reloaded`; faulty settings change nothing. The lines of start and stop named the host twice.

Test: TestSiteReloadsItsSettings, a real process: lowered by signal, faulty file left aside, raised by the file alone.

--- a/cmd/auburncleatd/site.go
+++ b/cmd/auburncleatd/site.go
@@ -41,16 +41,18 @@
 	}
 	k := logs.NewSink(os.Stdout)
 	defer k.Close()
-	l := logs.New(k, s.Log.Level).With("Host", s.Host.Name)
-	if err := serveSite(path, s, k, l); err != nil {
+	level := &slog.LevelVar{}
+	level.Set(s.Log.Level)
+	l := logs.New(k, level).With("Host", s.Host.Name)
+	if err := serveSite(&reloader{path: path, level: level, log: l}, s, k); err != nil {
 		l.Error("host failed", "Cause", err.Error())
 		return exitFailed
 	}
 	return 0
 }
 
-func serveSite(path string, s *setup.Site, k *logs.Sink, l *slog.Logger) error {
-	debug.SetMemoryLimit(int64(float64(s.Limits.Memory) * memoryShare))
+func serveSite(r *reloader, s *setup.Site, k *logs.Sink) error {
+	debug.SetMemoryLimit(memoryLimit(s))
 	m, err := metric.New(map[string]string{"host": s.Host.Name, "domain": s.Host.Domain})
 	if err != nil {
 		return fmt.Errorf("make metrics: %w", err)
@@ -58,27 +60,13 @@
 	defer func() { _ = m.Close() }()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	go reload(ctx, hup, path, l)
-	h := host.New(s, siteOutside(s, l, m.Scope), host.WithLog(l), host.WithMetrics(m.Scope, m.Handler), host.WithDropped(k.Dropped))
+	h := host.New(s, siteOutside(s, r.log, m.Scope), host.WithLog(r.log), host.WithMetrics(m.Scope, m.Handler), host.WithDropped(k.Dropped))
+	go r.run(ctx, h)
 	return h.Run(ctx)
 }
 
-// reload reads the settings again when asked to; a change of addresses needs a new start.
-func reload(ctx context.Context, hup <-chan os.Signal, path string, l *slog.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		}
-		if _, err := setup.LoadSite(path); err != nil {
-			l.Warn("settings not reloaded", "Cause", err.Error())
-			continue
-		}
-		l.Info("settings reloaded")
-	}
+func memoryLimit(s *setup.Site) int64 {
+	return int64(float64(s.Limits.Memory) * memoryShare)
 }
 
 // servePeers answers the calls of other hosts until ctx ends.
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -42,7 +42,7 @@
 	table    *jobs.Table
 	follower *feed.Follower
 	writer   *feed.Writer
-	limits   Limits
+	limits   atomic.Pointer[Limits]
 	clock    clock.Clock
 	log      *slog.Logger
 	scope    tally.Scope
@@ -53,7 +53,14 @@
 
 // New returns an intake over the fold of the jobs; configFresh tells when the configuration was last known to be new.
 func New(t *jobs.Table, f *feed.Follower, w *feed.Writer, configFresh func() time.Time, m Limits, c clock.Clock, l *slog.Logger, s tally.Scope) *Intake {
-	return &Intake{table: t, follower: f, writer: w, limits: m, clock: c, log: l, scope: s, configFresh: configFresh}
+	i := &Intake{table: t, follower: f, writer: w, clock: c, log: l, scope: s, configFresh: configFresh}
+	i.SetLimits(m)
+	return i
+}
+
+// SetLimits replaces the limits.
+func (i *Intake) SetLimits(m Limits) {
+	i.limits.Store(&m)
 }
 
 // SetConfig puts a newer configuration in force.
@@ -84,7 +91,7 @@
 func (i *Intake) Admit(host, path, key string) (Caller, error) {
 	c := i.config.Load()
 	age := i.clock.Since(i.configFresh())
-	if c == nil || age > i.limits.MaxConfigAge {
+	if c == nil || age > i.limits.Load().MaxConfigAge {
 		return Caller{}, ErrBusy{Why: fmt.Sprintf("configuration not confirmed for %s", age.Round(time.Millisecond)), RetryAfter: comeBack(age)}
 	}
 	q, rest := c.Match(host, path)
@@ -109,8 +116,8 @@
 		i.log.Info("job known", "Job", j.ID, "Queue", c.Queue.Name)
 		return nil
 	}
-	if n := i.table.CountOpen(); i.limits.MaxOpen > 0 && n >= i.limits.MaxOpen {
-		return ErrBusy{Why: fmt.Sprintf("%d jobs are open, the limit is %d", n, i.limits.MaxOpen), RetryAfter: retryAfter, IsFull: true}
+	if n, most := i.table.CountOpen(), i.limits.Load().MaxOpen; most > 0 && n >= most {
+		return ErrBusy{Why: fmt.Sprintf("%d jobs are open, the limit is %d", n, most), RetryAfter: retryAfter, IsFull: true}
 	}
 	j.Queue, j.Organisation, j.Accepted = c.Queue.Name, c.Organisation, i.clock.Now()
 	r, err := jobs.JobRecord(j)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -114,14 +114,38 @@
 	h.config = feed.NewFollower(out.Store, out.ConfigTopic, feed.Fold{Apply: h.applyConfig}, h.clock, h.log)
 	h.writer = feed.NewWriter(out.Store, jobsTopic, s.Host.Name+"-"+life, 1, h.clock, h.log)
 	h.elect = elect.New(out.Store, s.Host.Name, life, s.Listen.Peer, h.clock, h.log, elect.WithShare(s.Limits.Processors))
-	m := intake.Limits{MaxConfigAge: s.Bounds.Revoke - revokeMargin, MaxOpen: s.Limits.MaxOpenJobs}
-	h.intake = intake.New(h.table, h.jobs, h.writer, h.config.Fresh, m, h.clock, h.log, h.scope)
+	h.intake = intake.New(h.table, h.jobs, h.writer, h.config.Fresh, intakeLimits(s), h.clock, h.log, h.scope)
 	self := relay.Host{Name: s.Host.Name, Domain: s.Host.Domain, Addr: s.Listen.Peer}
 	h.hosts = relay.NewHosts(out.Store, self, h.clock, h.log)
 	h.relay = relay.New(h.intake, out.Peers, h.findOthers, h.clock, h.log, h.scope)
 	return h
 }
 
+func intakeLimits(s *setup.Site) intake.Limits {
+	return intake.Limits{MaxConfigAge: s.Bounds.Revoke - revokeMargin, MaxOpen: s.Limits.MaxOpenJobs}
+}
+
+// Reload puts those settings in force that can change while the host runs, and names the sections that need a new start.
+func (h *Host) Reload(s *setup.Site) (needStart []string) {
+	old := h.settings
+	h.intake.SetLimits(intakeLimits(s))
+	if s.Host != old.Host {
+		needStart = append(needStart, "Host")
+	}
+	if s.Listen != old.Listen {
+		needStart = append(needStart, "Listen")
+	}
+	if s.Store != old.Store {
+		needStart = append(needStart, "Store")
+	}
+	b := s.Bounds
+	b.Revoke = old.Bounds.Revoke
+	if b != old.Bounds || s.Limits.Processors != old.Limits.Processors {
+		needStart = append(needStart, "Bounds")
+	}
+	return needStart
+}
+
 // findOthers returns the addresses of the other hosts, the owner's first, which has reached the store lately.
 func (h *Host) findOthers() []netip.AddrPort {
 	var out []netip.AddrPort
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -34,7 +34,7 @@
 
 // Run serves until ctx ends, and then hands its duties over and finishes the requests in flight.
 func (h *Host) Run(ctx context.Context) error {
-	h.log.Info("starting", "Host", h.settings.Host.Name, "Domain", h.settings.Host.Domain)
+	h.log.Info("starting", "Domain", h.settings.Host.Domain)
 	var g run.Group
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -75,7 +75,7 @@
 	}
 	part(func(c context.Context) error { return h.out.ServePeers(c, l, h.relay.Take) })
 	err = g.Run()
-	h.log.Info("stopped", "Host", h.settings.Host.Name)
+	h.log.Info("stopped")
 	return err
 }
 
@@ -127,7 +127,7 @@
 
 // leave hands the ownership over, waits for the balancer and finishes the requests in flight.
 func (h *Host) leave(ctx context.Context, front *http.Server) {
-	h.log.Info("leaving", "Host", h.settings.Host.Name)
+	h.log.Info("leaving")
 	h.leaving.Store(true)
 	defer close(h.stopped)
 	c, cancel := context.WithTimeout(ctx, h.settings.Bounds.Grace-shutdownMargin)
--- a/tests/soak_site_test.go
+++ b/tests/soak_site_test.go
@@ -216,7 +216,7 @@
 	text += fmt.Sprintf("[Store]\nAddr = %s\n", h.store.listener.Addr())
 	text += fmt.Sprintf("[Bounds]\nMaxHold = %s\nStopTimeout = %s\nClaim = 2900ms\nGangTimeout = %s\nRevoke = %s\nKeepEnded = 120s\nGrace = %s\n",
 		soakHold, soakStop, soakGang, soakRevoke, soakGrace)
-	text += "[Limits]\nMemory = 284MB\nProcessors = 1\n[Log]\nLevel = info\n" + more
+	text += "[Log]\nLevel = info\n[Limits]\nMemory = 284MB\nProcessors = 1\n" + more
 	if err := os.WriteFile(s.settingsPath(h), []byte(text), 0o600); err != nil {
 		s.violate("write settings of %s: %v", h.name, err)
 	}
