Show operators the hosts, workers and time line of a site

Cause: `cleatctl hosts`, `workers` and `timeline` met only the daemon with its own log; a site had logs and metrics alone, and no time line over its processes.

Change: a site serves the read-only operators' interface at its status address. Hosts come from the list in the store, the books from the owner (net/rpc from the others), and the time line from those lines of the log that are events, whatever level is logged; a ring keeps the newest 4,096 of a process.

Tests: TestOperatorSeesTheSite (real processes and the command line), TestEventsAmongTheLinesGoToTheTimeline.

--- a/cmd/auburncleatd/site.go
+++ b/cmd/auburncleatd/site.go
@@ -18,6 +18,7 @@
 	"github.com/auburncleat/auburncleat/internal/logs"
 	"github.com/auburncleat/auburncleat/internal/metric"
 	"github.com/auburncleat/auburncleat/internal/setup"
+	"github.com/auburncleat/auburncleat/internal/state/events"
 	"github.com/auburncleat/auburncleat/internal/transport/peer"
 	"github.com/auburncleat/auburncleat/internal/transport/rest"
 	"github.com/auburncleat/auburncleat/platform"
@@ -27,6 +28,9 @@
 // memoryShare is the part of the memory limit that the garbage collector keeps to.
 const memoryShare = 0.75
 
+// maxEvents bounds the time line of the process.
+const maxEvents = 4096
+
 // workerConnections are the connections to one worker: one for its reports and some for orders.
 const workerConnections = 6
 
@@ -43,15 +47,16 @@
 	defer k.Close()
 	level := &slog.LevelVar{}
 	level.Set(s.Log.Level)
-	l := logs.New(k, level).With("Host", s.Host.Name)
-	if err := serveSite(&reloader{path: path, level: level, log: l}, s, k); err != nil {
+	ring := events.NewRing(s.Host.Name, maxEvents, events.NewClock(clock.System().Now))
+	l := logs.New(k, level, ring).With("Host", s.Host.Name)
+	if err := serveSite(&reloader{path: path, level: level, log: l}, s, k, ring); err != nil {
 		l.Error("host failed", "Cause", err.Error())
 		return exitFailed
 	}
 	return 0
 }
 
-func serveSite(r *reloader, s *setup.Site, k *logs.Sink) error {
+func serveSite(r *reloader, s *setup.Site, k *logs.Sink, ring *events.Ring) error {
 	debug.SetMemoryLimit(memoryLimit(s))
 	m, err := metric.New(map[string]string{"host": s.Host.Name, "domain": s.Host.Domain})
 	if err != nil {
@@ -60,7 +65,7 @@
 	defer func() { _ = m.Close() }()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	h := host.New(s, siteOutside(s, r.log, m.Scope), host.WithLog(r.log), host.WithMetrics(m.Scope, m.Handler), host.WithDropped(k.Dropped))
+	h := host.New(s, siteOutside(s, r.log, m.Scope), host.WithLog(r.log), host.WithMetrics(m.Scope, m.Handler), host.WithDropped(k.Dropped), host.WithEvents(ring))
 	go r.run(ctx, h)
 	return h.Run(ctx)
 }
@@ -70,8 +75,8 @@
 }
 
 // servePeers answers the calls of other hosts until ctx ends.
-func servePeers(ctx context.Context, l net.Listener, take host.Take) error {
-	p, err := peer.NewServer(ctx, peer.Handlers{Take: take})
+func servePeers(ctx context.Context, l net.Listener, s host.Served) error {
+	p, err := peer.NewServer(ctx, peer.Handlers{Take: s.Take, Workers: s.Workers})
 	if err != nil {
 		return fmt.Errorf("serve other hosts: %w", err)
 	}
--- a/internal/coordination/exec/books.go
+++ b/internal/coordination/exec/books.go
@@ -55,3 +55,10 @@
 	e.scope.Gauge("units_running").Update(float64(phases[phaseRunning]))
 	e.scope.Gauge("accelerators_used").Update(float64(used.Accelerators))
 }
+
+// FindWorkers lists the workers in the books.
+func (e *Engine) FindWorkers() []plan.WorkerView {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.planner.FindWorkers()
+}
--- a/internal/coordination/relay/hosts.go
+++ b/internal/coordination/relay/hosts.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -130,6 +131,15 @@
 	return out
 }
 
+// FindAll returns all hosts that are listed, by name.
+func (h *Hosts) FindAll() []Host {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := slices.Collect(maps.Values(h.known))
+	slices.SortFunc(out, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 func (h *Hosts) distance(x Host) int {
 	if x.Domain == h.self.Domain {
 		return 0
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -140,9 +140,9 @@
 		Peers: port.Peers{Call: func(ctx context.Context, to netip.AddrPort, method string, q, r proto.Message) error {
 			return s.callPeer(ctx, name, to, method, q, r)
 		}},
-		ServePeers: func(ctx context.Context, _ net.Listener, take Take) error {
+		ServePeers: func(ctx context.Context, _ net.Listener, served Served) error {
 			s.mu.Lock()
-			s.takes[x.Listen.Peer] = peerOf{name, take}
+			s.takes[x.Listen.Peer] = peerOf{name, served}
 			s.mu.Unlock()
 			<-ctx.Done()
 			return nil
@@ -165,8 +165,8 @@
 
 // peerOf is a host as others call it.
 type peerOf struct {
-	name string
-	take Take
+	name   string
+	served Served
 }
 
 // callPeer passes a request on to the host at an address, unless one of the two is dead or the way between them is cut.
@@ -178,7 +178,10 @@
 	if isCut {
 		return port.ErrUnsent
 	}
-	return p.take(ctx, q.(*wire.TakeRequest), r.(*wire.TakeReply))
+	if x, ok := q.(*wire.TakeRequest); ok {
+		return p.served.Take(ctx, x, r.(*wire.TakeReply))
+	}
+	return p.served.Workers(ctx, q.(*wire.Empty), r.(*wire.WorkersReply))
 }
 
 // runnersOf returns the workers as a host reaches them, and notes the calls that hold them.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -22,6 +22,7 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/relay"
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
 	"github.com/auburncleat/auburncleat/internal/setup"
+	"github.com/auburncleat/auburncleat/internal/state/events"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/auburncleat/auburncleat/internal/state/queue"
 	"github.com/uber-go/tally/v4"
@@ -40,12 +41,17 @@
 	Callers func(serve func(context.Context, intake.Request) (intake.Reply, error), l *slog.Logger) http.Handler
 	// Peers calls other hosts, and ServePeers answers their calls on a listener until ctx ends.
 	Peers      port.Peers
-	ServePeers func(ctx context.Context, l net.Listener, take Take) error
+	ServePeers func(ctx context.Context, l net.Listener, s Served) error
 	Listen     func(a netip.AddrPort) (net.Listener, error)
 }
 
-// Take serves a request that another host passes on.
-type Take func(context.Context, *wire.TakeRequest, *wire.TakeReply) error
+// Served are the calls of other hosts that a host answers.
+type Served struct {
+	// Take serves a request that another host passes on.
+	Take func(context.Context, *wire.TakeRequest, *wire.TakeReply) error
+	// Workers lists the books of the owner.
+	Workers func(context.Context, *wire.Empty, *wire.WorkersReply) error
+}
 
 const (
 	// standbyPause is the least time between two reads of the jobs on a host that does not own them.
@@ -74,6 +80,9 @@
 	hosts    *relay.Hosts
 	relay    *relay.Relay
 	dropped  func() int64
+	events   *events.Ring
+	// engine runs the jobs while this host owns them; nil while it does not.
+	engine   atomic.Pointer[exec.Engine]
 	leaving  atomic.Bool
 	wasReady atomic.Bool
 	// stopped is closed once the requests in flight are finished.
@@ -94,6 +103,9 @@
 	return func(h *Host) { h.scope, h.metrics = s, m }
 }
 
+// WithEvents sets the time line that operators are shown.
+func WithEvents(r *events.Ring) Option { return func(h *Host) { h.events = r } }
+
 // WithDropped sets the function that tells how many lines of the log were dropped.
 func WithDropped(f func() int64) Option { return func(h *Host) { h.dropped = f } }
 
@@ -104,6 +116,7 @@
 	h := &Host{
 		settings: s, out: out, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
 		metrics: http.NotFoundHandler(), table: jobs.NewTable(), stopped: make(chan struct{}), dropped: func() int64 { return 0 },
+		events: events.NewRing(s.Host.Name, 1, events.NewClock(clock.System().Now)),
 	}
 	for _, o := range opts {
 		o(h)
@@ -206,6 +219,8 @@
 	}, exec.Bounds{MaxHold: b.MaxHold, StopTimeout: b.StopTimeout, Claim: b.Claim, GangTimeout: b.GangTimeout, KeepEnded: b.KeepEnded},
 		o.Term, exec.WithClock(h.clock), exec.WithLog(h.log), exec.WithScope(h.scope.SubScope("owner")),
 		exec.WithRenewed(h.elect.Renewed))
+	h.engine.Store(x)
+	defer h.engine.Store(nil)
 	if err := x.Run(ctx); err != nil && ctx.Err() == nil {
 		h.log.Warn("term ended", "Term", o.Term, "Cause", err.Error())
 	}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -42,7 +42,7 @@
 		Handler: h.out.Callers(h.relay.Serve, h.log), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout}
-	status := &http.Server{Handler: h.metrics, ReadHeaderTimeout: headerTimeout}
+	status := &http.Server{Handler: h.statusServer().Handler(), ReadHeaderTimeout: headerTimeout}
 	leave, cancel := context.WithCancel(ctx)
 	g.Add(func() error {
 		<-leave.Done()
@@ -73,7 +73,9 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", h.settings.Listen.Peer, err)
 	}
-	part(func(c context.Context) error { return h.out.ServePeers(c, l, h.relay.Take) })
+	part(func(c context.Context) error {
+		return h.out.ServePeers(c, l, Served{Take: h.relay.Take, Workers: h.findWorkers})
+	})
 	err = g.Run()
 	h.log.Info("stopped")
 	return err
--- /dev/null
+++ b/internal/host/status.go
@@ -0,0 +1,93 @@
+package host
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/transport/status"
+	"github.com/pkg/errors"
+)
+
+var errNoOwner = errors.New("no host owns the jobs")
+
+// States of a host in the list that operators are shown.
+const (
+	stateListed   = "Listed"
+	stateReady    = "Ready"
+	stateNotReady = "NotReady"
+	stateLeaving  = "Leaving"
+)
+
+// statusServer returns what operators are shown.
+func (h *Host) statusServer() *status.Server {
+	return &status.Server{
+		Name: h.settings.Host.Name, Metrics: h.metrics, Events: h.events, Hosts: h.findHosts, Workers: h.askWorkers,
+		Ready: func() string {
+			if err := h.IsReady(); err != nil {
+				return err.Error()
+			}
+			return ""
+		},
+	}
+}
+
+// findHosts lists the hosts that the store lists, and how this one is.
+func (h *Host) findHosts() []status.HostView {
+	var out []status.HostView
+	owner := h.elect.Owner().Host
+	for _, x := range h.hosts.FindAll() {
+		v := status.HostView{Name: x.Name, Domain: x.Domain, Addr: x.Addr.String(), State: stateListed, Owner: x.Name == owner}
+		if x.Name == h.settings.Host.Name {
+			v.State, v.LastHeard = h.state(), h.clock.Now()
+			if c := h.intake.Config(); c != nil {
+				v.ConfigOffset = uint64(c.Version)
+			}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+func (h *Host) state() string {
+	switch {
+	case h.leaving.Load():
+		return stateLeaving
+	case h.IsReady() != nil:
+		return stateNotReady
+	default:
+		return stateReady
+	}
+}
+
+// findWorkers lists the workers in the books of this host, if it owns the jobs.
+func (h *Host) findWorkers(_ context.Context, _ *wire.Empty, r *wire.WorkersReply) error {
+	e := h.engine.Load()
+	if e == nil {
+		return fmt.Errorf("list workers at %s: %w", h.settings.Host.Name, errNoOwner)
+	}
+	for _, v := range e.FindWorkers() {
+		r.Workers = append(r.Workers, &wire.WorkerStatus{
+			Name: v.Worker.Name, Domain: v.Worker.Domain, Rack: v.Worker.Rack, Addr: v.Worker.Addr.String(), State: v.State,
+			Slots: int32(v.Worker.Slots), SlotsUsed: int32(v.SlotsUsed), Accelerators: int32(v.Worker.Accelerators),
+			AcceleratorsUsed: int32(v.AcceleratorsUsed), Reason: v.Reason,
+		})
+	}
+	return nil
+}
+
+// askWorkers lists the workers in the books of the owner.
+func (h *Host) askWorkers(ctx context.Context) (*wire.WorkersReply, error) {
+	var r wire.WorkersReply
+	if h.engine.Load() != nil {
+		return &r, h.findWorkers(ctx, nil, &r)
+	}
+	o := h.elect.Owner()
+	if !o.Addr.IsValid() || o.Addr == h.settings.Listen.Peer {
+		return nil, errNoOwner
+	}
+	if err := h.out.Peers.Call(ctx, o.Addr, "Owner.Workers", &wire.Empty{}, &r); err != nil {
+		return nil, fmt.Errorf("ask owner %s for its workers: %w", o.Host, err)
+	}
+	return &r, nil
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync/atomic"
 
+	"github.com/auburncleat/auburncleat/internal/state/events"
 	"github.com/pkg/errors"
 )
 
@@ -29,9 +30,9 @@
 	return s
 }
 
-// New returns a logger of JSON lines into the sink.
-func New(s *Sink, l slog.Leveler) *slog.Logger {
-	return slog.New(slog.NewJSONHandler(s, &slog.HandlerOptions{Level: l}))
+// New returns a logger of JSON lines into the sink, whose events go to a ring as well.
+func New(s *Sink, l slog.Leveler, r *events.Ring) *slog.Logger {
+	return slog.New(NewTimeline(slog.NewJSONHandler(s, &slog.HandlerOptions{Level: l}), r))
 }
 
 // Write queues one line, or drops it when too many wait.
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -5,8 +5,10 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/auburncleat/auburncleat/internal/logs"
+	"github.com/auburncleat/auburncleat/internal/state/events"
 	"github.com/stretchr/testify/require"
 )
 
@@ -24,7 +26,7 @@
 func TestSlowReaderBlocksNobody(t *testing.T) {
 	w := &stuck{free: make(chan struct{})}
 	k := logs.NewSink(w)
-	l := logs.New(k, slog.LevelInfo)
+	l := logs.New(k, slog.LevelInfo, events.NewRing("h", 10, events.NewClock(time.Now)))
 	for range 5000 {
 		l.Info("job accepted", "Job", "5c0e7a21d94b36f8")
 	}
@@ -34,3 +36,17 @@
 	require.Equal(t, int64(5000), k.Dropped()+int64(strings.Count(w.String(), "\n")))
 	l.Info("after the end")
 }
+
+func TestEventsAmongTheLinesGoToTheTimeline(t *testing.T) {
+	r := events.NewRing("h", 10, events.NewClock(time.Now))
+	l := slog.New(logs.NewTimeline(slog.DiscardHandler, r)).With("Host", "h")
+	l.Info("unit starts", "Job", "j", "Run", 2)
+	l.Info("books", "Queued", 3)
+	l.Warn("worker is silent", "Worker", "w")
+	es, _ := r.Find(events.Filter{})
+	require.Len(t, es, 2)
+	require.Equal(t, events.JobPlaced, es[0].Kind)
+	require.Equal(t, "j", es[0].Job)
+	require.Equal(t, "unit starts, Run 2", es[0].Text)
+	require.Equal(t, "w", es[1].Worker)
+}
--- a/internal/transport/status/server.go
+++ b/internal/transport/status/server.go
@@ -39,7 +39,7 @@
 	Hosts func() []HostView
 	// Workers returns the books of the owner of this host's failure domain.
 	Workers func(ctx context.Context) (*wire.WorkersReply, error)
-	// Keys returns the state of the claims of idempotency keys.
+	// Keys returns the state of the claims of idempotency keys; nil where jobs need none.
 	Keys func() KeysView
 	// Name is the host's name.
 	Name string
@@ -53,7 +53,9 @@
 	m.HandleFunc("GET /v1/timeline", s.getTimeline)
 	m.HandleFunc("GET /v1/hosts", s.findHosts)
 	m.HandleFunc("GET /v1/workers", s.findWorkers)
-	m.HandleFunc("GET /v1/keys", s.getKeys)
+	if s.Keys != nil {
+		m.HandleFunc("GET /v1/keys", s.getKeys)
+	}
 	if s.Metrics != nil {
 		m.Handle("GET /metrics", s.Metrics)
 	}
--- a/tests/site_test.go
+++ b/tests/site_test.go
@@ -3,6 +3,10 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -44,6 +48,42 @@
 	require.Empty(t, s.violations)
 }
 
+// TestOperatorSeesTheSite asks hosts, workers and time line of a site by the command line.
+func TestOperatorSeesTheSite(t *testing.T) {
+	p := newSoakPlan(1, 3, 4, 20*time.Second)
+	j := p.jobs[0]
+	j.steps, j.isPoison = []soakStep{{Count: 2, CPU: 1, GPUs: 1, Estimated: 1000, Gang: true}}, false
+	s := newSoakSite(t, p)
+	for _, h := range s.hosts {
+		s.eventually(readyBound, "readiness", func() bool { return s.isReady(h) })
+	}
+	require.Equal(t, http.StatusOK, s.submitPlain(j))
+	s.eventually(outcomeBound, "end of the job", func() bool {
+		state, _ := s.state(s.hosts[2], j)
+		return state == "completed"
+	})
+	s.eventually(exitBound, "list of hosts", func() bool { return strings.Count(s.ask("hosts"), "Ready") == 3 })
+	require.Equal(t, 4, strings.Count(s.ask("workers"), "Ready"))
+	line := s.ask("timeline", "--job", j.id)
+	for _, want := range []string{"JobAccepted", "JobPlaced", "JobDone"} {
+		require.Contains(t, line, want)
+	}
+	require.Contains(t, s.ask("timeline"), "OwnerChanged")
+}
+
+// ask runs a command of the operator against all hosts and returns what it prints.
+func (s *soakSite) ask(args ...string) string {
+	var at []string
+	for _, h := range s.hosts {
+		at = append(at, netip.AddrPortFrom(h.ip, statusPort).String())
+	}
+	x := exec.Command(filepath.Join(bin, "cleatctl"), args...)
+	x.Env = append(os.Environ(), "CLEATCTL_STATUS="+strings.Join(at, ","))
+	b, err := x.CombinedOutput()
+	require.NoError(s.t, err, "%s", b)
+	return string(b)
+}
+
 // logs counts the lines of the only host with a message.
 func (s *soakSite) logs(message string) int {
 	return strings.Count(s.process(s.hosts[0].name).output(), `"msg":"`+message+`"`)
