Keep room for urgent work that waits, not only for what may come

The room kept for urgent work was its peak less its need, and what waits is part of the need, so that nothing was kept while gangs waited.

Change: the room kept is the peak less what urgent work has. While less than half of the accelerators are in use, waiting urgent work keeps nothing back, so that a gang that finds no room for other reasons starves nobody.

Test: TestSmallWorkDoesNotComeBetweenUrgentGangs names the pattern; it failed before.

--- a/internal/state/plan/headroom.go
+++ b/internal/state/plan/headroom.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/auburncleat/auburncleat/internal/state/place"
 )
 
 // WithHeadroom keeps accelerators free for urgent work, as many as it lately used at its peak, from other work that
@@ -24,8 +22,11 @@
 	free int
 }
 
-// note takes the present use of urgent work and what is free.
-func (h *headroom) note(now time.Time, urgent, free int) {
+// busyShare is the part of the accelerators in use from which what waiting urgent work needs is kept free for it.
+const busyShare = 0.5
+
+// note takes what urgent work needs, how much of that it has, and what is free.
+func (h *headroom) note(now time.Time, need, has, free int) {
 	if h.memory == 0 {
 		return
 	}
@@ -33,8 +34,8 @@
 		h.peak *= math.Exp(-float64(now.Sub(h.at)) / float64(h.memory))
 	}
 	h.at = now
-	h.peak = max(h.peak, float64(urgent))
-	h.keep = int(h.share * (h.peak - float64(urgent)))
+	h.peak = max(h.peak, float64(need))
+	h.keep = int(h.share * (h.peak - float64(has)))
 	h.free = free
 }
 
@@ -43,9 +44,16 @@
 	if p.headroom.memory == 0 {
 		return
 	}
-	urgent := 0
-	for _, n := range p.pass.urgent {
-		urgent += n
+	need, has := 0, 0
+	for _, e := range p.jobs {
+		if e.rank() != 0 {
+			continue
+		}
+		n := e.shape.TotalAccelerators()
+		need += n
+		if !e.isQueued() {
+			has += n
+		}
 	}
 	free := 0
 	for _, r := range p.books.Racks() {
@@ -55,7 +63,11 @@
 			}
 		}
 	}
-	p.headroom.note(p.now, urgent, free)
+	if total := p.total.Accelerators; total-free < int(busyShare*float64(total)) {
+		// Urgent work that finds no room while most of it is free does not wait for what other work would take.
+		has = need
+	}
+	p.headroom.note(p.now, need, has, free)
 }
 
 // leavesHeadroom reports whether the start of a job leaves urgent work the accelerators that it will soon want.
@@ -67,7 +79,10 @@
 	return h.free-e.shape.TotalAccelerators() >= h.keep
 }
 
-// took notes that a job was given free accelerators.
-func (h *headroom) took(n place.Room, tasks int) {
-	h.free -= n.Accelerators * tasks
+// took notes that a job was given free accelerators, which serve what they were kept for when it is urgent.
+func (h *headroom) took(accelerators int, isUrgent bool) {
+	h.free -= accelerators
+	if isUrgent {
+		h.keep -= int(h.share * float64(accelerators))
+	}
 }
--- a/internal/state/plan/load_test.go
+++ b/internal/state/plan/load_test.go
@@ -109,3 +109,27 @@
 	require.Len(t, d.Starts, 1)
 	require.Empty(t, d.Stops)
 }
+
+// TestSmallWorkDoesNotComeBetweenUrgentGangs plays the pattern of urgent gangs that wait for each other's room: small work
+// that would be stopped again at once does not take what becomes free, unless most of the room is.
+func TestSmallWorkDoesNotComeBetweenUrgentGangs(t *testing.T) {
+	for _, firm := range []int{1, 3} {
+		t.Run(fmt.Sprintf("%d of 4 workers taken", firm), func(t *testing.T) {
+			p := planner(t, workers(1, 4), profiles(audit, urgent), WithHeadroom(10*time.Second, 1))
+			for i := range firm {
+				x := job(fmt.Sprintf("firm%d", i), "CW", "Urgent", shape(1, 8, fleet.LevelWorker))
+				p.Adopt(x, []fleet.Assignment{{Worker: fmt.Sprintf("w%03d", i)}}, start)
+			}
+			require.NoError(t, p.Submit(job("gang", "CW", "Urgent", shape(4, 8, fleet.LevelRack))))
+			for i := range 4 {
+				require.NoError(t, p.Submit(volatile(fmt.Sprintf("v%d", i), "Audit", shape(1, 1, fleet.LevelDomain))))
+			}
+			d := p.Pass(start)
+			want := 4
+			if firm == 3 {
+				want = 0
+			}
+			require.Len(t, d.Starts, want)
+		})
+	}
+}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -170,7 +170,7 @@
 		return
 	}
 	if sites, reason := p.findSites(e); sites != nil {
-		p.headroom.took(e.need, e.shape.Tasks)
+		p.headroom.took(e.shape.TotalAccelerators(), e.rank() == 0)
 		p.start(e, sites, reason, d)
 		return
 	}
