Do not let a refusal by one host hide the unknown outcome at another

Cause: a request that this host could not store went to a second host, whose answer was lost, and then to a third, which knew a newer configuration and refused the withdrawn key. The caller heard 401, and the job ran: the second host had stored it.

Ruled out: the host itself (its writer never sent the record), a repeat of the client (one attempt before the 401).

Change: once the outcome at one host is unknown only a success elsewhere replaces it. TestRefusalElsewhereDoesNotHideAnUnknownOutcome failed before.

--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -128,6 +128,10 @@
 			}
 			continue
 		}
+		if err != nil && errors.Is(last.err, intake.ErrOutcomeUnknown) {
+			// A refusal says nothing of the host that was asked before.
+			return last
+		}
 		r.log.Info("request passed on", "Verb", q.Verb.String(), "Path", q.Path, "To", to.String(), "Why", why.Error(), "Outcome", outcome(err))
 		r.scope.Counter("requests_passed_on").Inc(1)
 		return result{p, err}
--- a/internal/host/relay_test.go
+++ b/internal/host/relay_test.go
@@ -1,12 +1,14 @@
 package host
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/intake"
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -156,3 +158,26 @@
 		}
 	})
 }
+
+// TestRefusalElsewhereDoesNotHideAnUnknownOutcome has one other host lose its answer and the next one, which knows a newer
+// configuration, refuse the caller's key.
+func TestRefusalElsewhereDoesNotHideAnUnknownOutcome(t *testing.T) {
+	inSite(t, takes(time.Second), three, func(s *site) {
+		s.wait(2 * time.Second)
+		h := s.other(s.owner())
+		s.store.SetRefused(h, true)
+		asked := 0
+		codes := []wire.TakeCode{wire.TakeCode_TAKE_CODE_UNKNOWN, wire.TakeCode_TAKE_CODE_NO_KEY}
+		for a, p := range s.takes {
+			p.served.Take = func(_ context.Context, _ *wire.TakeRequest, r *wire.TakeReply) error {
+				r.Code = codes[asked]
+				asked++
+				return nil
+			}
+			s.takes[a] = p
+		}
+		_, err := s.ask(h, intake.Submit, jobA)
+		require.ErrorIs(t, err, intake.ErrOutcomeUnknown)
+		require.Equal(t, 2, asked)
+	})
+}
