--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -99,11 +99,11 @@
 func New(out Outside, b Bounds, term int64, opts ...Option) *Engine {
 	e := &Engine{
 		out: out, bounds: b, term: term, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
-		planner: plan.New("", plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim),
-			plan.WithWasteBounds(urgentWaste, otherWaste),
-			plan.WithHeadroom(headroomMemory, headroomShare)), workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{}, ending: map[string]bool{}, due: map[string]time.Time{},
-		wake: make(chan struct{}, 1),
+		workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{},
+		ending: map[string]bool{}, due: map[string]time.Time{}, wake: make(chan struct{}, 1),
 	}
+	e.planner = plan.New("", plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim),
+		plan.WithWasteBounds(urgentWaste, otherWaste), plan.WithHeadroom(headroomMemory, headroomShare))
 	for _, o := range opts {
 		o(e)
 	}
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -90,8 +90,11 @@
 // Admit checks host name, path and key by the configuration in force.
 func (i *Intake) Admit(host, path, key string) (Caller, error) {
 	c := i.config.Load()
-	age := i.clock.Since(i.configFresh())
-	if c == nil || age > i.limits.Load().MaxConfigAge {
+	fresh := i.configFresh()
+	if c == nil || fresh.IsZero() {
+		return Caller{}, ErrBusy{Why: "configuration not read yet", RetryAfter: retryAfter}
+	}
+	if age := i.clock.Since(fresh); age > i.limits.Load().MaxConfigAge {
 		return Caller{}, ErrBusy{Why: fmt.Sprintf("configuration not confirmed for %s", age.Round(time.Millisecond)), RetryAfter: comeBack(age)}
 	}
 	q, rest := c.Match(host, path)
@@ -230,10 +233,22 @@
 	}
 }
 
+// checkTable returns an error when the fold of the jobs is too old to say what it lacks.
+func (i *Intake) checkTable() error {
+	fresh := i.follower.Fresh()
+	if fresh.IsZero() {
+		return ErrBusy{Why: "jobs not read yet", RetryAfter: retryAfter}
+	}
+	if age := i.clock.Since(fresh); age > maxTableAge {
+		return ErrBusy{Why: fmt.Sprintf("jobs not read for %s", age.Round(time.Millisecond)), RetryAfter: retryAfter}
+	}
+	return nil
+}
+
 // unknown tells a job that does not exist from one that this host may not have heard of.
 func (i *Intake) unknown(id string) error {
-	if age := i.clock.Since(i.follower.Fresh()); age > maxTableAge {
-		return ErrBusy{Why: fmt.Sprintf("jobs not read for %s", age.Round(time.Millisecond)), RetryAfter: retryAfter}
+	if err := i.checkTable(); err != nil {
+		return err
 	}
 	return fmt.Errorf("job %s: %w", id, ErrNoJob)
 }
@@ -261,8 +276,8 @@
 
 // CountPending returns how many accepted jobs of a queue have not started.
 func (i *Intake) CountPending(q *queue.Queue) (int, error) {
-	if age := i.clock.Since(i.follower.Fresh()); age > maxTableAge {
-		return 0, ErrBusy{Why: fmt.Sprintf("jobs not read for %s", age.Round(time.Millisecond)), RetryAfter: retryAfter}
+	if err := i.checkTable(); err != nil {
+		return 0, err
 	}
 	return i.table.CountPending(q.Name), nil
 }
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -101,49 +101,6 @@
 	return max(100-int(100*x.done.Sub(now)/x.fate.Work), 0)
 }
 
-// isHeldUntilDone reports whether the leases of the task, and of all others of its gang, outlast its work, and no other
-// task of the gang ended before.
-func (x *runTask) isHeldUntilDone() bool {
-	if x.gang == nil {
-		return x.done.Before(x.on.lease)
-	}
-	if b := x.gang.broken; !b.IsZero() && x.done.After(b) {
-		return false
-	}
-	for _, o := range x.gang.tasks {
-		if !x.done.Before(o.on.lease) || !o.stops.IsZero() && o.stops.Before(x.done) {
-			return false
-		}
-	}
-	return true
-}
-
-// gangRun holds the tasks of one run of a gang.
-type gangRun struct {
-	tasks []*runTask
-	// broken is when a task of the gang ended before its time; zero while none has.
-	broken time.Time
-}
-
-// complete starts the work of a gang of which all tasks are present.
-func (g *gangRun) complete(now time.Time) {
-	var failed *runTask
-	for _, x := range g.tasks {
-		if x.fate.Result == jobs.FailedRun && (failed == nil || x.fate.Work < failed.fate.Work) {
-			failed = x
-		}
-	}
-	for _, x := range g.tasks {
-		x.done, x.how, x.word = now.Add(g.tasks[0].fate.Work), jobs.Done, "done"
-		if failed != nil {
-			x.done, x.how, x.word = now.Add(failed.fate.Work), jobs.Stopped, "broken"
-		}
-	}
-	if failed != nil {
-		failed.how, failed.word = jobs.FailedRun, "failed"
-	}
-}
-
 // NewRunners returns workers whose runs go as planned.
 func NewRunners(c clock.Clock, b RunBounds, p RunPlan) *Runners {
 	return &Runners{
@@ -249,56 +206,6 @@
 	return r.starts
 }
 
-// HasBegun reports whether a task of a job was ever started.
-func (r *Runners) HasBegun(job string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.begun[job]
-}
-
-// CountDone returns how many tasks of a job have ended well.
-func (r *Runners) CountDone(job string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	n := 0
-	for _, w := range r.byAddr {
-		r.advance(w)
-	}
-	for t := range r.done {
-		if t.Job == job {
-			n++
-		}
-	}
-	return n
-}
-
-// CountFailed returns the most runs of one task or gang of a job that have failed.
-func (r *Runners) CountFailed(job string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	n := 0
-	for t, x := range r.everFailed {
-		if t.Job == job {
-			n = max(n, x)
-		}
-	}
-	return n
-}
-
-// FindRunning returns the tasks that run anywhere.
-func (r *Runners) FindRunning() []port.RunRef {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []port.RunRef
-	for _, w := range r.byAddr {
-		r.advance(w)
-		for _, x := range w.tasks {
-			out = append(out, x.ref)
-		}
-	}
-	return out
-}
-
 // View returns the workers as a host reaches them.
 func (r *Runners) View(host string) port.Runners {
 	return port.Runners{
@@ -551,20 +458,6 @@
 	w.lapsed = w.numbers
 }
 
-// endedAt returns when a task ended that is found to have ended by now.
-func (r *Runners) endedAt(w *runWorker, x *runTask, word string) time.Time {
-	switch {
-	case word == "lapsed":
-		return w.lease
-	case word == "stopped":
-		return x.stops
-	case !x.done.IsZero():
-		return minTime(x.done, r.clock.Now())
-	default:
-		return r.clock.Now()
-	}
-}
-
 func (r *Runners) end(w *runWorker, t port.RunRef, x *runTask, how jobs.Result, word string) {
 	w.numbers++
 	if x.gang != nil && x.gang.broken.IsZero() && how != jobs.Done {
