--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo unknown)
 GO_FILES = $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: help build test lint fmt fmt-check layers generate generate-check proofs-check bench demo tools measure
+SOAK = -soak-seeds $(or $(SEEDS),50) -soak-first $(or $(FIRST),1) -soak-length $(or $(LENGTH),16s) \
+	-soak-hosts $(or $(HOSTS),5) -soak-workers $(or $(WORKERS),8) $(if $(KEEP),-soak-keep $(KEEP))
+
+.PHONY: help build soak test lint fmt fmt-check layers generate generate-check proofs-check bench demo tools measure
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 18
@@ -15,6 +18,9 @@
 test: ## run all tests with the race detector
 	go test -race -timeout 9m ./...
 
+soak: ## run the fault soak of real processes with more seeds
+	go test ./tests -run '^TestSoak$$' -count 1 -timeout 60m -args $(SOAK)
+
 lint: ## run the linter
 	golangci-lint run ./...
 
