Stop tasks of a cancelled job whose worker the new owner has not listed yet

Cause: an owner that had just taken over dropped the stop of a task when it did not know the worker's address yet, and nothing sent it again: the task of a job cancelled in that moment ran to its end.

Ruled out: an orphan that no look finds (the first look of a term lists it), a late start (the run had begun before the cancel).

Change: the stop waits until the list has been read, or the task is over. TestCancelReachesATaskWhoseWorkerIsNotListedYet failed before.

--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -37,9 +37,16 @@
 		done := m.presence == taskEnded
 		addr := w.runner.Worker.Addr
 		e.mu.Unlock()
-		if done || !addr.IsValid() {
+		if done {
 			return
 		}
+		if !addr.IsValid() {
+			// The list of the workers has not been read yet, or the worker is gone and its leases will be over.
+			if e.clock.Sleep(e.ctx, orderPause) != nil {
+				return
+			}
+			continue
+		}
 		err := e.out.Runners.Stop(e.ctx, addr, r, e.term, m.worker)
 		if err == nil {
 			e.mu.Lock()
--- a/internal/host/fault_test.go
+++ b/internal/host/fault_test.go
@@ -172,3 +172,25 @@
 		require.Positive(t, acks)
 	})
 }
+
+// TestCancelReachesATaskWhoseWorkerIsNotListedYet has a job cancelled right after a takeover, before the new owner has read
+// the list of the workers.
+func TestCancelReachesATaskWhoseWorkerIsNotListedYet(t *testing.T) {
+	inSite(t, takes(time.Minute), three, func(s *site) {
+		s.wait(2 * time.Second)
+		require.NoError(t, s.submit("a", jobA, "quiet", gang(2, 1)))
+		s.wait(time.Second)
+		require.Len(t, s.runners.FindRunning(), 2)
+		s.listAfter = time.Second
+		o := s.owner()
+		s.leave(o)
+		h := s.other(o)
+		for s.hosts[h].elect.Owner().Host == o {
+			s.wait(20 * time.Millisecond)
+		}
+		s.wait(200 * time.Millisecond)
+		require.NoError(t, s.hosts[h].intake.Cancel(s.t.Context(), jobA, 3*time.Second))
+		s.wait(4 * time.Second)
+		require.Empty(t, s.runners.FindRunning())
+	})
+}
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -59,6 +59,8 @@
 	// cut names links between hosts and workers.
 	cut map[[2]string]bool
 	ids []string
+	// listAfter is how long the list of the workers takes to reach a new owner.
+	listAfter time.Duration
 	// takes are what hosts serve for others, by address.
 	takes map[netip.AddrPort]peerOf
 	// holds are the calls by which hosts extended leases and acknowledged ends.
@@ -127,6 +129,9 @@
 	h := New(x, Outside{
 		Store: s.store.View(name), Runners: s.runnersOf(name), ConfigTopic: testOperators,
 		FollowRunners: func(ctx context.Context, put func(port.Runner), _ func(string)) error {
+			if err := clock.System().Sleep(ctx, s.listAfter); err != nil {
+				return nil
+			}
 			for i := range 6 {
 				put(port.Runner{Worker: testWorker(i)})
 			}
@@ -225,6 +230,11 @@
 	delete(s.hosts, name)
 }
 
+// leave has a host stop as asked to, and returns at once.
+func (s *site) leave(name string) {
+	go s.stops[slices.Index(s.names, name)]()
+}
+
 // owner returns the name of the host that owns the jobs, as any host has read.
 func (s *site) owner() string {
 	for _, h := range s.hosts {
