Pass no request on to a host with an older configuration

Cause: a host that passed a request on could have it admitted by a configuration older than the one its callers had seen in force.

Change: the request names the version in force where it came in, and a host behind it says that it is busy. TestRequestIsNotPassedOnToAnOlderConfiguration fails without the check ("An error is expected but got nil").

--- a/internal/coordination/intake/serve.go
+++ b/internal/coordination/intake/serve.go
@@ -37,6 +37,8 @@
 	Fault string
 	// Patience is how long the caller waits for the answer.
 	Patience time.Duration
+	// MinVersion is the oldest configuration by which the request may be served; zero means any.
+	MinVersion int64
 }
 
 // Reply is the answer to a request that was served.
@@ -47,9 +49,20 @@
 	IsCount bool
 }
 
+// version returns that of the configuration in force, or zero.
+func (i *Intake) version() int64 {
+	if c := i.config.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // Serve admits a request and carries it out.
 func (i *Intake) Serve(ctx context.Context, q Request) (Reply, error) {
 	c, err := i.Admit(q.Host, q.Path, q.Key)
+	if v := i.version(); v < q.MinVersion {
+		return Reply{}, ErrBusy{Why: fmt.Sprintf("configuration %d is older than %d", v, q.MinVersion), RetryAfter: retryAfter}
+	}
 	if err != nil {
 		return Reply{}, err
 	}
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -170,6 +170,10 @@
 // pass has another host carry a request out; without an answer it may have done so.
 func (r *Relay) pass(ctx context.Context, to netip.AddrPort, q intake.Request, until time.Time) (intake.Reply, error) {
 	q.Patience = min(until.Sub(r.clock.Now()), tryBound)
+	if c := r.intake.Config(); c != nil {
+		// What callers of this host have seen in force must not go back.
+		q.MinVersion = c.Version
+	}
 	x, cancel := context.WithTimeout(ctx, q.Patience)
 	defer cancel()
 	var m wire.TakeReply
--- a/internal/host/relay_test.go
+++ b/internal/host/relay_test.go
@@ -181,3 +181,24 @@
 		require.Equal(t, 2, asked)
 	})
 }
+
+// TestRequestIsNotPassedOnToAnOlderConfiguration has the other hosts be behind in the configuration.
+func TestRequestIsNotPassedOnToAnOlderConfiguration(t *testing.T) {
+	inSite(t, takes(time.Second), three, func(s *site) {
+		s.wait(2 * time.Second)
+		h := s.other(s.owner())
+		newer := *testConfig
+		newer.Version++
+		s.hosts[h].intake.SetConfig(&newer)
+		s.store.SetRefused(h, true)
+		_, err := s.ask(h, intake.Submit, jobA)
+		var busy intake.ErrBusy
+		require.ErrorAs(t, err, &busy)
+		for _, n := range s.live() {
+			s.hosts[n].intake.SetConfig(&newer)
+		}
+		s.wait(2 * time.Second)
+		_, err = s.ask(h, intake.Submit, jobA)
+		require.NoError(t, err)
+	})
+}
