Leave half of the workers in use, whatever they are suspected of

Cause: a rack under suspicion was quarantined as a whole when the share of quarantined workers allowed it, counting as already quarantined those of its workers that had merely failed. With 3 of 4 workers of one rack quarantined and all 4 of the other failing, 7 of 8 were closed for 5 minutes and all jobs shared one worker; a worker on probation had no bound at all.

Change: one bound for all quarantines, by the workers that would be closed besides. TestQuarantinesLeaveHalfOfTheWorkers failed before (7 of 8).

--- a/internal/state/blame/blame.go
+++ b/internal/state/blame/blame.go
@@ -27,7 +27,7 @@
 	rampTime = 2 * time.Minute
 	// maxRamp is the part of all workers that may be on probation because they are new.
 	maxRamp = 0.25
-	// maxShare is the part of all workers that may be quarantined one by one.
+	// maxShare is the part of all workers that may be quarantined at a time.
 	maxShare = 0.5
 )
 
@@ -165,18 +165,23 @@
 		return
 	}
 	if w.state == Probation {
-		if w.score() == 0 {
+		if w.score() == 0 || b.isTooMany(1, all) {
 			return
 		}
 		b.quarantine(w, at, "failed again on probation")
 		return
 	}
-	if w.score() < guilty || float64(b.quarantined()+1) > maxShare*float64(all) {
+	if w.score() < guilty || b.isTooMany(1, all) {
 		return
 	}
 	b.quarantine(w, at, fmt.Sprintf("failed %d different jobs in a row", len(w.fails)))
 }
 
+// isTooMany reports whether more quarantines would leave less than the share of the workers that must stay.
+func (b *Book) isTooMany(more, all int) bool {
+	return float64(b.quarantined()+more) > maxShare*float64(all)
+}
+
 func (b *Book) quarantined() int {
 	n := 0
 	for _, w := range b.workers {
@@ -201,7 +206,7 @@
 	if size < 2 || size == all || rack == "" {
 		return
 	}
-	failing := 0
+	failing, trusted := 0, 0
 	here, elsewhere := map[string]bool{}, map[string]bool{}
 	for _, w := range b.workers {
 		if w.rack == rack && b.note(w, at, here) {
@@ -210,11 +215,14 @@
 		if w.rack != rack {
 			b.note(w, at, elsewhere)
 		}
+		if w.rack == rack && w.state != Quarantined {
+			trusted++
+		}
 	}
 	if failing < max(2, (size+1)/2) || len(here) < max(minRackJobs, rackFactor*len(elsewhere)) {
 		return
 	}
-	if float64(b.quarantined()+size-failing) > maxShare*float64(all) {
+	if b.isTooMany(trusted, all) {
 		return
 	}
 	why := fmt.Sprintf("rack %s is at fault: %d of its %d workers failed %d different jobs within %s", rack, failing, size, len(here), window)
--- a/internal/state/blame/blame_test.go
+++ b/internal/state/blame/blame_test.go
@@ -256,3 +256,30 @@
 		})
 	}
 }
+
+// TestQuarantinesLeaveHalfOfTheWorkers has a rack come under suspicion while most of another one is quarantined, as happens
+// when workers restart again and again: jobs must keep somewhere to run.
+func TestQuarantinesLeaveHalfOfTheWorkers(t *testing.T) {
+	b := New()
+	for i := range 8 {
+		p := Place{Worker: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i/4)}
+		w := b.get(p)
+		if i < 3 {
+			b.quarantine(w, start, "failed 3 different jobs in a row")
+			continue
+		}
+		for k := range 2 {
+			w.fails[fmt.Sprintf("job %d of %s", k, p.Worker)] = evidence{weight: 1, at: start}
+		}
+	}
+	b.workers["w3"].fails = map[string]evidence{}
+	b.judgeRack("r1", start, 4, 8)
+	require.Equal(t, 3, b.quarantined())
+	p := Place{Worker: "w4", Rack: "r1"}
+	b.workers["w4"].state = Probation
+	b.judge(p, start, 8)
+	require.Equal(t, 4, b.quarantined())
+	b.workers["w5"].state = Probation
+	b.judge(Place{Worker: "w5", Rack: "r1"}, start, 8)
+	require.Equal(t, 4, b.quarantined())
+}
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -45,6 +45,7 @@
 var soakFailed = []soakCase{
 	{1018, 16 * time.Second}, // the stand-in let tasks of a gang end well whose siblings had lapsed or were stopped
 	{2021, 16 * time.Second}, // the same
+	{5051, 16 * time.Second}, // all workers but one were quarantined
 	{104, 14 * time.Second},  // a second attempt at an acknowledgement reached the next lifetime of a worker
 }
 
