Plan urgent work by itself, and make passes over a long queue cheap

After a take-over 7,995 units were judged impossible, and logged, against workers that had not been listed yet, which took 1.6 s.

Change: a clearance keeps its sums as borrowers leave; one search for work that is not urgent looks at most 8 times a pass; ends are planned once a pass; urgent units are planned by themselves while the others wait for their turn; single tasks start at a bounded rate and are packed beside each other without a search; nothing is judged impossible before the workers are known. Urgent work may cost others more (4 s for each of its own).

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -54,7 +54,7 @@
 	scope   tally.Scope
 	writer  *feed.Writer
 	cancel  context.CancelFunc
-	renewed func() time.Time
+	renewed func() clock.Mark
 
 	// mu guards all below.
 	mu      sync.Mutex
@@ -70,6 +70,12 @@
 	// due is when the next occurrence of a job is due.
 	due   map[string]time.Time
 	ready bool
+	// isListRead is set once the platform has listed a worker to this owner.
+	isListRead bool
+	// nextFull is the earliest time of the next pass over all units.
+	nextFull time.Time
+	// passTook is how long the last pass over all units took.
+	passTook time.Duration
 	// loggedBooks is when the books were last summed up in the log.
 	loggedBooks time.Time
 	// swept is when ends of jobs were last looked for that need not be kept.
@@ -90,7 +96,7 @@
 func WithScope(s tally.Scope) Option { return func(e *Engine) { e.scope = s } }
 
 // WithRenewed sets the function that tells when the newest confirmed renewal of the term was sent.
-func WithRenewed(f func() time.Time) Option { return func(e *Engine) { e.renewed = f } }
+func WithRenewed(f func() clock.Mark) Option { return func(e *Engine) { e.renewed = f } }
 
 // ownerProducer is the producer under which the owner appends; its epoch is the term.
 const ownerProducer = "owner"
@@ -103,7 +109,8 @@
 		ending: map[string]bool{}, due: map[string]time.Time{}, wake: make(chan struct{}, 1),
 	}
 	e.planner = plan.New("", plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim),
-		plan.WithWasteBounds(urgentWaste, otherWaste), plan.WithHeadroom(headroomMemory, headroomShare))
+		plan.WithWasteBounds(urgentWaste, otherWaste), plan.WithHeadroom(headroomMemory, headroomShare),
+		plan.WithStartRate(startRate, startBurst), plan.WithPartialFleet())
 	for _, o := range opts {
 		o(e)
 	}
@@ -170,8 +177,13 @@
 	// restartCost is the run time that a stopped unit with a checkpoint loses.
 	restartCost = 500 * time.Millisecond
 	// urgentWaste and otherWaste are the seconds of others' work that a second of urgent work, or of other work, may cost.
-	urgentWaste = 1.5
+	urgentWaste = 4.0
 	otherWaste  = 0.3
+	// fullShare is the part of the time that passes over all units may take while urgent units wait for their own.
+	fullShare = 0.4
+	// startRate and startBurst bound the starts of single tasks in a second and at once, as each takes the owner's processor.
+	startRate  = 800
+	startBurst = 800
 	// headroomMemory is how long a peak of urgent work is remembered, and headroomShare the part of it that is kept free.
 	headroomMemory = 10 * time.Second
 	headroomShare  = 1.0
@@ -206,8 +218,11 @@
 			e.ready = true
 			e.log.Info("take-over complete", "Term", e.term, "Workers", len(e.workers), "Units", len(e.units))
 		}
+		if e.ready && e.isListRead {
+			e.planner.SetFleetWhole()
+		}
 		if e.ready {
-			e.pass(now)
+			e.passInTime(now)
 			e.logBooks(now)
 		}
 		e.mu.Unlock()
--- a/internal/coordination/exec/look.go
+++ b/internal/coordination/exec/look.go
@@ -53,7 +53,7 @@
 	if !w.isHeld || w.isSuspect || len(w.orphans) > 0 {
 		h.Wait = 0
 	}
-	if !w.clockRead.IsZero() && !w.isFailing && e.mayHold(now) {
+	if !w.clockRead.IsZero() && !w.isFailing && e.mayHold() {
 		h.Until = w.until(now, e.bounds.MaxHold)
 		w.leaseEnd = later(w.leaseEnd, now.Add(e.leaseBound()))
 	}
@@ -95,12 +95,12 @@
 }
 
 // mayHold reports whether this owner may still extend leases: not for long after its term may have ended.
-func (e *Engine) mayHold(now time.Time) bool {
+func (e *Engine) mayHold() bool {
 	if e.renewed == nil {
 		return true
 	}
 	at := e.renewed()
-	return at.IsZero() || now.Sub(at) < holdGrace
+	return at.IsZero() || e.clock.Age(at) < holdGrace
 }
 
 func (e *Engine) lookFailed(ctx context.Context, w *worker, err error) {
--- a/internal/coordination/exec/pass.go
+++ b/internal/coordination/exec/pass.go
@@ -50,9 +50,23 @@
 	return out
 }
 
-// pass lets the planner decide and carries its decisions out.
-func (e *Engine) pass(now time.Time) {
-	d := e.planner.Pass(now)
+// passInTime lets the planner decide about all units, or about the urgent ones alone until the others' turn comes: the
+// longer the queue, the longer a pass over it takes.
+func (e *Engine) passInTime(now time.Time) {
+	if now.Before(e.nextFull) {
+		if e.planner.HasUrgentWaiting() {
+			e.carryOut(e.planner.PassUrgent(now))
+		}
+		return
+	}
+	e.carryOut(e.planner.Pass(now))
+	e.passTook = e.clock.Since(now)
+	e.nextFull = e.clock.Now().Add(time.Duration(float64(e.passTook) * (1/fullShare - 1)))
+	e.scope.Timer("pass").Record(e.passTook)
+}
+
+// carryOut starts, stops and gives up units as the planner decided.
+func (e *Engine) carryOut(d plan.Decisions) {
 	for _, s := range d.Starts {
 		e.begin(s)
 	}
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -45,6 +45,14 @@
 			e.mu.Unlock()
 			return
 		}
+		if !e.mayHold() {
+			// The term may be over, and a start would extend the leases of the worker.
+			e.mu.Unlock()
+			if e.clock.Sleep(e.ctx, orderPause) != nil {
+				return
+			}
+			continue
+		}
 		now := e.clock.Now()
 		s := port.RunStart{
 			Ref: u.ref(m), Spec: u.spec, Until: w.until(now, e.bounds.MaxHold), Token: e.term, Checkpoint: u.checkpoint,
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -119,6 +119,7 @@
 func (e *Engine) putRunner(r port.Runner) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.isListRead = true
 	w := e.getWorker(r.Worker.Name)
 	isNew := !w.isListed
 	if !isNew && w.runner.Worker == r.Worker && w.runner.IsDraining == r.IsDraining {
--- /dev/null
+++ b/internal/host/size_test.go
@@ -0,0 +1,55 @@
+package host
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/intake"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/standin"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/stretchr/testify/require"
+)
+
+// largeFleet returns workers of 8 accelerators in racks of 12.
+func largeFleet(n int) []fleet.Worker {
+	ws := make([]fleet.Worker, n)
+	for i := range ws {
+		ws[i] = fleet.Worker{
+			Name: fmt.Sprintf("w%04d", i), Rack: fmt.Sprintf("r%03d", i/12), Slots: 1 << 20, Accelerators: 8, Processors: 64,
+			Memory: fleet.Gigabyte, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i / 250), byte(i%250 + 1)}), 1),
+		}
+	}
+	return ws
+}
+
+// TestUrgentGangsAreServedBeforeALongQueue plays the pattern of bulk jobs whose tasks wait by the thousand while urgent
+// gangs come.
+func TestUrgentGangsAreServedBeforeALongQueue(t *testing.T) {
+	const (
+		urgentRun = time.Second
+		bulkRun   = 6 * time.Second
+	)
+	plan := func(r port.RunRef, _ string) standin.RunFate {
+		if r.Job[0] == 'a' {
+			return standin.RunFate{Work: urgentRun, Result: jobs.Done}
+		}
+		return standin.RunFate{Work: bulkRun, Result: jobs.Done}
+	}
+	inSiteOf(t, largeFleet(96), plan, []string{"h1"}, func(s *site) {
+		s.wait(2 * time.Second)
+		for i := range 30 {
+			require.NoError(t, s.submit("h1", fmt.Sprintf("b%015x", i), "quiet", tasks(80)))
+		}
+		s.wait(time.Second)
+		s.ids = nil
+		for i := range 10 {
+			require.NoError(t, s.submit("h1", fmt.Sprintf("a%015x", i), "urgent", gang(8, 4)))
+			s.wait(100 * time.Millisecond)
+		}
+		s.requireEnded(intake.Completed, 4*time.Second)
+	})
+}
--- a/internal/state/plan/admit.go
+++ b/internal/state/plan/admit.go
@@ -122,7 +122,7 @@
 func (p *Planner) enqueue(e *entry) {
 	p.queued[e.lane()]++
 	p.waiting++
-	if e.hasRun() || e.rank() == 0 {
+	if e.hasRun() || e.isUrgent() {
 		return
 	}
 	q := p.newest[e.rank()]
--- a/internal/state/plan/clear.go
+++ b/internal/state/plan/clear.go
@@ -19,6 +19,9 @@
 	return func(p *Planner) { p.restartCost = d }
 }
 
+// maxSearches bounds the searches for work to stop that work which is not urgent itself may cost in one pass.
+const maxSearches = 8
+
 // displaceFrom is the part of its bound that work waits before it has less urgent borrowers stopped.
 const displaceFrom = 0.5
 
@@ -61,7 +64,7 @@
 // isWorth reports whether a clearing loses no more than the job is worth.
 func (p *Planner) isWorth(e *entry, c clearing) bool {
 	bound := p.waste[1]
-	if e.rank() == 0 {
+	if e.isUrgent() {
 		bound = p.waste[0]
 	}
 	if bound == 0 || p.isGuaranteed(e) {
@@ -147,180 +150,228 @@
 type candidate struct {
 	scope
 	room place.Room
+	// held is how many tasks the room holds.
+	held int
 }
 
+// holds returns how many tasks of a size may be placed on the site.
 func (y *candidate) holds(n place.Room) int {
 	return min(y.tasks, y.room.Holds(n))
 }
 
-// clear chooses borrowers whose stop lets the job's tasks fit into the scopes: cheapest for what they free first, and
-// then without those that turn out not to be needed.
-func (p *Planner) clear(in []scope, e *entry, free place.View, may func(*entry) bool) clearing {
-	ys, at, bs := p.candidates(in, free, may)
-	bs = p.byLoss(bs, at)
-	sum := func() int {
-		n := 0
-		for i := range ys {
-			n += ys[i].holds(e.need)
-		}
-		return n
-	}
-	var stops []*entry
-	have := sum()
-	for _, b := range bs {
-		if have >= e.shape.Tasks {
-			break
-		}
-		shift(b, at, 1)
-		stops = append(stops, b)
-		have = sum()
-	}
-	if have < e.shape.Tasks {
-		return clearing{}
-	}
-	return p.prune(ys, at, stops, e, sum)
+// clearance follows which sites hold the tasks of a job as borrowers leave; its cost for each borrower does not grow
+// with the number of sites.
+type clearance struct {
+	job   *entry
+	sites []candidate
+	at    map[*place.Site]*candidate
+	// borrowers may be stopped; each stands there once.
+	borrowers []*entry
+	// held is how many tasks all sites hold.
+	held int
 }
 
-// candidates returns the sites with their room once those that are being stopped have left, and the borrowers that
+// newClearance returns the sites with their room once those that are being stopped have left, and the borrowers that
 // may be stopped besides.
-func (p *Planner) candidates(in []scope, free place.View, may func(*entry) bool) ([]candidate, map[*place.Site]*candidate, []*entry) {
-	ys := make([]candidate, len(in))
-	at := make(map[*place.Site]*candidate, len(in))
-	var bs []*entry
+func (p *Planner) newClearance(in []scope, e *entry, free place.View, may func(*entry) bool) *clearance {
+	c := &clearance{job: e, sites: make([]candidate, len(in)), at: make(map[*place.Site]*candidate, len(in))}
+	seen := map[*entry]bool{}
 	for i, x := range in {
-		ys[i] = candidate{scope: x, room: free(x.site)}
-		at[x.site] = &ys[i]
+		y := &c.sites[i]
+		y.scope, y.room = x, free(x.site)
+		c.at[x.site] = y
 		for _, b := range p.on[x.site] {
 			if !b.soft || b.gang != nil {
 				continue
 			}
 			if b.state == StateStopping || b.doomed != "" {
-				ys[i].room = ys[i].room.Plus(b.roomOn(x.site))
+				y.room = y.room.Plus(b.roomOn(x.site))
 				continue
 			}
-			if may(b) {
-				bs = append(bs, b)
+			if !seen[b] && may(b) {
+				seen[b] = true
+				c.borrowers = append(c.borrowers, b)
 			}
 		}
+		y.held = y.holds(e.need)
+		c.held += y.held
+	}
+	return c
+}
+
+// isEnough reports whether the sites hold the whole job.
+func (c *clearance) isEnough() bool {
+	return c.held >= c.job.shape.Tasks
+}
+
+// shift adds (1) or takes back (-1) the room that a borrower would free.
+func (c *clearance) shift(b *entry, sign int) {
+	n := b.need.Times(sign)
+	for _, s := range b.sites {
+		y := c.at[s]
+		if y == nil {
+			continue
+		}
+		y.room = y.room.Plus(n)
+		held := y.holds(c.job.need)
+		c.held += held - y.held
+		y.held = held
+	}
+}
+
+// clear chooses borrowers whose stop lets the job's tasks fit into the scopes: cheapest for what they free first, and
+// then without those that turn out not to be needed.
+func (p *Planner) clear(in []scope, e *entry, free place.View, may func(*entry) bool) clearing {
+	c := p.newClearance(in, e, free, may)
+	var stops []*entry
+	if !c.isEnough() {
+		p.sortByLoss(c)
+	}
+	for _, b := range c.borrowers {
+		if c.isEnough() {
+			break
+		}
+		c.shift(b, 1)
+		stops = append(stops, b)
 	}
-	return ys, at, bs
+	if !c.isEnough() {
+		return clearing{}
+	}
+	return p.prune(c, stops)
+}
+
+// siteStop is the cheapest way to make room for one more task on a site.
+type siteStop struct {
+	stops []*entry
+	cost  float64
+	ok    bool
 }
 
 // clearBySite clears one site after the other, each time the one where the next task costs least; it suits tasks that
 // take most of a worker.
 func (p *Planner) clearBySite(in []scope, e *entry, free place.View, may func(*entry) bool) clearing {
-	ys, at, bs := p.candidates(in, free, may)
-	open := make(map[*entry]bool, len(bs))
-	for _, b := range bs {
+	c := p.newClearance(in, e, free, may)
+	open := make(map[*entry]bool, len(c.borrowers))
+	for _, b := range c.borrowers {
 		open[b] = true
 	}
-	sum := func() int {
-		n := 0
-		for i := range ys {
-			n += ys[i].holds(e.need)
+	ways := make(map[*place.Site]siteStop, len(c.sites))
+	if !c.isEnough() {
+		for i := range c.sites {
+			ways[c.sites[i].site] = p.clearOne(&c.sites[i], e, open)
 		}
-		return n
 	}
 	var stops []*entry
-	for sum() < e.shape.Tasks {
-		var best []*entry
-		cost := 0.0
-		for i := range ys {
-			if bs, c, ok := p.clearOne(&ys[i], e, open); ok && (best == nil || c < cost) {
-				best, cost = bs, c
-			}
-		}
-		if best == nil {
+	for !c.isEnough() {
+		best := c.cheapestWay(ways)
+		if !best.ok {
 			return clearing{}
 		}
-		for _, b := range best {
+		for _, b := range best.stops {
 			delete(open, b)
-			shift(b, at, 1)
+			c.shift(b, 1)
 			stops = append(stops, b)
 		}
+		for _, b := range best.stops {
+			for _, s := range b.sites {
+				if y := c.at[s]; y != nil {
+					ways[s] = p.clearOne(y, e, open)
+				}
+			}
+		}
+	}
+	return p.prune(c, stops)
+}
+
+// cheapestWay returns the way that costs least, of the first site when several do.
+func (c *clearance) cheapestWay(ways map[*place.Site]siteStop) siteStop {
+	var best siteStop
+	for i := range c.sites {
+		if w := ways[c.sites[i].site]; w.ok && (!best.ok || w.cost < best.cost) {
+			best = w
+		}
 	}
-	return p.prune(ys, at, stops, e, sum)
+	return best
 }
 
 // clearOne returns the borrowers of a site, cheapest first, after which it holds one more task, and what they lose.
-func (p *Planner) clearOne(y *candidate, e *entry, open map[*entry]bool) ([]*entry, float64, bool) {
-	have := y.holds(e.need)
-	if have >= y.tasks {
-		return nil, 0, false
+func (p *Planner) clearOne(y *candidate, e *entry, open map[*entry]bool) siteStop {
+	if y.held >= y.tasks {
+		return siteStop{}
 	}
-	var bs []*entry
+	bs := make([]weighed, 0, len(p.on[y.site]))
 	for _, b := range p.on[y.site] {
 		if open[b] {
-			bs = append(bs, b)
+			bs = append(bs, weighed{b, p.loss(b)})
 		}
 	}
-	slices.SortFunc(bs, func(x, y *entry) int {
-		return cmp.Or(cmp.Compare(p.loss(x), p.loss(y)), cmp.Compare(x.job.ID, y.job.ID))
-	})
-	room, cost := y.room, 0.0
-	for i, b := range bs {
-		room = room.Plus(b.roomOn(y.site))
-		cost += p.loss(b)
-		if min(y.tasks, room.Holds(e.need)) > have {
-			return bs[:i+1], cost, true
+	slices.SortFunc(bs, weighed.compare)
+	w := siteStop{}
+	room := y.room
+	for _, b := range bs {
+		room = room.Plus(b.e.roomOn(y.site))
+		w.cost += b.loss
+		w.stops = append(w.stops, b.e)
+		if min(y.tasks, room.Holds(e.need)) > y.held {
+			w.ok = true
+			return w
 		}
 	}
-	return nil, 0, false
+	return siteStop{}
 }
 
 // prune takes back stops that are not needed, the dearest first, and picks the sites.
-func (p *Planner) prune(ys []candidate, at map[*place.Site]*candidate, stops []*entry, e *entry, sum func() int) clearing {
-	slices.SortStableFunc(stops, func(x, y *entry) int { return cmp.Compare(p.loss(y), p.loss(x)) })
-	c := clearing{ok: true}
-	for _, b := range stops {
-		shift(b, at, -1)
-		if sum() >= e.shape.Tasks {
+func (p *Planner) prune(c *clearance, stops []*entry) clearing {
+	ws := make([]weighed, len(stops))
+	for i, b := range stops {
+		ws[i] = weighed{b, p.loss(b)}
+	}
+	slices.SortStableFunc(ws, func(x, y weighed) int { return cmp.Compare(y.loss, x.loss) })
+	out := clearing{ok: true}
+	for _, w := range ws {
+		c.shift(w.e, -1)
+		if c.isEnough() {
 			continue
 		}
-		shift(b, at, 1)
-		c.stops = append(c.stops, b)
-		c.cost += p.loss(b)
+		c.shift(w.e, 1)
+		out.stops = append(out.stops, w.e)
+		out.cost += w.loss
 	}
-	slices.SortStableFunc(ys, func(x, y candidate) int { return cmp.Compare(x.holds(e.need), y.holds(e.need)) })
+	ys := c.sites
+	slices.SortStableFunc(ys, func(x, y candidate) int { return cmp.Compare(x.held, y.held) })
 	for i := range ys {
-		for range min(ys[i].holds(e.need), e.shape.Tasks-len(c.sites)) {
-			c.sites = append(c.sites, ys[i].site)
+		for range min(ys[i].held, c.job.shape.Tasks-len(out.sites)) {
+			out.sites = append(out.sites, ys[i].site)
 		}
 	}
-	return c
+	return out
 }
 
-// byLoss orders borrowers by the loss for each accelerator that they free on the sites.
-func (p *Planner) byLoss(bs []*entry, at map[*place.Site]*candidate) []*entry {
-	type weighed struct {
-		e    *entry
-		loss float64
-	}
-	slices.SortFunc(bs, func(x, y *entry) int { return cmp.Compare(x.job.ID, y.job.ID) })
-	bs = slices.Compact(bs)
-	ws := make([]weighed, len(bs))
-	for i, b := range bs {
+// weighed is a borrower with what its stop would lose.
+type weighed struct {
+	e    *entry
+	loss float64
+}
+
+func (w weighed) compare(o weighed) int {
+	return cmp.Or(cmp.Compare(w.loss, o.loss), cmp.Compare(w.e.job.ID, o.e.job.ID))
+}
+
+// sortByLoss orders borrowers by the loss for each accelerator that they free on the sites.
+func (p *Planner) sortByLoss(c *clearance) {
+	ws := make([]weighed, len(c.borrowers))
+	for i, b := range c.borrowers {
 		n := 0
 		for _, s := range b.sites {
-			if at[s] != nil {
+			if c.at[s] != nil {
 				n++
 			}
 		}
 		ws[i] = weighed{b, p.loss(b) / float64(n*max(b.need.Accelerators, 1))}
 	}
-	slices.SortStableFunc(ws, func(x, y weighed) int { return cmp.Compare(x.loss, y.loss) })
+	slices.SortFunc(ws, weighed.compare)
 	for i, w := range ws {
-		bs[i] = w.e
-	}
-	return bs
-}
-
-// shift adds (1) or takes back (-1) the room that a borrower would free.
-func shift(b *entry, at map[*place.Site]*candidate, sign int) {
-	for _, s := range b.sites {
-		if y := at[s]; y != nil {
-			y.room = y.room.Plus(b.need.Times(sign))
-		}
+		c.borrowers[i] = w.e
 	}
 }
 
@@ -344,11 +395,18 @@
 	if p.promise(e) == useless && !p.isGuaranteed(e) {
 		return false
 	}
+	if e.rank() >= ranks-1 {
+		// Nothing is less urgent.
+		return false
+	}
 	kind := keptKind{e.shape, e.rank(), p.promise(e), p.isGuaranteed(e), e.job.Organisation}
 	isPlain := len(e.avoid) == 0 && e.job.PerWorker == 0 && e.job.Label == ""
-	if isPlain && p.pass.kept[kind] {
+	if isPlain && p.pass.kept[kind] || !e.isUrgent() && p.pass.searches >= maxSearches {
 		return false
 	}
+	if !e.isUrgent() {
+		p.pass.searches++
+	}
 	end := p.now.Add(p.runTime(e))
 	v := p.open(e, end, (*place.Site).FreeHard)
 	if e.soft {
--- a/internal/state/plan/fits.go
+++ b/internal/state/plan/fits.go
@@ -60,7 +60,7 @@
 // checkFits refuses a job that neither its guarantee nor the failure domain could ever hold.
 func (p *Planner) checkFits(e *entry) error {
 	s := e.job.Shape
-	if len(p.fleet) == 0 || p.isCovered(e) {
+	if p.isPartial || len(p.fleet) == 0 || p.isCovered(e) {
 		return nil
 	}
 	if q := p.quota(e); q > 0 && s.TotalAccelerators() > q {
--- a/internal/state/plan/guaranteed.go
+++ b/internal/state/plan/guaranteed.go
@@ -29,21 +29,10 @@
 	p.guaranteed = byOrg
 }
 
-// urgentNeed adds up the accelerators of all urgent jobs of each organisation that have not ended.
-func (p *Planner) urgentNeed() map[string]int {
-	out := map[string]int{}
-	for _, e := range p.jobs {
-		if e.rank() == 0 {
-			out[e.job.Organisation] += e.shape.TotalAccelerators()
-		}
-	}
-	return out
-}
-
 // isGuaranteed reports whether an urgent job and all others of its organisation need no more than is guaranteed.
 func (p *Planner) isGuaranteed(e *entry) bool {
 	g := p.guaranteed[e.job.Organisation]
-	return g > 0 && e.rank() == 0 && p.pass.urgent[e.job.Organisation] <= g
+	return g > 0 && e.isUrgent() && p.pass.urgent[e.job.Organisation] <= g
 }
 
 // mayDisplace reports whether a running job gives way to another: to a more urgent one, and beyond its guarantee to
--- a/internal/state/plan/guess.go
+++ b/internal/state/plan/guess.go
@@ -21,11 +21,19 @@
 
 // endOf returns when a started gang is planned to end; one that outlives its plan is planned half as long again.
 func (p *Planner) endOf(e *entry) time.Time {
+	if at, ok := p.pass.ends[e]; ok {
+		return at
+	}
 	ran := p.now.Sub(e.since)
-	if left := p.runTime(e) - ran; left > 0 {
-		return p.now.Add(left)
+	left := p.runTime(e) - ran
+	if left <= 0 {
+		left = ran / 2
+	}
+	at := p.now.Add(left)
+	if p.pass.ends != nil {
+		p.pass.ends[e] = at
 	}
-	return p.now.Add(ran / 2)
+	return at
 }
 
 // maxRecent bounds the shapes of recent urgent gangs that are remembered.
--- a/internal/state/plan/headroom.go
+++ b/internal/state/plan/headroom.go
@@ -73,7 +73,7 @@
 // leavesHeadroom reports whether the start of a job leaves urgent work the accelerators that it will soon want.
 func (p *Planner) leavesHeadroom(e *entry) bool {
 	h := &p.headroom
-	if h.memory == 0 || e.rank() == 0 || !e.job.LosesProgress {
+	if h.memory == 0 || e.isUrgent() || !e.job.LosesProgress {
 		return true
 	}
 	return h.free-e.shape.TotalAccelerators() >= h.keep
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -56,6 +56,10 @@
 	return e.profile.Urgency.Rank()
 }
 
+func (e *entry) isUrgent() bool {
+	return e.rank() == 0
+}
+
 func (e *entry) isQueued() bool {
 	return e.state == StateQueued
 }
--- a/internal/state/plan/move.go
+++ b/internal/state/plan/move.go
@@ -20,7 +20,7 @@
 // and only when the gang's wait until at costs more than the checkpoints and restarts.
 func (p *Planner) rearrange(e *entry, at time.Time) bool {
 	accs := e.shape.TotalAccelerators()
-	if p.weight == 0 || accs < minMovedGang || p.pass.moves >= maxMoves {
+	if p.weight == 0 || accs < minMovedGang || p.pass.moves >= maxMoves || !p.pass.hasMovable {
 		return false
 	}
 	p.pass.moves++
@@ -30,7 +30,7 @@
 		v = p.unheld(e, end, func(s *place.Site) place.Room { return s.Capacity })
 	}
 	c := p.cheapestSpot(e, e.shape, e.need, v, (*place.Site).Free, func(b *entry) bool {
-		return b.rank() >= e.rank() && b.state == StateRunning && p.now.Sub(b.since) >= settleTime
+		return b.rank() >= e.rank() && p.isMovable(b)
 	})
 	gain := p.weight * float64(accs) * at.Sub(p.now).Seconds()
 	if !c.ok || c.cost >= gain || !p.fitElsewhere(c, e) {
@@ -40,6 +40,11 @@
 	return true
 }
 
+// isMovable reports whether a job has run long enough to be moved.
+func (p *Planner) isMovable(e *entry) bool {
+	return e.state == StateRunning && p.now.Sub(e.since) >= settleTime
+}
+
 // fitElsewhere reports whether all stopped gangs could start again at once besides the sites of the clearing.
 func (p *Planner) fitElsewhere(c clearing, e *entry) bool {
 	for _, s := range c.sites {
--- a/internal/state/plan/order.go
+++ b/internal/state/plan/order.go
@@ -53,12 +53,12 @@
 	late    float64
 }
 
-// order returns the queued jobs by urgency, then by wait against the bound of the profile, where the waits of an
+// order returns the queued jobs that are of interest by urgency, then by wait against the bound of the profile, where the waits of an
 // organisation count less the more it has over its weighted fair share.
-func (p *Planner) order() []*entry {
+func (p *Planner) order(isOf func(*entry) bool) []*entry {
 	os := make([]ordered, 0, p.waiting)
 	for _, e := range p.jobs {
-		if e.isQueued() {
+		if e.isQueued() && isOf(e) {
 			os = append(os, ordered{e: e, rank: p.effectiveRank(e), promise: p.promise(e), late: p.late(e)})
 		}
 	}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -48,22 +48,69 @@
 	kept map[keptKind]bool
 	// urgent holds the accelerators of all urgent jobs of each organisation.
 	urgent map[string]int
+	// searches counts the searches for less urgent work to stop on behalf of work that is not urgent itself.
+	searches int
+	// hasMovable is set when some work has run long enough to be moved.
+	hasMovable bool
+	// ends holds when started gangs are planned to end.
+	ends map[*entry]time.Time
+	// sites holds where the last task of a shape was placed, which often has room for the next one.
+	sites map[failure]*place.Site
 }
 
 // Pass decides what to start, stop and refuse now.
 func (p *Planner) Pass(now time.Time) Decisions {
 	p.rounds.note(now)
+	p.begin(now)
+	queue := p.order(func(*entry) bool { return true })
+	p.targets = p.findTargets(queue)
+	return p.decideAll(queue)
+}
+
+// PassUrgent decides about urgent work alone, which takes little time however much other work waits.
+func (p *Planner) PassUrgent(now time.Time) Decisions {
+	p.begin(now)
+	return p.decideAll(p.order((*entry).isUrgent))
+}
+
+// HasUrgentWaiting reports whether urgent work is queued.
+func (p *Planner) HasUrgentWaiting() bool {
+	for l := range p.queued {
+		if l.rank == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// begin brings the books up to date with the time.
+func (p *Planner) begin(now time.Time) {
 	p.now = now
 	if p.born.IsZero() {
 		p.born = now
 	}
-	p.pass = passNotes{failed: map[failure]time.Duration{}, kept: map[keptKind]bool{}, urgent: p.urgentNeed()}
+	p.pass = passNotes{failed: map[failure]time.Duration{}, kept: map[keptKind]bool{}, ends: map[*entry]time.Time{},
+		sites: map[failure]*place.Site{}}
+	p.pace.refill(now)
+	p.noteJobs()
 	p.refresh()
 	p.repair()
 	p.rependent()
 	p.noteHeadroom()
-	queue := p.order()
-	p.targets = p.findTargets(queue)
+}
+
+// noteJobs sums up what all jobs need and where they stand.
+func (p *Planner) noteJobs() {
+	p.pass.urgent = map[string]int{}
+	for _, e := range p.jobs {
+		if e.isUrgent() {
+			p.pass.urgent[e.job.Organisation] += e.shape.TotalAccelerators()
+		}
+		p.pass.hasMovable = p.pass.hasMovable || p.isMovable(e)
+	}
+}
+
+func (p *Planner) decideAll(queue []*entry) Decisions {
 	for _, e := range queue {
 		p.pass.largest = max(p.pass.largest, e.shape.TotalAccelerators())
 	}
@@ -165,12 +212,13 @@
 			return
 		}
 	}
-	if !p.leavesHeadroom(e) {
+	if !p.leavesHeadroom(e) || !p.mayStartMore(e) {
 		e.why = why{code: whyRoom}
 		return
 	}
 	if sites, reason := p.findSites(e); sites != nil {
-		p.headroom.took(e.shape.TotalAccelerators(), e.rank() == 0)
+		p.headroom.took(e.shape.TotalAccelerators(), e.isUrgent())
+		p.notePaced(e)
 		p.start(e, sites, reason, d)
 		return
 	}
@@ -267,7 +315,7 @@
 	end := p.now.Add(run)
 	q := place.Search{Shape: e.shape, Targets: p.scored()}
 	q.View = p.unheld(e, end, (*place.Site).FreeBoth)
-	if to := p.books.Fit(q); to != nil {
+	if to := p.fitUnreserved(e, key, q); to != nil {
 		return to, "on capacity that no reservation needs"
 	}
 	q.View = p.unheld(e, end, (*place.Site).Free)
@@ -289,6 +337,20 @@
 	return nil, ""
 }
 
+// fitUnreserved finds room that no reservation needs; a single task is packed beside the last one like it, if it fits
+// there, which spares the search.
+func (p *Planner) fitUnreserved(e *entry, key failure, q place.Search) []*place.Site {
+	isPacked := e.shape.Tasks == 1 && len(e.avoid) == 0
+	if s := p.pass.sites[key]; isPacked && s != nil && q.View(s).Holds(e.need) > 0 {
+		return []*place.Site{s}
+	}
+	to := p.books.Fit(q)
+	if isPacked && to != nil {
+		p.pass.sites[key] = to[0]
+	}
+	return to
+}
+
 // scored returns the targets with the weight of the deployment.
 func (p *Planner) scored() []place.Target {
 	if p.weight == 0 {
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -22,6 +22,8 @@
 	jobs     map[string]*entry
 	// on lists the started gangs of each site.
 	on map[*place.Site][]*entry
+	// isPartial is set until all workers are known, before which no shape is judged impossible.
+	isPartial bool
 	// fleet keeps also workers that were dropped, so that a lost rack makes no shape impossible.
 	fleet map[string]fleet.Worker
 	// usage holds what each organisation runs here.
@@ -42,6 +44,7 @@
 	// restartCost is the run time that a stopped gang loses besides what its checkpoint takes.
 	restartCost time.Duration
 	limits      limits
+	pace        pace
 	queued      map[lane]int
 	newest      [ranks][]*entry
 	doomed      []*entry
@@ -73,6 +76,16 @@
 
 const defaultFragmentationWeight = 0.5
 
+// WithPartialFleet starts without knowledge of the workers; until SetFleetWhole no shape is judged impossible.
+func WithPartialFleet() Option {
+	return func(p *Planner) { p.isPartial = true }
+}
+
+// SetFleetWhole tells that all workers are known.
+func (p *Planner) SetFleetWhole() {
+	p.isPartial = false
+}
+
 // New returns an empty planner for a failure domain.
 func New(domain string, opts ...Option) *Planner {
 	b := place.New()
--- /dev/null
+++ b/internal/state/plan/urgent_test.go
@@ -0,0 +1,69 @@
+package plan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/stretchr/testify/require"
+)
+
+// TestUrgentPassLeavesOtherWorkAlone plays the pattern of urgent work that comes while a long queue waits for its turn.
+func TestUrgentPassLeavesOtherWorkAlone(t *testing.T) {
+	p := planner(t, workers(1, 2), profiles(audit, urgent))
+	for i := range 4 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("q%d", i), "Gear", "Audit", shape(1, 1, fleet.LevelWorker))))
+	}
+	require.False(t, p.HasUrgentWaiting())
+	require.NoError(t, p.Submit(job("now", "CW", "Urgent", shape(1, 1, fleet.LevelWorker))))
+	require.True(t, p.HasUrgentWaiting())
+	d := p.PassUrgent(start)
+	require.Len(t, d.Starts, 1)
+	require.Equal(t, "now", d.Starts[0].Job.ID)
+	run(p, d, start)
+	require.False(t, p.HasUrgentWaiting())
+	require.Len(t, p.Pass(start.Add(time.Millisecond)).Starts, 4)
+}
+
+// TestStartsOfBulkTasksArePaced plays the pattern of thousands of single tasks that find room at once: they start at the
+// rate that is set, however long those that were started take, while gangs and urgent work start freely.
+func TestStartsOfBulkTasksArePaced(t *testing.T) {
+	p := planner(t, workers(2, 4), profiles(audit, urgent), WithStartRate(2, 3))
+	for i := range 20 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("bulk%02d", i), "Gear", "Audit", shape(1, 1, fleet.LevelDomain))))
+	}
+	require.NoError(t, p.Submit(job("gang", "Gear", "Audit", shape(4, 1, fleet.LevelRack))))
+	require.NoError(t, p.Submit(job("now", "CW", "Urgent", shape(1, 1, fleet.LevelWorker))))
+	require.Len(t, p.Pass(start).Starts, 5)
+	require.Empty(t, p.Pass(start.Add(time.Millisecond)).Starts)
+	require.Len(t, p.Pass(start.Add(time.Second)).Starts, 2)
+	require.Len(t, p.Pass(start.Add(time.Minute)).Starts, 3)
+}
+
+// TestSearchesOfOnePassAreBounded has many overdue gangs of all shapes look for less urgent work to stop: the
+// searches of one pass stay bounded.
+func TestSearchesOfOnePassAreBounded(t *testing.T) {
+	o := newOverload(120)
+	o.fill(1000)
+	for range 100 {
+		o.step(100 * time.Millisecond)
+		require.LessOrEqual(t, o.pass.searches, maxSearches)
+	}
+}
+
+// TestNothingIsImpossibleWhileWorkersAreUnknown plays the pattern of a new owner that takes jobs over before it has read
+// the list of the workers.
+func TestNothingIsImpossibleWhileWorkersAreUnknown(t *testing.T) {
+	p := New("", WithPartialFleet())
+	p.Configure(profiles(audit))
+	p.Adopt(job("on", "Gear", "Audit", shape(1, 1, fleet.LevelWorker)), []fleet.Assignment{{Worker: "w000"}}, start)
+	require.NoError(t, p.Submit(job("waits", "Gear", "Audit", shape(1, 8, fleet.LevelWorker))))
+	for _, w := range workers(1, 1) {
+		p.PutWorker(w)
+	}
+	p.SetFleetWhole()
+	require.ErrorIs(t, p.Submit(job("never", "Gear", "Audit", shape(1, 16, fleet.LevelWorker))), ErrNeverFits)
+	p.Ended(Ended{Job: "on", Result: ResultDone, At: start})
+	require.Len(t, p.Pass(start).Starts, 1)
+}
