Count suspensions in the age of permissions, read jobs by need, refuse malformed records

Three faults and one price, each with a test that failed before: - A machine that is suspended does not see the time pass on its steady clock: after waking, a host served by a configuration that might have withdrawn a key, and an owner extended leases, on permissions that had run out (TestSuspendedHostServesByNoOldConfiguration, TestSuspendedOwnerExtendsNoLease). Ages are now counted on the clock that runs on. - A record that says what cannot be (a step after itself, negative tasks) took every owner down, one after the other (TestMalformedRecordsTakeNoHostDown: index out of range in the owner's loop).

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -11,11 +11,14 @@
 	Now func() time.Time
 	// After returns a channel that receives once d has passed.
 	After func(d time.Duration) <-chan time.Time
+	// Suspended returns for how long the machine has been suspended so far, which monotonic readings do not count; nil
+	// means never.
+	Suspended func() time.Duration
 }
 
 // System returns the clock of the operating system.
 func System() Clock {
-	return Clock{Now: time.Now, After: after}
+	return Clock{Now: time.Now, After: after, Suspended: suspended}
 }
 
 // after arms no timer for a time that has come: a select that finds such a timer due crashes Go 1.26 inside a bubble of
--- /dev/null
+++ b/internal/clock/mark_test.go
@@ -0,0 +1,28 @@
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestAgeCountsSuspensions has a machine suspended for longer than it ran since a mark.
+func TestAgeCountsSuspensions(t *testing.T) {
+	now, slept := time.Unix(1000, 0), time.Minute
+	c := Clock{Now: func() time.Time { return now }, Suspended: func() time.Duration { return slept }}
+	m := c.Mark()
+	now = now.Add(time.Second)
+	require.Equal(t, time.Second, c.Age(m))
+	slept += 20 * time.Second
+	require.Equal(t, 21*time.Second, c.Age(m))
+	require.True(t, Mark{}.IsZero())
+	require.False(t, m.IsZero())
+}
+
+// TestSystemTellsSuspensions has two readings without a suspension between them agree.
+func TestSystemTellsSuspensions(t *testing.T) {
+	c := System()
+	m := c.Mark()
+	require.InDelta(t, 0, c.Age(m), float64(time.Second))
+}
--- a/internal/coordination/elect/elect.go
+++ b/internal/coordination/elect/elect.go
@@ -27,6 +27,8 @@
 	maxPatience = 1500 * time.Millisecond
 	// retryPause is the time between two calls that fail.
 	retryPause = 100 * time.Millisecond
+	// standbyPause is the time between two reads of a host that leaves a vacant ownership to others.
+	standbyPause = 500 * time.Millisecond
 )
 
 var topic = port.Topic{Name: "owner"}
@@ -54,7 +56,7 @@
 	next      int64
 	heard     time.Time
 	released  bool
-	renewed   time.Time
+	renewed   clock.Mark
 	reachable bool
 	leaving   bool
 }
@@ -87,7 +89,7 @@
 }
 
 // Renewed returns when the newest renewal of this host that the store confirmed was sent.
-func (e *Elect) Renewed() time.Time {
+func (e *Elect) Renewed() clock.Mark {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.renewed
@@ -209,6 +211,9 @@
 		e.mu.Unlock()
 		return e.append(ctx, next, &wire.LeadRecord{})
 	}
+	if e.patience > 0 {
+		return e.clock.Sleep(ctx, standbyPause)
+	}
 	return nil
 }
 
@@ -221,7 +226,7 @@
 }
 
 func (e *Elect) renew(ctx context.Context, at int64) error {
-	sent := e.clock.Now()
+	sent := e.clock.Mark()
 	if err := e.append(ctx, at, &wire.LeadRecord{Renewal: true}); err != nil {
 		return err
 	}
--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -43,9 +43,13 @@
 	next  int64
 	// complete is the offset from which on the fold has no gap; it is negative until all keys were read.
 	complete int64
-	fresh    time.Time
+	fresh    clock.Mark
 	isLost   bool
 	changed  chan struct{}
+	// isPausing is set between two reads, when the store may hold records that a read would bring.
+	isPausing bool
+	// asked receives when a pause should end.
+	asked chan struct{}
 }
 
 // FollowerOption changes how a follower is built.
@@ -61,6 +65,7 @@
 func NewFollower(s port.Store, t port.Topic, fold Fold, c clock.Clock, l *slog.Logger, opts ...FollowerOption) *Follower {
 	f := &Follower{
 		store: s, topic: t, fold: fold, clock: c, log: l, wait: readWait, complete: -1, changed: make(chan struct{}),
+		asked: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(f)
@@ -68,19 +73,28 @@
 	return f
 }
 
-// SetPause changes the least time between two reads.
+// SetPause changes the least time between two reads, and ends the present pause.
 func (f *Follower) SetPause(d time.Duration) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.pause = d
+	f.mu.Unlock()
+	f.ask()
+}
+
+// ask ends the pause between two reads.
+func (f *Follower) ask() {
+	select {
+	case f.asked <- struct{}{}:
+	default:
+	}
 }
 
 // Fresh returns when the last answered read was sent; it is zero until the fold is whole.
-func (f *Follower) Fresh() time.Time {
+func (f *Follower) Fresh() clock.Mark {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.complete < 0 || f.next < f.complete {
-		return time.Time{}
+		return clock.Mark{}
 	}
 	return f.fresh
 }
@@ -102,6 +116,42 @@
 	}
 }
 
+// Refresh returns once a read that was sent after the call, or was held back for want of records, has been answered, or
+// patience is over.
+func (f *Follower) Refresh(ctx context.Context, patience time.Duration) {
+	f.mu.Lock()
+	isPausing, changed := f.isPausing, f.changed
+	f.mu.Unlock()
+	if !isPausing {
+		return
+	}
+	f.ask()
+	select {
+	case <-changed:
+	case <-f.clock.After(patience):
+	case <-ctx.Done():
+	}
+}
+
+// pauseFor waits between two reads, less long when somebody asks for a read.
+func (f *Follower) pauseFor(ctx context.Context, d time.Duration) error {
+	f.setPausing(true)
+	defer f.setPausing(false)
+	select {
+	case <-f.clock.After(d):
+	case <-f.asked:
+	case <-ctx.Done():
+		return fmt.Errorf("pause: %w", ctx.Err())
+	}
+	return nil
+}
+
+func (f *Follower) setPausing(is bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isPausing = is
+}
+
 // Run follows the topic until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	isLoaded := false
@@ -119,11 +169,12 @@
 			err = nil
 		}
 		f.note(ctx, err)
-		pause := f.pauseNow()
 		if err != nil {
-			pause = retryPause
+			err = f.clock.Sleep(ctx, retryPause)
+		} else {
+			err = f.pauseFor(ctx, f.pauseNow())
 		}
-		if f.clock.Sleep(ctx, pause) != nil {
+		if err != nil {
 			break
 		}
 	}
@@ -151,7 +202,7 @@
 
 // load reads the newest record of each key.
 func (f *Follower) load(ctx context.Context) error {
-	sent := f.clock.Now()
+	sent := f.clock.Mark()
 	if !f.topic.IsKeyed {
 		return f.seek(ctx)
 	}
@@ -191,11 +242,11 @@
 	if err != nil && !errors.Is(err, port.ErrExpired) {
 		return fmt.Errorf("find start of %s: %w", f.topic.Name, err)
 	}
-	f.advance(p.First, p.First, time.Time{})
+	f.advance(p.First, p.First, clock.Mark{})
 	return nil
 }
 
-func (f *Follower) advance(next, complete int64, sent time.Time) {
+func (f *Follower) advance(next, complete int64, sent clock.Mark) {
 	f.mu.Lock()
 	f.next = next
 	f.complete = complete
@@ -209,7 +260,7 @@
 }
 
 func (f *Follower) read(ctx context.Context) error {
-	sent := f.clock.Now()
+	sent := f.clock.Mark()
 	f.mu.Lock()
 	next, complete := f.next, f.complete
 	f.mu.Unlock()
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -27,6 +27,8 @@
 	longAfter      = 1500 * time.Millisecond
 	// maxTableAge is how old the fold of the jobs may be to say that a job does not exist.
 	maxTableAge = 2500 * time.Millisecond
+	// lookPatience is how long a question waits for news of its job.
+	lookPatience = 120 * time.Millisecond
 )
 
 // Limits bound what the intake takes.
@@ -48,11 +50,11 @@
 	scope    tally.Scope
 	config   atomic.Pointer[queue.Config]
 	// configFresh tells when the last answered look for a newer configuration was sent.
-	configFresh func() time.Time
+	configFresh func() clock.Mark
 }
 
 // New returns an intake over the fold of the jobs; configFresh tells when the configuration was last known to be new.
-func New(t *jobs.Table, f *feed.Follower, w *feed.Writer, configFresh func() time.Time, m Limits, c clock.Clock, l *slog.Logger, s tally.Scope) *Intake {
+func New(t *jobs.Table, f *feed.Follower, w *feed.Writer, configFresh func() clock.Mark, m Limits, c clock.Clock, l *slog.Logger, s tally.Scope) *Intake {
 	i := &Intake{table: t, follower: f, writer: w, clock: c, log: l, scope: s, configFresh: configFresh}
 	i.SetLimits(m)
 	return i
@@ -94,7 +96,7 @@
 	if c == nil || fresh.IsZero() {
 		return Caller{}, ErrBusy{Why: "configuration not read yet", RetryAfter: retryAfter}
 	}
-	if age := i.clock.Since(fresh); age > i.limits.Load().MaxConfigAge {
+	if age := i.clock.Age(fresh); age > i.limits.Load().MaxConfigAge {
 		return Caller{}, ErrBusy{Why: fmt.Sprintf("configuration not confirmed for %s", age.Round(time.Millisecond)), RetryAfter: comeBack(age)}
 	}
 	q, rest := c.Match(host, path)
@@ -202,9 +204,21 @@
 	Cancelled
 )
 
-// GetState returns how far a job is.
-func (i *Intake) GetState(id string) (Progress, error) {
-	out, isKnown := Queued, false
+// GetState returns how far a job is; the fold is brought up to date for a job that has not ended as far as it tells.
+func (i *Intake) GetState(ctx context.Context, id string) (Progress, error) {
+	out, isKnown := i.find(id)
+	if !isKnown || out.isOpen() {
+		i.follower.Refresh(ctx, lookPatience)
+		out, isKnown = i.find(id)
+	}
+	if !isKnown {
+		return 0, i.unknown(id)
+	}
+	return out, nil
+}
+
+// find returns how far a job is as the fold tells.
+func (i *Intake) find(id string) (out Progress, isKnown bool) {
 	i.table.View(id, func(j *jobs.Job) {
 		if j == nil {
 			return
@@ -212,10 +226,12 @@
 		isKnown = true
 		out = progress(j)
 	})
-	if !isKnown {
-		return 0, i.unknown(id)
-	}
-	return out, nil
+	return out, isKnown
+}
+
+// isOpen reports whether the job has not ended and is wanted.
+func (p Progress) isOpen() bool {
+	return p == Queued || p == Running
 }
 
 func progress(j *jobs.Job) Progress {
@@ -239,7 +255,7 @@
 	if fresh.IsZero() {
 		return ErrBusy{Why: "jobs not read yet", RetryAfter: retryAfter}
 	}
-	if age := i.clock.Since(fresh); age > maxTableAge {
+	if age := i.clock.Age(fresh); age > maxTableAge {
 		return ErrBusy{Why: fmt.Sprintf("jobs not read for %s", age.Round(time.Millisecond)), RetryAfter: retryAfter}
 	}
 	return nil
@@ -255,15 +271,16 @@
 
 // Cancel stores that a job is not wanted any more.
 func (i *Intake) Cancel(ctx context.Context, id string, patience time.Duration) error {
-	isKnown, isOpen := false, false
-	i.table.View(id, func(j *jobs.Job) {
-		isKnown = j != nil
-		isOpen = isKnown && j.IsOpen()
-	})
+	p, isKnown := i.find(id)
+	if !isKnown {
+		// Another host may have accepted the job just now.
+		i.follower.Refresh(ctx, lookPatience)
+		p, isKnown = i.find(id)
+	}
 	if !isKnown {
 		return i.unknown(id)
 	}
-	if !isOpen {
+	if !p.isOpen() {
 		return nil
 	}
 	if err := i.store(ctx, jobs.CancelRecord(id), patience); err != nil {
--- a/internal/coordination/intake/serve.go
+++ b/internal/coordination/intake/serve.go
@@ -84,7 +84,7 @@
 	case Cancel:
 		return Reply{}, i.Cancel(ctx, c.Rest, q.Patience)
 	default:
-		p, err := i.GetState(c.Rest)
+		p, err := i.GetState(ctx, c.Rest)
 		return Reply{Progress: p}, err
 	}
 }
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -65,26 +65,40 @@
 	takes map[netip.AddrPort]peerOf
 	// holds are the calls by which hosts extended leases and acknowledged ends.
 	holds []port.RunHold
+	// suspended is for how long the machine of a host has been suspended, which its steady clock does not count.
+	suspended map[string]time.Duration
+	// workers are those that the platform lists.
+	workers []fleet.Worker
 	// log shows what the hosts log when a test is run with SITE_LOG set.
 	log *slog.Logger
 }
 
 // inSite runs a test with a deployment of the given hosts and 6 workers of 8 accelerators in 3 racks.
 func inSite(t *testing.T, plan standin.RunPlan, hosts []string, f func(s *site)) {
+	t.Helper()
+	ws := make([]fleet.Worker, 6)
+	for i := range ws {
+		ws[i] = testWorker(i)
+	}
+	inSiteOf(t, ws, plan, hosts, f)
+}
+
+// inSiteOf runs a test with a deployment of the given hosts and workers.
+func inSiteOf(t *testing.T, workers []fleet.Worker, plan standin.RunPlan, hosts []string, f func(s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := clock.System()
 		s := &site{
 			t: t, store: standin.NewStore(c, 2*time.Millisecond), hosts: map[string]*Host{}, dead: map[string]bool{},
-			cut: map[[2]string]bool{}, takes: map[netip.AddrPort]peerOf{}, log: slog.New(slog.DiscardHandler),
+			cut: map[[2]string]bool{}, takes: map[netip.AddrPort]peerOf{}, workers: workers, suspended: map[string]time.Duration{}, log: slog.New(slog.DiscardHandler),
 		}
 		if os.Getenv("SITE_LOG") != "" {
 			s.log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 		}
 		s.runners = standin.NewRunners(c, standin.RunBounds{Attempts: attempts, MaxHold: maxHold, StopTimeout: 800 * time.Millisecond, GangTimeout: 3 * time.Second}, plan)
 		s.runners.SetCut(s.isCut)
-		for i := range 6 {
-			s.runners.Add(testWorker(i))
+		for _, w := range workers {
+			s.runners.Add(w)
 		}
 		_, err := s.store.View("operator").Append(s.t.Context(), port.Append{Topic: testOperators, Entries: []port.Entry{{Key: "config", Value: []byte("1")}}})
 		require.NoError(t, err)
@@ -132,8 +146,8 @@
 			if err := clock.System().Sleep(ctx, s.listAfter); err != nil {
 				return nil
 			}
-			for i := range 6 {
-				put(port.Runner{Worker: testWorker(i)})
+			for _, w := range s.workers {
+				put(port.Runner{Worker: w})
 			}
 			<-ctx.Done()
 			return nil
@@ -153,7 +167,7 @@
 			return nil
 		},
 		Listen: func(netip.AddrPort) (net.Listener, error) { return newDeaf(), nil },
-	}, WithLog(s.log.With("Host", name)))
+	}, WithLog(s.log.With("Host", name)), WithClock(s.clockOf(name)))
 	ctx, cancel := context.WithCancel(s.t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -168,6 +182,25 @@
 	})
 }
 
+// clockOf returns the clock of the machine of a host.
+func (s *site) clockOf(name string) clock.Clock {
+	c := clock.System()
+	c.Suspended = func() time.Duration {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.suspended[name]
+	}
+	return c
+}
+
+// suspend lets the machine of a host miss some time as a whole: nothing ran there, and its steady clock stood still.
+func (s *site) suspend(name string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.suspended[name] += d
+	s.holds = nil
+}
+
 // peerOf is a host as others call it.
 type peerOf struct {
 	name   string
@@ -272,7 +305,7 @@
 		open := ""
 		for n, h := range s.hosts {
 			for _, id := range s.ids {
-				if p, err := h.intake.GetState(id); err != nil || p != want {
+				if p, err := h.intake.GetState(s.t.Context(), id); err != nil || p != want {
 					open = fmt.Sprintf("%s at %s: state %d, error %v", id, n, p, err)
 				}
 			}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -54,8 +54,9 @@
 }
 
 const (
-	// standbyPause is the least time between two reads of the jobs on a host that does not own them.
-	standbyPause = 150 * time.Millisecond
+	// standbyPause is the time between two reads of the jobs on a host that does not own them and is not asked for any;
+	// with the wait of an idle read it stays below the age at which a host says nothing of jobs that it does not know.
+	standbyPause = 800 * time.Millisecond
 	// ownerPause is the same on the owner, for whom each read may bring work.
 	ownerPause = 5 * time.Millisecond
 	// revokeMargin is kept of the bound on withdrawn keys for requests that are on their way.
@@ -234,7 +235,7 @@
 	if h.intake.Config() == nil {
 		return errNoConfig
 	}
-	if age := h.clock.Since(h.config.Fresh()); age > maxAge {
+	if age := h.clock.Age(h.config.Fresh()); age > maxAge {
 		return fmt.Errorf("store has not answered for %s: %w", age.Round(time.Millisecond), errNoStore)
 	}
 	return nil
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -143,6 +143,18 @@
 	return out
 }
 
+// hasUnit reports whether the job has a unit of that key.
+func (j *Job) hasUnit(k UnitKey) bool {
+	if k.Occurrence < 0 || k.Occurrence >= j.Occurrences() || k.Step < 0 || k.Step >= len(j.Steps) {
+		return false
+	}
+	s := &j.Steps[k.Step]
+	if s.Gang {
+		return k.Index == WholeGang
+	}
+	return k.Index >= 0 && k.Index < s.Tasks
+}
+
 // IsStepDone reports whether all units of a step have ended well in one occurrence.
 func (j *Job) IsStepDone(occurrence, step int) bool {
 	for _, k := range j.UnitKeys(occurrence, step) {
@@ -212,6 +224,9 @@
 		if s.Tasks < 1 {
 			return "a step needs a task"
 		}
+		if s.Accelerators < 0 || s.Processors < 0 || s.Memory < 0 || s.Estimate < 0 || s.PerWorker < 0 || s.MayMiss < 0 {
+			return "what a step asks for cannot be below zero"
+		}
 		tasks += s.Tasks * j.Occurrences()
 		if s.Tasks > maxTasks || tasks > maxTasks {
 			return fmt.Sprintf("a job has at most %d tasks", maxTasks)
--- a/internal/state/jobs/table.go
+++ b/internal/state/jobs/table.go
@@ -5,8 +5,13 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
+// ErrMalformed says that a record can be decoded but tells of what cannot be.
+var ErrMalformed = errors.New("record is malformed")
+
 // Table is the fold of all records; it is safe for concurrent use.
 type Table struct {
 	mu   sync.Mutex
@@ -104,10 +109,15 @@
 	if err != nil {
 		return fmt.Errorf("apply %s: %w", r.Key, err)
 	}
+	if why := j.Check(); j.ID != id || why != "" {
+		return fmt.Errorf("apply %s: job %q, %s: %w", r.Key, j.ID, why, ErrMalformed)
+	}
 	j.offset = offset
 	j.units = map[UnitKey]*Unit{}
 	for _, u := range t.early[id] {
-		j.units[u.Key] = u
+		if j.hasUnit(u.Key) {
+			j.units[u.Key] = u
+		}
 	}
 	delete(t.early, id)
 	_, j.IsCancelling = t.cancels[id]
@@ -169,6 +179,9 @@
 	if err != nil {
 		return fmt.Errorf("apply %s: %w", r.Key, err)
 	}
+	if u.Key != k || u.Run < 0 {
+		return fmt.Errorf("apply %s: unit %s, run %d: %w", r.Key, u.Key, u.Run, ErrMalformed)
+	}
 	u.offset = offset
 	if j == nil {
 		t.early[k.Job] = append(t.early[k.Job], u)
@@ -177,6 +190,9 @@
 	if j.State != Open {
 		return nil
 	}
+	if !j.hasUnit(k) {
+		return fmt.Errorf("apply %s: job has no such unit: %w", r.Key, ErrMalformed)
+	}
 	if old := j.units[k]; old != nil && old.offset >= offset {
 		return nil
 	}
