Leave the work of a worker that only reports late where it is

Cause: an answer that was 2.7 s on its way was taken as news of the moment. The owner counted the way as time in which a task stood still, and set the worker's clock back by it, so that the leases which it granted afterwards were that much shorter: tasks lapsed and ran again elsewhere, on a worker that was sound.

Change: standing still is measured on the worker's clock, and a reading of that clock that is older than the one before is left out.

--- a/internal/coordination/exec/progress.go
+++ b/internal/coordination/exec/progress.go
@@ -13,25 +13,26 @@
 	avoidFor = 5 * time.Second
 )
 
-// watchProgress stops a unit of which a task does not go on, so that it runs elsewhere.
-func (e *Engine) watchProgress(w *worker, t task, percent int) {
-	now := e.clock.Now()
+// watchProgress stops a unit of which a task does not go on, so that it runs elsewhere; at is the worker's time, as a report
+// that comes late tells nothing of the time that it was on its way.
+func (e *Engine) watchProgress(w *worker, t task, percent int, at time.Duration) {
 	m, u := t.member, t.unit
 	if u.step.Lasts {
 		return
 	}
-	if m.moved.IsZero() || percent != m.percent || percent >= workDone || u.phase != phaseRunning {
-		m.percent, m.moved = percent, now
+	if !m.isWatched || percent != m.percent || percent >= workDone || u.phase != phaseRunning {
+		m.percent, m.moved, m.isWatched = percent, at, true
 		return
 	}
 	bound := max(stallAfter, time.Duration(stallShare*float64(u.step.Estimate)))
-	if now.Sub(m.moved) < bound {
+	still := at - m.moved
+	if still < bound {
 		return
 	}
 	e.log.Info("task stands still", "Job", u.job, "Unit", u.name, "Run", u.run, "Worker", w.name, "Percent", percent,
-		"Since", now.Sub(m.moved).Round(time.Millisecond).String())
+		"Since", still.Round(time.Millisecond).String())
 	e.scope.Counter("tasks_stalled").Inc(1)
 	m.isStalled = true
-	w.avoidUntil = now.Add(avoidFor)
+	w.avoidUntil = e.clock.Now().Add(avoidFor)
 	e.stop(u, "a task stands still")
 }
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -14,10 +14,10 @@
 	now := e.clock.Now()
 	w.answered = now
 	w.isFailing = false
-	w.tick(r.Clock, now)
 	if r.Instance != w.instance {
 		e.restarted(w, r)
 	}
+	w.tick(r.Clock, now)
 	if w.isSuspect {
 		e.log.Info("worker answers again", "Worker", w.name)
 		w.isSuspect = false
@@ -83,6 +83,7 @@
 		e.log.Info("worker has a new lifetime", "Worker", w.name, "Before", w.instance, "Now", instance)
 	}
 	w.instance = instance
+	w.clockAt, w.clockRead = 0, time.Time{}
 	w.handled, w.written, w.told = 0, 0, 0
 	w.open = map[int64]bool{}
 	there := map[port.RunRef]bool{}
@@ -137,7 +138,7 @@
 		if x.Checkpoint != "" {
 			e.save(t.unit, x.Checkpoint, x.Percent)
 		}
-		e.watchProgress(w, t, x.Percent)
+		e.watchProgress(w, t, x.Percent, r.Clock)
 		if t.member.presence == taskUnknown {
 			t.member.presence, t.member.seen = taskThere, e.clock.Now()
 			e.started(t.unit)
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -52,9 +52,11 @@
 	// barred is when the worker confirmed that the run will not start any more; zero before.
 	barred     time.Time
 	isStopping bool
-	// percent is how much of the work was done when last seen, and moved when that last grew.
-	percent int
-	moved   time.Time
+	// percent is how much of the work was done when last seen, and moved when that last grew, on the worker's clock, once
+	// isWatched is set.
+	percent   int
+	moved     time.Duration
+	isWatched bool
 	// isStalled is set when the task is stopped because it does not go on.
 	isStalled bool
 	// isUndecided is set while a try to start the task is on its way or was not answered, so that it may be carried out.
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -87,16 +87,24 @@
 	delete(w.tasks, u.ref(m))
 }
 
-// tick notes the worker's clock.
+// tick notes the worker's clock; a reading that was long on its way tells less than the one before.
 func (w *worker) tick(at time.Duration, now time.Time) {
-	if at > 0 {
+	if at > 0 && (w.clockRead.IsZero() || at >= w.time(now)) {
 		w.clockAt, w.clockRead = at, now
 	}
 }
 
+// time returns the least that the worker's clock shows now.
+func (w *worker) time(now time.Time) time.Duration {
+	if w.clockRead.IsZero() {
+		return 0
+	}
+	return w.clockAt + time.Duration(float64(now.Sub(w.clockRead))/slowClock)
+}
+
 // until returns the end of a full lease that begins now, on the worker's clock.
 func (w *worker) until(now time.Time, hold time.Duration) time.Duration {
-	return w.clockAt + now.Sub(w.clockRead) + hold
+	return w.time(now) + hold
 }
 
 // leaseBound is how long after its grant a lease is certainly over.
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -67,6 +67,8 @@
 	holds []port.RunHold
 	// suspended is for how long the machine of a host has been suspended, which its steady clock does not count.
 	suspended map[string]time.Duration
+	// answerAfter is how long the next answer of each worker is on its way; it is read at once and counts one time.
+	answerAfter map[netip.AddrPort]time.Duration
 	// workers are those that the platform lists.
 	workers []fleet.Worker
 	// log shows what the hosts log when a test is run with SITE_LOG set.
@@ -229,8 +231,16 @@
 	v.Hold = func(ctx context.Context, to netip.AddrPort, h port.RunHold) (port.RunReport, error) {
 		s.mu.Lock()
 		s.holds = append(s.holds, h)
+		late := s.answerAfter[to]
+		delete(s.answerAfter, to)
 		s.mu.Unlock()
-		return hold(ctx, to, h)
+		if late == 0 {
+			return hold(ctx, to, h)
+		}
+		h.Wait = 0
+		r, err := hold(ctx, to, h)
+		time.Sleep(late)
+		return r, err
 	}
 	return v
 }
