--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -44,6 +45,17 @@
 	Keys:          map[string]string{"k": "Gear"},
 }
 
+// decodeTestConfig returns the configuration of the version that an entry holds; from version 2 on it has no keys.
+func decodeTestConfig(e port.Entry) (*queue.Config, error) {
+	v, err := strconv.ParseInt(string(e.Value), 10, 64)
+	if err != nil || v == testConfig.Version {
+		return testConfig, err
+	}
+	c := *testConfig
+	c.Version, c.Keys = v, map[string]string{}
+	return &c, nil
+}
+
 // site is a whole deployment in memory: store, workers and hosts.
 type site struct {
 	t       *testing.T
@@ -71,6 +83,8 @@
 	answerAfter map[netip.AddrPort]time.Duration
 	// workers are those that the platform lists.
 	workers []fleet.Worker
+	// starts counts the orders to start a task, by the worker's address.
+	starts map[netip.AddrPort]int
 	// log shows what the hosts log when a test is run with SITE_LOG set.
 	log *slog.Logger
 }
@@ -92,7 +106,7 @@
 		c := clock.System()
 		s := &site{
 			t: t, store: standin.NewStore(c, 2*time.Millisecond), hosts: map[string]*Host{}, dead: map[string]bool{},
-			cut: map[[2]string]bool{}, takes: map[netip.AddrPort]peerOf{}, workers: workers, suspended: map[string]time.Duration{}, log: slog.New(slog.DiscardHandler),
+			cut: map[[2]string]bool{}, takes: map[netip.AddrPort]peerOf{}, workers: workers, suspended: map[string]time.Duration{}, starts: map[netip.AddrPort]int{}, log: slog.New(slog.DiscardHandler),
 		}
 		if os.Getenv("SITE_LOG") != "" {
 			s.log = slog.New(slog.NewTextHandler(os.Stderr, nil))
@@ -154,7 +168,7 @@
 			<-ctx.Done()
 			return nil
 		},
-		DecodeConfig: func(port.Entry) (*queue.Config, error) { return testConfig, nil },
+		DecodeConfig: decodeTestConfig,
 		Callers: func(func(context.Context, intake.Request) (intake.Reply, error), *slog.Logger) http.Handler {
 			return http.NotFoundHandler()
 		},
@@ -224,10 +238,23 @@
 	return p.served.Workers(ctx, q.(*wire.Empty), r.(*wire.WorkersReply))
 }
 
-// runnersOf returns the workers as a host reaches them, and notes the calls that hold them.
+// countStarts returns how many orders to start a task a worker was sent.
+func (s *site) countStarts(w fleet.Worker) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.starts[w.Addr]
+}
+
+// runnersOf returns the workers as a host reaches them, and notes the calls that start tasks and hold them.
 func (s *site) runnersOf(host string) port.Runners {
 	v := s.runners.View(host)
-	hold := v.Hold
+	start, hold := v.Start, v.Hold
+	v.Start = func(ctx context.Context, to netip.AddrPort, x port.RunStart) (time.Duration, error) {
+		s.mu.Lock()
+		s.starts[to]++
+		s.mu.Unlock()
+		return start(ctx, to, x)
+	}
 	v.Hold = func(ctx context.Context, to netip.AddrPort, h port.RunHold) (port.RunReport, error) {
 		s.mu.Lock()
 		s.holds = append(s.holds, h)
