--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -154,9 +154,12 @@
 	}
 	b := s.Bounds
 	b.Revoke = old.Bounds.Revoke
-	if b != old.Bounds || s.Limits.Processors != old.Limits.Processors {
+	if b != old.Bounds {
 		needStart = append(needStart, "Bounds")
 	}
+	if s.Limits.Processors != old.Limits.Processors {
+		needStart = append(needStart, "Limits")
+	}
 	return needStart
 }
 
--- a/internal/state/plan/overload_test.go
+++ b/internal/state/plan/overload_test.go
@@ -145,3 +145,17 @@
 		b.StartTimer()
 	}
 }
+
+// BenchmarkUrgentPass measures a pass over urgent work alone while bulk units wait by the thousand.
+func BenchmarkUrgentPass(b *testing.B) {
+	o := newOverload(1100)
+	o.fill(10_000)
+	for range 40 {
+		o.step(100 * time.Millisecond)
+	}
+	b.ResetTimer()
+	for range b.N {
+		o.at = o.at.Add(15 * time.Millisecond)
+		o.PassUrgent(o.at)
+	}
+}
