--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -62,6 +63,9 @@
 	// revokeMargin is kept of the bound on withdrawn keys for requests that are on their way.
 	revokeMargin = 1500 * time.Millisecond
 	lifetimeLen  = 6
+	// ownerGC is the growth of the heap, in percent, at which the owner collects garbage: it has more memory to spare than
+	// processor time, and the limit of the memory holds all the same.
+	ownerGC = 200
 )
 
 // Host is one entry host.
@@ -216,6 +220,7 @@
 func (h *Host) own(ctx context.Context, o elect.Owner) {
 	h.jobs.SetPause(ownerPause)
 	defer h.jobs.SetPause(standbyPause)
+	defer debug.SetGCPercent(debug.SetGCPercent(ownerGC))
 	b := h.settings.Bounds
 	x := exec.New(exec.Outside{
 		Store: h.out.Store, Runners: h.out.Runners, Jobs: jobsTopic, Table: h.table, Follower: h.jobs,
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -89,8 +89,10 @@
 	if p.born.IsZero() {
 		p.born = now
 	}
-	p.pass = passNotes{failed: map[failure]time.Duration{}, kept: map[keptKind]bool{}, ends: map[*entry]time.Time{},
-		sites: map[failure]*place.Site{}}
+	p.pass = passNotes{
+		failed: map[failure]time.Duration{}, kept: map[keptKind]bool{}, ends: map[*entry]time.Time{},
+		sites: map[failure]*place.Site{},
+	}
 	p.pace.refill(now)
 	p.noteJobs()
 	p.refresh()
