End a request that brings about a fault of the program with an unknown outcome, not the process

A panic in a request that ran beside its handler, or that another host had passed on, ended the process, since only the handlers of net/http are guarded. Test: TestFaultOfOneRequestEndsThatRequestAlone, before: panic: no such step.

--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -42,6 +43,8 @@
 type Relay struct {
 	intake *intake.Intake
 	peers  port.Peers
+	// serve carries a request out on this host.
+	serve func(ctx context.Context, q intake.Request) (intake.Reply, error)
 	// find returns the hosts that may serve a request, the likeliest first.
 	find  func() []netip.AddrPort
 	clock clock.Clock
@@ -54,7 +57,7 @@
 
 // New returns a relay in front of an intake.
 func New(i *intake.Intake, p port.Peers, find func() []netip.AddrPort, c clock.Clock, l *slog.Logger, s tally.Scope) *Relay {
-	return &Relay{intake: i, peers: p, find: find, clock: c, log: l, scope: s, avoid: map[netip.AddrPort]time.Time{}}
+	return &Relay{intake: i, serve: i.Serve, peers: p, find: find, clock: c, log: l, scope: s, avoid: map[netip.AddrPort]time.Time{}}
 }
 
 // result is how one host answered.
@@ -69,7 +72,7 @@
 	until := r.clock.Now().Add(q.Patience - answerMargin)
 	here := make(chan result, 1)
 	go func() {
-		p, err := r.intake.Serve(ctx, q)
+		p, err := r.serveHere(ctx, q)
 		here <- result{p, err}
 	}()
 	select {
@@ -87,6 +90,21 @@
 	return merge(<-here, there)
 }
 
+// serveHere carries a request out on this host. A fault of the program that one request brings about ends that request alone,
+// with an unknown outcome.
+func (r *Relay) serveHere(ctx context.Context, q intake.Request) (p intake.Reply, err error) {
+	defer func() {
+		x := recover()
+		if x == nil {
+			return
+		}
+		r.log.Error("request brought about a fault", "Verb", q.Verb.String(), "Path", q.Path, "Fault", fmt.Sprint(x), "Stack", string(debug.Stack()))
+		r.scope.Counter("request_faults").Inc(1)
+		p, err = intake.Reply{}, fmt.Errorf("serve request: fault of the program: %w", intake.ErrOutcomeUnknown)
+	}()
+	return r.serve(ctx, q)
+}
+
 // isForOthers reports whether another host may serve what came to an error here.
 func isForOthers(err error) bool {
 	var b intake.ErrBusy
@@ -191,7 +209,7 @@
 	q := decodeRequest(m)
 	x, cancel := context.WithTimeout(ctx, q.Patience)
 	defer cancel()
-	reply, err := r.intake.Serve(x, q)
+	reply, err := r.serveHere(x, q)
 	encodeReply(reply, err, p)
 	return nil
 }
--- /dev/null
+++ b/internal/coordination/relay/relay_test.go
@@ -0,0 +1,43 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/clock"
+	"github.com/auburncleat/auburncleat/internal/coordination/intake"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+)
+
+// TestFaultOfOneRequestEndsThatRequestAlone has a request bring about a panic, handed in by a caller and by another host:
+// the process goes on, and nobody is told that the request was not carried out.
+func TestFaultOfOneRequestEndsThatRequestAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		isFaulty := true
+		r := New(&intake.Intake{}, port.Peers{}, func() []netip.AddrPort { return nil }, clock.System(),
+			slog.New(slog.DiscardHandler), tally.NoopScope)
+		r.serve = func(context.Context, intake.Request) (intake.Reply, error) {
+			if isFaulty {
+				panic("no such step")
+			}
+			return intake.Reply{}, nil
+		}
+		q := intake.Request{Verb: intake.Submit, Path: "/p", Patience: time.Second}
+		_, err := r.Serve(t.Context(), q)
+		require.ErrorIs(t, err, intake.ErrOutcomeUnknown)
+		var p wire.TakeReply
+		require.NoError(t, r.Take(t.Context(), encodeRequest(q), &p))
+		_, err = decodeReply(&p)
+		require.ErrorIs(t, err, intake.ErrOutcomeUnknown)
+		isFaulty = false
+		_, err = r.Serve(t.Context(), q)
+		require.NoError(t, err)
+	})
+}
