Fill an idle fleet without pace

Change: while half of the accelerators are idle, each pass starts as many tasks as may start at once. Test: TestIdleFleetIsFilledWithoutPace.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -182,8 +182,8 @@
 	// fullShare is the part of the time that passes over all units may take while urgent units wait for their own.
 	fullShare = 0.4
 	// startRate and startBurst bound the starts of single tasks in a second and at once, as each takes the owner's processor.
-	startRate  = 500
-	startBurst = 400
+	startRate  = 600
+	startBurst = 800
 	// headroomMemory is how long a peak of urgent work is remembered, and headroomShare the part of it that is kept free.
 	headroomMemory = 10 * time.Second
 	headroomShare  = 1.0
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -93,12 +93,12 @@
 		failed: map[failure]time.Duration{}, kept: map[keptKind]bool{}, ends: map[*entry]time.Time{},
 		sites: map[failure]*place.Site{},
 	}
-	p.pace.refill(now)
 	p.noteJobs()
 	p.refresh()
 	p.repair()
 	p.rependent()
 	p.noteHeadroom()
+	p.refillPace()
 }
 
 // noteJobs sums up what all jobs need and where they stand.
--- a/internal/state/plan/urgent_test.go
+++ b/internal/state/plan/urgent_test.go
@@ -33,7 +33,7 @@
 	for i := range 20 {
 		require.NoError(t, p.Submit(job(fmt.Sprintf("bulk%02d", i), "Gear", "Audit", shape(1, 1, fleet.LevelDomain))))
 	}
-	require.NoError(t, p.Submit(job("gang", "Gear", "Audit", shape(4, 1, fleet.LevelRack))))
+	require.NoError(t, p.Submit(job("gang", "Gear", "Audit", shape(4, 8, fleet.LevelRack))))
 	require.NoError(t, p.Submit(job("now", "CW", "Urgent", shape(1, 1, fleet.LevelWorker))))
 	require.Len(t, p.Pass(start).Starts, 5)
 	require.Empty(t, p.Pass(start.Add(time.Millisecond)).Starts)
@@ -41,6 +41,19 @@
 	require.Len(t, p.Pass(start.Add(time.Minute)).Starts, 3)
 }
 
+// TestIdleFleetIsFilledWithoutPace plays the pattern of a long queue that is left when the urgent work has ended: while half of
+// the accelerators are idle, each pass starts as many tasks as may start at once.
+func TestIdleFleetIsFilledWithoutPace(t *testing.T) {
+	p := planner(t, workers(2, 4), profiles(audit, urgent), WithStartRate(1, 8))
+	for i := range 64 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("bulk%02d", i), "Gear", "Audit", shape(1, 1, fleet.LevelDomain))))
+	}
+	for i := range 4 {
+		require.Len(t, p.Pass(start.Add(time.Duration(i)*time.Millisecond)).Starts, 8)
+	}
+	require.Empty(t, p.Pass(start.Add(5*time.Millisecond)).Starts)
+}
+
 // TestSearchesOfOnePassAreBounded has many overdue gangs of all shapes look for less urgent work to stop: the
 // searches of one pass stay bounded.
 func TestSearchesOfOnePassAreBounded(t *testing.T) {
