--- a/internal/host/slow_test.go
+++ b/internal/host/slow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,9 +16,11 @@
 // TestWorkerThatReportsLateKeepsItsWork has reports be on their way for seconds while the tasks go on: no task is taken to
 // stand still, or runs a second time.
 func TestWorkerThatReportsLateKeepsItsWork(t *testing.T) {
-	runs := 0
+	var again atomic.Bool
 	plan := func(r port.RunRef, _ string) standin.RunFate {
-		runs = max(runs, r.Run)
+		if r.Run > 1 {
+			again.Store(true)
+		}
 		return standin.RunFate{Work: 12 * time.Second, Result: jobs.Done}
 	}
 	inSite(t, plan, []string{"a"}, func(s *site) {
@@ -35,6 +38,6 @@
 			s.mu.Unlock()
 		}
 		s.requireEnded(intake.Completed, 20*time.Second)
-		require.Equal(t, 1, runs)
+		require.False(t, again.Load())
 	})
 }
