Give the proof of histories the same verdict each time

Six runs of the same code gave 5, 4, 4, 4, 1 and 5: a seed draws the same calls and faults, the order of goroutines is not fixed. The product's code was not concerned, and this work does not touch it.

Change: seeds go on until a history is wrong, at most 300 in place of 30. The histories with all mechanisms stand as they were.

--- a/internal/coordination/once/history_test.go
+++ b/internal/coordination/once/history_test.go
@@ -246,13 +246,22 @@
 		"group": {group: true, memory: true},
 		"peers": {peers: true, group: true, memory: true},
 	} {
-		caught := 0
-		for s := range uint64(seeds) {
-			if ok, _ := history(t, s, off); !ok {
-				caught++
-			}
+		n := playUntilWrong(t, off)
+		t.Logf("without %s the history of seed %d is wrong", name, n)
+		require.Less(t, n, maxSeeds, "the proof does not see that %s is off", name)
+	}
+}
+
+// maxSeeds bounds the histories that are played to see one go wrong: a seed draws the same calls and faults each time, but the
+// order of goroutines differs, so that which histories of a kind go wrong, and how many, does too.
+const maxSeeds = 10 * seeds
+
+// playUntilWrong returns the first seed whose history is wrong, or maxSeeds.
+func playUntilWrong(t *testing.T, off mechanismsOff) int {
+	for s := range maxSeeds {
+		if ok, _ := history(t, uint64(s), off); !ok {
+			return s
 		}
-		t.Logf("without %s %d of %d histories are wrong", name, caught, seeds)
-		require.NotZero(t, caught, "the proof does not see that %s is off", name)
 	}
+	return maxSeeds
 }
