Log jobs with nothing running, their phase and cause, and open jobs that the owner does not know

The logs of the incident could not tell its three hypotheses apart: a job that the owner never saw, a unit stuck in one phase, and a unit that the planner passes over all look like silence.

The owner now logs 'job taken up' for each job and step it makes units of, and every 2 s 'jobs are idle' for jobs that have had nothing running for 2 s: by queue, organisation, phase and cause, with BesideRoom if the workers have room for two of it beside what runs. 'open jobs without a unit' compares its table with its units. Gauges: jobs_idle, jobs_idle_beside_room, jobs_unknown. Headroom and the start rate get wait reasons of their own; they were shown as 'none is free'. No decision is changed.

--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -56,6 +56,9 @@
 		e.endJob(id, jobs.Completed, "", nil)
 		return
 	}
+	if len(newUnits) > 0 {
+		e.log.Info("job taken up", "Job", id, "Units", len(newUnits), "Step", newUnits[0].key.Step, "Term", e.term)
+	}
 	for _, u := range newUnits {
 		e.units[u.name] = u
 		if u.phase == phaseRunning {
@@ -168,7 +171,7 @@
 
 // enqueue submits a unit to the planner; a unit that the planner rejects is deferred and submitted again later.
 func (e *Engine) enqueue(u *unit) {
-	u.phase = phaseQueued
+	e.setPhase(u, phaseQueued)
 	u.members = nil
 	if err := e.planner.Submit(e.plannerJob(u)); err != nil {
 		if e.deferred[u.name] == nil {
--- a/internal/coordination/exec/pass.go
+++ b/internal/coordination/exec/pass.go
@@ -95,7 +95,7 @@
 		e.log.Error("planner started an unknown unit", "Unit", s.Job.ID)
 		return
 	}
-	u.phase = phaseStoring
+	e.setPhase(u, phaseStoring)
 	u.run++
 	u.since = e.clock.Now()
 	u.members = nil
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -25,7 +25,7 @@
 		e.finishRun(u)
 		return
 	}
-	u.phase = phaseStarting
+	e.setPhase(u, phaseStarting)
 	for _, m := range u.members {
 		w := e.getWorker(m.worker)
 		if m.instance != w.instance {
@@ -151,7 +151,7 @@
 			return
 		}
 	}
-	u.phase = phaseRunning
+	e.setPhase(u, phaseRunning)
 	e.planner.Started(u.name, e.clock.Now())
 	e.scope.Counter("units_started").Inc(1)
 	e.requestPass()
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -16,7 +16,7 @@
 	}
 	e.log.Info("unit stops", "Job", u.job, "Unit", u.name, "Run", u.run, "Reason", reason)
 	e.scope.Counter("units_stopped").Inc(1)
-	u.phase = phaseStopping
+	e.setPhase(u, phaseStopping)
 	for _, m := range u.members {
 		if m.presence == taskEnded || m.isStopping {
 			continue
@@ -104,7 +104,7 @@
 	if u.phase == phaseEnding {
 		return
 	}
-	u.phase = phaseEnding
+	e.setPhase(u, phaseEnding)
 	res := u.result()
 	if res == jobs.Done && u.step.Lasts {
 		// Lasting tasks run again whatever their result.
@@ -183,7 +183,7 @@
 		e.requestPass()
 		return
 	}
-	u.phase = phaseQueued
+	e.setPhase(u, phaseQueued)
 	u.members = nil
 	e.requestPass()
 }
--- a/internal/coordination/exec/summary.go
+++ b/internal/coordination/exec/summary.go
@@ -19,6 +19,7 @@
 		return
 	}
 	e.lastSummary = now
+	e.logIdleJobs(now)
 	phases := map[phase]int{}
 	var oldest *unit
 	for _, u := range e.units {
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -83,10 +83,25 @@
 	progress   time.Duration
 	members    []*member
 	since      time.Time
+	// phaseSince is when the unit entered its phase.
+	phaseSince time.Time
 	// isOver is set when the job has ended or is being cancelled; the unit is not run again.
 	isOver bool
 }
 
+// setPhase moves a unit to a phase; a unit that is queued again while it is queued keeps the time of the first.
+func (e *Engine) setPhase(u *unit, p phase) {
+	if u.phase != p || u.phaseSince.IsZero() {
+		u.phaseSince = e.clock.Now()
+	}
+	u.phase = p
+}
+
+// String returns the name of the phase in logs.
+func (p phase) String() string {
+	return [...]string{"Queued", "Storing", "Starting", "Running", "Stopping", "Ending"}[p]
+}
+
 func (u *unit) ref(m *member) port.RunRef {
 	return port.RunRef{Job: u.job, Occurrence: u.key.Occurrence, Step: u.key.Step, Task: m.task, Run: u.run}
 }
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -229,8 +229,12 @@
 			return
 		}
 	}
-	if !p.leavesHeadroom(e) || !p.hasStartToken(e) {
-		e.reason = waitReason{code: reasonRoom}
+	if !p.leavesHeadroom(e) {
+		e.reason = waitReason{code: reasonHeadroom, a: p.headroom.free, b: p.headroom.reserved}
+		return
+	}
+	if !p.hasStartToken(e) {
+		e.reason = waitReason{code: reasonStartRate}
 		return
 	}
 	if sites, reason := p.findSites(e); sites != nil {
--- a/internal/state/plan/status.go
+++ b/internal/state/plan/status.go
@@ -21,6 +21,8 @@
 	reasonReclaim
 	reasonReserved
 	reasonBackoff
+	reasonHeadroom
+	reasonStartRate
 )
 
 // waitReason is the reason found by the last pass; it is formatted only on request.
@@ -69,6 +71,11 @@
 	switch e.reason.code {
 	case reasonRoom:
 		return fmt.Sprintf("waits for %s; none is free beside reservations and earlier work", describeShape(s)), describeShape(s)
+	case reasonHeadroom:
+		return fmt.Sprintf("waits for %s; of %d free accelerators %d are kept for urgent work", describeShape(s), e.reason.a, e.reason.b),
+			describeShape(s)
+	case reasonStartRate:
+		return "waits for its turn among the starts of single tasks", "the next starts"
 	case reasonQuota:
 		return fmt.Sprintf("%s uses %d accelerators of its quota of %d and this job needs %d more",
 			e.job.Organisation, e.reason.a, e.reason.b, s.TotalAccelerators()), "quota of " + e.job.Organisation
