--- a/internal/host/deployment_test.go
+++ b/internal/host/deployment_test.go
@@ -25,6 +25,7 @@
 	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/auburncleat/auburncleat/internal/state/plan"
 	"github.com/auburncleat/auburncleat/internal/state/queue"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
@@ -86,6 +87,14 @@
 	workers []fleet.Worker
 	// starts counts the calls that start a task, by the address of the worker.
 	starts map[netip.AddrPort]int
+	// limits are those of the workers and of the hosts.
+	limits standin.RunLimits
+	// decode decodes the configuration; it may be replaced before the first host starts.
+	decode func(e port.Entry) (*queue.Config, error)
+	// disabled are the mechanisms of the planner that are switched off.
+	disabled []plan.Mechanism
+	// follow replaces the list of the workers if it is set.
+	follow func(ctx context.Context, host string, put func(port.Runner), drop func(string)) error
 	// log prints the log of the hosts if SITE_LOG is set, and discards it otherwise.
 	log *slog.Logger
 }
@@ -102,17 +111,27 @@
 
 // runInSiteWith runs f in a synctest bubble with the given hosts and workers.
 func runInSiteWith(t *testing.T, workers []fleet.Worker, plan standin.RunPlan, hosts []string, f func(s *site)) {
+	t.Helper()
+	runInLimitedSite(t, testLimits, workers, plan, hosts, f)
+}
+
+// testLimits are the limits of the workers in most tests.
+var testLimits = standin.RunLimits{Attempts: maxAttempts, MaxHold: maxHold, StopTimeout: 800 * time.Millisecond, GangTimeout: 3 * time.Second}
+
+// runInLimitedSite runs f in a synctest bubble with the given hosts and workers, whose limits are given.
+func runInLimitedSite(t *testing.T, limits standin.RunLimits, workers []fleet.Worker, plan standin.RunPlan, hosts []string, f func(s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := clock.System()
 		s := &site{
 			t: t, store: standin.NewStore(c, 2*time.Millisecond), hosts: map[string]*Host{}, dead: map[string]bool{},
 			cut: map[[2]string]bool{}, peers: map[netip.AddrPort]testPeer{}, workers: workers, suspended: map[string]time.Duration{}, starts: map[netip.AddrPort]int{}, log: slog.New(slog.DiscardHandler),
+			limits: limits, decode: decodeTestConfig,
 		}
 		if os.Getenv("SITE_LOG") != "" {
 			s.log = slog.New(slog.NewTextHandler(os.Stderr, nil))
 		}
-		s.runners = standin.NewRunners(c, standin.RunLimits{Attempts: maxAttempts, MaxHold: maxHold, StopTimeout: 800 * time.Millisecond, GangTimeout: 3 * time.Second}, plan)
+		s.runners = standin.NewRunners(c, limits, plan)
 		s.runners.SetCut(s.isLinkCut)
 		for _, w := range workers {
 			s.runners.Add(w)
@@ -151,15 +170,19 @@
 	x := &setup.Site{
 		Host: setup.SiteHost{Name: name, Domain: "d"},
 		Bounds: setup.Bounds{
-			MaxHold: maxHold, StopTimeout: 800 * time.Millisecond, Claim: 3 * time.Second, GangTimeout: 3 * time.Second,
+			MaxHold: s.limits.MaxHold, StopTimeout: s.limits.StopTimeout, Claim: 3 * time.Second, GangTimeout: s.limits.GangTimeout,
 			Revoke: 5 * time.Second, KeepEnded: time.Minute, Grace: 5 * time.Second,
 		},
 		Limits: setup.SiteLimits{MaxOpenJobs: 1000, Processors: s.share(name)},
 	}
+	x.Plan.Disable = s.disabled
 	x.Listen.Peer = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(len(s.names) + 1)}), 1)
 	h := New(x, Deps{
 		Store: s.store.View(name), Runners: s.runnersFor(name), ConfigTopic: testOperators,
-		FollowRunners: func(ctx context.Context, put func(port.Runner), _ func(string)) error {
+		FollowRunners: func(ctx context.Context, put func(port.Runner), drop func(string)) error {
+			if s.follow != nil {
+				return s.follow(ctx, name, put, drop)
+			}
 			if err := clock.System().Sleep(ctx, s.listDelay); err != nil {
 				return nil
 			}
@@ -169,7 +192,7 @@
 			<-ctx.Done()
 			return nil
 		},
-		DecodeConfig: decodeTestConfig,
+		DecodeConfig: s.decode,
 		NewCallerHandler: func(func(context.Context, intake.Request) (intake.Reply, error), *slog.Logger) http.Handler {
 			return http.NotFoundHandler()
 		},
@@ -322,17 +345,22 @@
 // submit submits a job at a host. Its id is added to the accepted ones.
 func (s *site) submit(host, id, q string, steps ...jobs.Step) error {
 	h := s.hosts[host]
-	c, err := h.intake.Admit("h", "/"+q+"/"+id, "k")
-	if err != nil {
-		return err
-	}
-	err = h.intake.Submit(s.t.Context(), c, &jobs.Job{ID: id, Spec: id, Steps: steps}, 3*time.Second)
+	err := s.submitOnce("k", h, id, q, steps...)
 	if err == nil && !slices.Contains(s.ids, id) {
 		s.ids = append(s.ids, id)
 	}
 	return err
 }
 
+// submitOnce submits a job at a host with the given key.
+func (s *site) submitOnce(key string, h *Host, id, q string, steps ...jobs.Step) error {
+	c, err := h.intake.Admit("h", "/"+q+"/"+id, key)
+	if err != nil {
+		return err
+	}
+	return h.intake.Submit(s.t.Context(), c, &jobs.Job{ID: id, Spec: id, Steps: steps}, 3*time.Second)
+}
+
 func (s *site) advance(d time.Duration) {
 	time.Sleep(d)
 	synctest.Wait()
--- a/internal/host/randomfaults_test.go
+++ b/internal/host/randomfaults_test.go
@@ -17,8 +17,11 @@
 )
 
 var (
-	seeds     = flag.Int("site.seeds", 40, "number of seeds that TestSiteUnderRandomFaults runs")
-	firstSeed = flag.Int("site.seed", 1, "first seed of TestSiteUnderRandomFaults")
+	seeds        = flag.Int("site.seeds", 40, "number of seeds that TestSiteUnderRandomFaults runs")
+	stallSeeds   = flag.Int("stall.seeds", 3, "number of seeds of the tests for stalled jobs")
+	stallDisable = flag.String("stall.disable", "", "mechanisms of the planner that are switched off in the tests for stalled jobs")
+	stallWorkers = flag.Int("stall.workers", 24, "number of workers in the tests for stalled jobs")
+	firstSeed    = flag.Int("site.seed", 1, "first seed of TestSiteUnderRandomFaults")
 )
 
 // failedSeeds are seeds that failed once, each with its cause. A seed does not determine the order of goroutines, so it may
--- /dev/null
+++ b/internal/host/stalled_test.go
@@ -0,0 +1,302 @@
+package host
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/intake"
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+)
+
+const (
+	// sampleInterval is the time between two looks of a stallMonitor.
+	sampleInterval = 50 * time.Millisecond
+	// maxStall is how long a job may have nothing running beside room for it, and calmBefore how long before that no fault
+	// may have been in force, for the job to count as stalled.
+	maxStall   = 3 * time.Second
+	calmBefore = 4 * time.Second
+)
+
+// knownJob is an accepted job as its caller knows it.
+type knownJob struct {
+	id       string
+	queue    string
+	org      string
+	steps    []jobs.Step
+	accepted time.Time
+	// since is when the job was first seen with nothing running beside room for it; zero while it is not.
+	since time.Time
+	task  string
+	// isOver is set once the job has ended or is being cancelled.
+	isOver bool
+}
+
+// stall is a time in which a job had nothing running beside room for it.
+type stall struct {
+	job      *knownJob
+	task     string
+	from, to time.Time
+	// isCalm is set when no fault was in force in the last maxStall of it and in calmBefore before that.
+	isCalm bool
+}
+
+func (x stall) String() string {
+	return fmt.Sprintf("%s of %s in %s: %s from %s for %s", x.job.id, x.job.org, x.job.queue, x.task, x.from.Format("05.000"),
+		x.to.Sub(x.from))
+}
+
+// stallMonitor looks for jobs that have nothing running while one of their tasks could run and there is room for it twice
+// over on the workers, as these know it.
+type stallMonitor struct {
+	s      *site
+	roster *roster
+	// mu guards the fields below.
+	mu   sync.Mutex
+	jobs []*knownJob
+	// active counts the faults in force; lastFault is when the last one was in force.
+	active    int
+	lastFault time.Time
+	stalls    []stall
+}
+
+// advance lets time pass and looks at the jobs meanwhile.
+func (m *stallMonitor) advance(d time.Duration) {
+	for until := time.Now().Add(d); time.Now().Before(until); {
+		m.s.advance(min(sampleInterval, time.Until(until)))
+		m.sample()
+	}
+}
+
+// findStalls returns the stalls of at least a given time so far.
+func (m *stallMonitor) findStalls(atLeast time.Duration) []stall {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, j := range m.jobs {
+		m.endStall(j, time.Now())
+	}
+	return slices.DeleteFunc(slices.Clone(m.stalls), func(x stall) bool { return x.to.Sub(x.from) < atLeast })
+}
+
+// accept adds an accepted job.
+func (m *stallMonitor) accept(id, queue, org string, steps []jobs.Step) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.jobs = append(m.jobs, &knownJob{id: id, queue: queue, org: org, steps: steps, accepted: time.Now()})
+}
+
+// cancel notes that a job is being cancelled.
+func (m *stallMonitor) cancel(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, j := range m.jobs {
+		if j.id == id {
+			j.isOver = true
+			m.endStall(j, time.Now())
+		}
+	}
+}
+
+// beginFault notes that a fault is in force, until the returned function is called.
+func (m *stallMonitor) beginFault() func() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.active++
+	m.lastFault = time.Now()
+	return sync.OnceFunc(func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.active--
+		m.lastFault = time.Now()
+	})
+}
+
+// sample looks at all open jobs once.
+func (m *stallMonitor) sample() {
+	assigned, done := m.s.runners.FindAssigned(), m.s.runners.FindDone()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	if m.active > 0 {
+		m.lastFault = now
+	}
+	byID := map[string]*knownJob{}
+	for _, j := range m.jobs {
+		byID[j.id] = j
+	}
+	running := map[string]bool{}
+	room := map[string]room{}
+	for w, ts := range assigned {
+		x := newRoom(m.findWorker(w))
+		for _, t := range ts {
+			running[t.Job] = true
+			if j := byID[t.Job]; j != nil {
+				x.take(j.steps[t.Step], t)
+			}
+		}
+		if m.roster.isUsable(w) {
+			room[w] = x
+		}
+	}
+	for _, j := range m.jobs {
+		if j.isOver {
+			continue
+		}
+		if j.isOver = m.hasEnded(j.id); j.isOver {
+			m.endStall(j, now)
+			continue
+		}
+		step := j.findRunnable(done)
+		if step < 0 || running[j.id] || !fitsTwice(j, step, room) {
+			m.endStall(j, now)
+			continue
+		}
+		if j.since.IsZero() {
+			j.since = now
+		}
+		j.task = fmt.Sprintf("step %d (%d x %d accelerators, gang %v, label %q, per worker %d)", step, j.steps[step].Tasks,
+			j.steps[step].Accelerators, j.steps[step].Gang, j.steps[step].Label, j.steps[step].PerWorker)
+		m.checkCalm(j, now)
+	}
+}
+
+// checkCalm records a calm stall as soon as it has lasted for maxStall.
+func (m *stallMonitor) checkCalm(j *knownJob, now time.Time) {
+	if now.Sub(j.since) < maxStall || now.Sub(m.lastFault) < maxStall+calmBefore {
+		return
+	}
+	for _, x := range m.stalls {
+		if x.job == j && x.isCalm && x.from.Equal(j.since) {
+			return
+		}
+	}
+	m.s.log.Error("job is stalled", "Job", j.id, "Queue", j.queue, "Task", j.task, "Since", j.since)
+	m.stalls = append(m.stalls, stall{job: j, task: j.task, from: j.since, to: now, isCalm: true})
+}
+
+// endStall notes that a job is not stalled at a time.
+func (m *stallMonitor) endStall(j *knownJob, at time.Time) {
+	if !j.since.IsZero() {
+		m.stalls = append(m.stalls, stall{job: j, task: j.task, from: j.since, to: at})
+	}
+	j.since = time.Time{}
+}
+
+// hasEnded reports whether any live host shows a job as ended.
+func (m *stallMonitor) hasEnded(id string) bool {
+	for _, h := range m.s.liveHosts() {
+		if h := m.s.hosts[h]; h != nil {
+			if p, ok := m.peek(h, id); ok && p >= intake.Completed {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (m *stallMonitor) findWorker(name string) fleet.Worker {
+	for _, w := range m.s.workers {
+		if w.Name == name {
+			return w
+		}
+	}
+	return fleet.Worker{}
+}
+
+// findRunnable returns a step with a task that could run, or -1.
+func (j *knownJob) findRunnable(done map[port.RunRef]bool) int {
+	isDone := func(s int) bool {
+		for k := range j.steps[s].Tasks {
+			if is := done[port.RunRef{Job: j.id, Step: s, Task: k}]; is == j.steps[s].Gang {
+				return is
+			}
+		}
+		return !j.steps[s].Gang
+	}
+	for s, x := range j.steps {
+		if !isDone(s) && !slices.ContainsFunc(x.After, func(a int) bool { return !isDone(a) }) {
+			return s
+		}
+	}
+	return -1
+}
+
+// room is what is free on a worker.
+type room struct {
+	worker       fleet.Worker
+	accelerators int
+	processors   int
+	memory       fleet.Bytes
+	// ofStep counts the tasks of each step.
+	ofStep map[string]int
+}
+
+func newRoom(w fleet.Worker) room {
+	return room{worker: w, accelerators: w.Accelerators, processors: w.Processors, memory: w.Memory, ofStep: map[string]int{}}
+}
+
+func stepName(job string, step int) string {
+	return fmt.Sprint(job, "/", step)
+}
+
+func (r *room) take(x jobs.Step, t port.RunRef) {
+	r.accelerators -= x.Accelerators
+	r.processors -= x.Processors
+	r.memory -= x.Memory
+	r.ofStep[stepName(t.Job, t.Step)]++
+}
+
+// holds returns how many tasks of a step fit.
+func (r *room) holds(j *knownJob, step int) int {
+	x := j.steps[step]
+	if x.Label != "" && !slices.Contains(strings.Split(r.worker.Labels, ","), x.Label) {
+		return 0
+	}
+	n := 2 * x.Tasks
+	if x.Accelerators > 0 {
+		n = min(n, r.accelerators/x.Accelerators)
+	}
+	if x.Processors > 0 {
+		n = min(n, r.processors/x.Processors)
+	}
+	if x.Memory > 0 {
+		n = min(n, int(r.memory/x.Memory))
+	}
+	if x.PerWorker > 0 {
+		n = min(n, x.PerWorker-r.ofStep[stepName(j.id, step)])
+	}
+	return max(n, 0)
+}
+
+// fitsTwice reports whether two tasks of a step, or its gang twice, fit on the workers.
+func fitsTwice(j *knownJob, step int, rooms map[string]room) bool {
+	need, have := 2, 0
+	if j.steps[step].Gang {
+		need = 2 * j.steps[step].Tasks
+	}
+	for _, r := range rooms {
+		have += r.holds(j, step)
+	}
+	return have >= need
+}
+
+// peek returns the state of a job in the table of a host, without a read of the store.
+func (m *stallMonitor) peek(h *Host, id string) (out intake.Progress, isKnown bool) {
+	h.table.View(id, func(j *jobs.Job) {
+		isKnown = j != nil
+		switch {
+		case j == nil:
+		case j.State == jobs.Completed:
+			out = intake.Completed
+		case j.State == jobs.Failed:
+			out = intake.Failed
+		case j.State == jobs.Cancelled, j.IsCancelling:
+			out = intake.Cancelled
+		}
+	})
+	return out, isKnown
+}
--- /dev/null
+++ b/internal/host/stalledload_test.go
@@ -0,0 +1,204 @@
+package host
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/standin"
+	"github.com/auburncleat/auburncleat/internal/state/config"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/auburncleat/auburncleat/internal/state/plan"
+	"github.com/auburncleat/auburncleat/internal/state/queue"
+)
+
+// mixedConfig has three urgencies and four organisations, whose keys are their names.
+func mixedConfig(version int64, workers int) *queue.Config {
+	c := &queue.Config{Version: version, Keys: map[string]string{}}
+	for _, q := range []queue.Queue{
+		{Name: "urgent", Urgency: config.Urgent, MaxAttempts: 4, Stretch: 1.5, Objective: 250 * time.Millisecond},
+		{Name: "normal", Urgency: config.Normal, MaxAttempts: 4, Stretch: 3, Objective: time.Second},
+		{Name: "quiet", Urgency: config.Quiet, MaxAttempts: 4, Stretch: 3, Objective: 3 * time.Second},
+	} {
+		q.Host, q.Prefix = "h", "/"+q.Name+"/"
+		c.Queues = append(c.Queues, q)
+	}
+	for i := range 4 {
+		n := fmt.Sprintf("org%d", i)
+		c.Organisations = append(c.Organisations, queue.Organisation{Name: n, Accelerators: workers * 8 * 6 / 10 / 4})
+		c.Keys[n] = n
+	}
+	return c
+}
+
+// mixedLoad submits random jobs to a site.
+type mixedLoad struct {
+	m       *stallMonitor
+	rand    *rand.Rand
+	workers int
+	// share is the fraction of the accelerators that the jobs need on average.
+	share float64
+	next  time.Time
+	n     int
+	// cancels is the share of jobs that are cancelled.
+	cancels float64
+
+	mu    sync.Mutex
+	steps map[string][]jobs.Step
+	work  map[string]time.Duration
+	// failures draws the runs that fail.
+	failures *rand.Rand
+}
+
+func newMixedLoad(seed uint64, workers int, share float64) *mixedLoad {
+	return &mixedLoad{
+		rand: rand.New(rand.NewPCG(seed, 7)), failures: rand.New(rand.NewPCG(seed, 8)), workers: workers, share: share,
+		steps: map[string][]jobs.Step{}, work: map[string]time.Duration{}, cancels: 0.05,
+	}
+}
+
+// outcome is the plan of the workers.
+func (l *mixedLoad) outcome(r port.RunRef, id string) standin.RunOutcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := standin.RunOutcome{Work: l.work[id], Result: jobs.Done}
+	if x := l.steps[id]; x != nil && x[r.Step].Gang {
+		out.Gang = x[r.Step].Tasks
+	}
+	if l.failures.IntN(40) == 0 {
+		out.Work, out.Result = out.Work/4, jobs.FailedRun
+	}
+	return out
+}
+
+// advance lets time pass and submits jobs meanwhile.
+func (l *mixedLoad) advance(d time.Duration) {
+	until := time.Now().Add(d)
+	if l.next.IsZero() {
+		l.next = time.Now()
+	}
+	for time.Now().Before(until) {
+		for !l.next.After(time.Now()) {
+			l.submit()
+			// The jobs of one second need about 0.78 of the accelerators of 48 workers.
+			rate := 3.9 * float64(l.workers) / 48 * l.share / 0.78
+			l.next = l.next.Add(time.Duration(-math.Log(1-l.rand.Float64()) / rate * float64(time.Second)))
+		}
+		l.m.advance(min(sampleInterval, time.Until(until)))
+	}
+}
+
+// submit submits one job at a random host.
+func (l *mixedLoad) submit() {
+	id, s := fmt.Sprintf("%016x", l.n), l.m.s
+	l.n++
+	q, steps, work := l.draw()
+	org := fmt.Sprintf("org%d", l.rand.IntN(4))
+	l.mu.Lock()
+	l.steps[id], l.work[id] = steps, work
+	l.mu.Unlock()
+	h := s.hosts[s.pickHost(l.rand)]
+	cancelAfter := time.Duration(l.rand.IntN(6000)) * time.Millisecond
+	isCancelled := l.rand.Float64() < l.cancels
+	go func() {
+		if s.submitOnce(org, h, id, q, steps...) != nil {
+			return
+		}
+		l.m.accept(id, q, org, steps)
+		if isCancelled {
+			time.Sleep(cancelAfter)
+			l.m.cancel(id)
+			_ = h.intake.Cancel(s.t.Context(), id, 3*time.Second)
+		}
+	}()
+}
+
+// draw returns the queue, the steps and the run time of a job.
+func (l *mixedLoad) draw() (string, []jobs.Step, time.Duration) {
+	r := l.rand
+	sizes := []int{1, 2, 4, 8, 8}
+	width := func(mean float64, limit int) int {
+		return max(1, min(int(mean*math.Exp(0.8*r.NormFloat64()-0.32)+0.5), limit))
+	}
+	estimate := func(d time.Duration) time.Duration {
+		return time.Duration(float64(d) * math.Exp(0.6*r.NormFloat64()))
+	}
+	length := func(mean float64, spread float64) time.Duration {
+		return time.Duration(mean * math.Exp(spread*r.NormFloat64()) * float64(time.Second))
+	}
+	most := l.workers / 2
+	var x jobs.Step
+	switch k := r.Float64() * 3.9; {
+	case k < 0.786:
+		d := length(6.8, 0.3)
+		x = jobs.Step{Tasks: width(5, min(30, most)), Accelerators: sizes[r.IntN(5)], Processors: 52, Memory: 270 * fleet.Gigabyte, Gang: true, Adjacent: r.Float64() < 0.6, Estimate: estimate(d), Checkpoints: r.Float64() < 0.45}
+		if r.Float64() < 0.3 {
+			x.Label, x.Tasks = "k1", min(x.Tasks, most/2)
+		}
+		return "normal", []jobs.Step{x}, d
+	case k < 0.786+2.38:
+		d := length(2.5, 0.5)
+		x = jobs.Step{Tasks: width(3.4, min(21, most)), Accelerators: sizes[r.IntN(5)], Processors: 15, Memory: 44 * fleet.Gigabyte, Gang: true, Adjacent: r.Float64() < 0.8, Estimate: estimate(d)}
+		return "urgent", []jobs.Step{x}, d
+	default:
+		d := length(6.1, 0.3)
+		x = jobs.Step{Tasks: width(16, 4*most), Accelerators: 1, Processors: 11, Memory: 59 * fleet.Gigabyte, Estimate: estimate(d), Checkpoints: r.Float64() < 0.45}
+		if r.Float64() < 0.12 {
+			x.Label = "k1"
+		}
+		if r.Float64() < 0.12 {
+			x.PerWorker = 1 + r.IntN(2)
+		}
+		steps := []jobs.Step{x}
+		if r.Float64() < 0.3 {
+			y := x
+			y.After = []int{0}
+			y.Tasks = width(8, most)
+			steps = append(steps, y)
+		}
+		return "quiet", steps, d
+	}
+}
+
+// largeLimits are the limits of the workers of a large site.
+var largeLimits = standin.RunLimits{Attempts: 4, MaxHold: 10 * time.Second, StopTimeout: 200 * time.Millisecond, GangTimeout: 3 * time.Second}
+
+// mixedSite is a large site under a mixed load.
+type mixedSite struct {
+	*site
+	m      *stallMonitor
+	roster *roster
+	load   *mixedLoad
+}
+
+// runMixedSite runs f in a site under a mixed load that has begun.
+func runMixedSite(t *testing.T, seed uint64, workers int, share float64, limits standin.RunLimits, f func(x *mixedSite)) {
+	t.Helper()
+	l := newMixedLoad(seed, workers, share)
+	runInLimitedSite(t, limits, largeWorkers(workers), l.outcome, nil, func(s *site) {
+		s.decode = func(e port.Entry) (*queue.Config, error) {
+			var v int64
+			_, err := fmt.Sscan(string(e.Value), &v)
+			return mixedConfig(v, workers), err
+		}
+		if *stallDisable != "" {
+			for _, n := range strings.Split(*stallDisable, ",") {
+				s.disabled = append(s.disabled, plan.Mechanism(n))
+			}
+		}
+		x := &mixedSite{site: s, roster: s.useRoster(), load: l}
+		x.m = &stallMonitor{s: s, roster: x.roster}
+		l.m = x.m
+		for _, h := range threeHosts {
+			s.start(h)
+		}
+		s.advance(2 * time.Second)
+		f(x)
+	})
+}
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -126,25 +126,40 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lifetimes++
-	if old := r.byAddr[w.Addr]; old != nil {
-		r.advance(old)
-		for _, x := range old.ended {
-			if x.Result == jobs.FailedRun && x.Number > old.lapsedNumber {
-				r.failedRuns[taskOf(x.Ref)]--
-			}
-		}
-		for _, x := range old.tasks {
-			if x.gang != nil && x.gang.brokenAt.IsZero() {
-				x.gang.brokenAt = r.clock.Now()
-			}
-		}
-	}
+	r.crash(w.Addr)
 	r.byAddr[w.Addr] = &runWorker{
 		worker: w, instance: fmt.Sprintf("%s-%d", w.Name, r.lifetimes), startedAt: r.clock.Now(),
 		tasks: map[port.RunRef]*runTask{}, closedRun: map[port.RunRef]int{},
 	}
 }
 
+// Remove ends a worker with its tasks; calls to it go unanswered from now on.
+func (r *Runners) Remove(addr netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crash(addr)
+	delete(r.byAddr, addr)
+}
+
+// crash ends the tasks of the worker at an address, if there is one, and drops its reports.
+func (r *Runners) crash(addr netip.AddrPort) {
+	old := r.byAddr[addr]
+	if old == nil {
+		return
+	}
+	r.advance(old)
+	for _, x := range old.ended {
+		if x.Result == jobs.FailedRun && x.Number > old.lapsedNumber {
+			r.failedRuns[taskOf(x.Ref)]--
+		}
+	}
+	for _, x := range old.tasks {
+		if x.gang != nil && x.gang.brokenAt.IsZero() {
+			x.gang.brokenAt = r.clock.Now()
+		}
+	}
+}
+
 // SetCommandDelay makes starts and stops at a worker go unanswered and take effect after the given delay; zero ends the fault.
 func (r *Runners) SetCommandDelay(addr netip.AddrPort, delay time.Duration) {
 	r.mu.Lock()
--- a/internal/standin/runnerstats.go
+++ b/internal/standin/runnerstats.go
@@ -1,6 +1,10 @@
 package standin
 
-import "github.com/auburncleat/auburncleat/internal/coordination/port"
+import (
+	"maps"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+)
 
 // HasStarted reports whether any task of a job was started.
 func (r *Runners) HasStarted(job string) bool {
@@ -51,3 +55,25 @@
 	}
 	return out
 }
+
+// FindAssigned returns the tasks on each worker that is up, by the name of the worker.
+func (r *Runners) FindAssigned() map[string][]port.RunRef {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string][]port.RunRef{}
+	for _, w := range r.byAddr {
+		r.advance(w)
+		out[w.worker.Name] = nil
+		for _, x := range w.tasks {
+			out[w.worker.Name] = append(out[w.worker.Name], x.ref)
+		}
+	}
+	return out
+}
+
+// FindDone returns the tasks that were done in any run, without the number of the run.
+func (r *Runners) FindDone() map[port.RunRef]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.doneTasks)
+}
