Guard the fault of a test worker by an atomic value

TestFailingWorkerIsQuarantinedAndTriedAgain writes a flag that the stand-in of the workers reads in goroutines of the hosts. The checks of the test are the same.

--- a/internal/host/contact_test.go
+++ b/internal/host/contact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,9 +76,10 @@
 // TestFailingWorkerIsQuarantinedAndTriedAgain guards against a worker that fails all it starts and keeps getting work, and
 // against one that gets none long after its fault is over.
 func TestFailingWorkerIsQuarantinedAndTriedAgain(t *testing.T) {
-	isFaulty := true
+	var isFaulty atomic.Bool
+	isFaulty.Store(true)
 	failOnFaulty := func(w string, o standin.RunOutcome) standin.RunOutcome {
-		if w == "w0" && isFaulty {
+		if w == "w0" && isFaulty.Load() {
 			return standin.RunOutcome{Work: 100 * time.Millisecond, Result: jobs.FailedRun}
 		}
 		return o
@@ -90,7 +92,7 @@
 		}
 		s.advance(time.Second)
 		require.Equal(t, 1, s.countWorkers(plan.WorkerQuarantined))
-		isFaulty = false
+		isFaulty.Store(false)
 		s.advance(8 * time.Second)
 		require.NoError(t, s.submit("a", "b000000000000000", "quiet", taskStep(48)))
 		s.advance(3 * time.Second)
