--- a/internal/host/stalledpolicy_test.go
+++ b/internal/host/stalledpolicy_test.go
@@ -82,8 +82,8 @@
 // would have expired.
 func TestWorkRunsAgainSoonAfterLossOfWorker(t *testing.T) {
 	cases := map[string]func(x *mixedSite, w fleet.Worker){
-		"is killed, and its entry removed at once": func(x *mixedSite, w fleet.Worker) { x.roster.remove(w); x.roster.unlist(w) },
-		"is killed, and its entry removed after three heartbeats": func(x *mixedSite, w fleet.Worker) {
+		"is killed and unlisted at once": func(x *mixedSite, w fleet.Worker) { x.roster.remove(w); x.roster.unlist(w) },
+		"is killed and unlisted after three heartbeats": func(x *mixedSite, w fleet.Worker) {
 			x.roster.remove(w)
 			x.m.advance(4500 * time.Millisecond)
 			x.roster.unlist(w)
@@ -99,7 +99,7 @@
 	for name, f := range cases {
 		for _, kind := range []string{"gang", "task"} {
 			for _, hold := range []time.Duration{6 * time.Second, 10 * time.Second} {
-				t.Run(fmt.Sprintf("worker of a %s %s, leases of %s", kind, name, hold), func(t *testing.T) {
+				t.Run(fmt.Sprintf("worker of a %s %s with leases of %s", kind, name, hold), func(t *testing.T) {
 					limits := largeLimits
 					limits.MaxHold = hold
 					runKnownSite(t, limits, func(x *mixedSite) { x.loseWorker(kind == "gang", f) })
