Bound the time for which rules that keep room hold an idle job back

What callers saw: accepted jobs with nothing running for seconds beside room for two of them, many of one organisation and queue at once.

Headroom keeps as many accelerators as urgent jobs needed at their peak, which decays over 10 s; a start rate, reservations and backfill for blocked gangs, adjacency in one rack and quarantine likewise end by events that may not come. The class of the fault: a rule that holds work back by what it believes of the future, without a time after which it gives way.

Fix: a submission that has had nothing placed for 2 s while the workers have room for two of its job is overdue. No rule that keeps room holds an overdue job back; one job of the submission starts, in free room outside guarantees, on trusted workers first. Room for it twice over is the condition, so that urgent work still finds the room that is kept.

New beside it: TestGangDoesNotIdleBesideScatteredRoom, TestJobDoesNotIdleBesideQuarantinedWorkers, TestOverdueJobLeavesRoomForUrgentWork.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -122,7 +122,7 @@
 	}
 	e.planner = plan.New("", plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim),
 		plan.WithLossBounds(urgentWasteRatio, otherWasteRatio), plan.WithHeadroom(headroomWindow, headroomShare),
-		plan.WithStartRate(startRate, startBurst), plan.WithPartialFleet(), plan.Without(e.disabled...))
+		plan.WithStartRate(startRate, startBurst), plan.WithIdleBound(maxIdleTime), plan.WithPartialFleet(), plan.Without(e.disabled...))
 	e.writer = feed.NewWriter(deps.Store, deps.Jobs, ownerProducer, term, e.clock, e.log)
 	return e
 }
@@ -200,6 +200,8 @@
 	// is the fraction of this peak for which accelerators are kept free.
 	headroomWindow = 10 * time.Second
 	headroomShare  = 1.0
+	// maxIdleTime is how long an accepted job may have nothing running beside room for two of it, less what a start takes.
+	maxIdleTime = 2 * time.Second
 	// takeoverTimeout is how long a new owner waits for reports of all workers before it starts any work.
 	takeoverTimeout = 700 * time.Millisecond
 	// reportGap is how long no further worker has reported before a new owner that has heard most workers waits no longer:
--- a/internal/coordination/exec/idle.go
+++ b/internal/coordination/exec/idle.go
@@ -65,9 +65,8 @@
 	busy := map[string]bool{}
 	for _, u := range e.units {
 		switch {
-		case u.phase == phaseRunning || u.isOver || now.Sub(u.phaseSince) < minIdleTime && u.phase != phaseQueued:
+		case u.phase == phaseRunning || u.isOver || now.Sub(e.idleSince(u)) < minIdleTime:
 			busy[u.job] = true
-		case now.Sub(u.phaseSince) < minIdleTime:
 		case byJob[u.job] == nil || u.phaseSince.Before(byJob[u.job].phaseSince):
 			byJob[u.job] = u
 		}
@@ -84,6 +83,15 @@
 	return out
 }
 
+// idleSince returns since when the job of a queued unit has had nothing running, or since when another unit has been in its
+// phase.
+func (e *Engine) idleSince(u *unit) time.Time {
+	if u.phase != phaseQueued {
+		return u.phaseSince
+	}
+	return later(u.phaseSince, e.planner.IdleSince(u.name))
+}
+
 // logIdleGroups writes a line for each of the largest groups, those beside free room first.
 func (e *Engine) logIdleGroups(now time.Time, groups map[idleGroup]*idleJobs) {
 	var out []*idleJobs
@@ -103,7 +111,7 @@
 		u := g.first
 		e.log.Info("jobs are idle", "Queue", u.queue, "Organisation", u.org, "Jobs", g.jobs, "BesideRoom", g.group.isBesideRoom,
 			"Phase", u.phase.String(), "Why", string(g.group.cause), "Deferred", e.deferred[u.name] != nil, "First", u.name,
-			"Run", u.run, "Failures", u.failures, "For", now.Sub(u.phaseSince).Round(time.Millisecond).String(), "Term", e.term)
+			"Run", u.run, "Failures", u.failures, "For", now.Sub(e.idleSince(u)).Round(time.Millisecond).String(), "Term", e.term)
 	}
 }
 
--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -154,7 +154,7 @@
 		}
 	}
 	return fleet.Job{
-		ID: u.name, Organisation: u.org, Profile: u.queue, Shape: e.shape(u), RunTime: u.step.Estimate,
+		ID: u.name, Submission: u.job, Organisation: u.org, Profile: u.queue, Shape: e.shape(u), RunTime: u.step.Estimate,
 		Submitted: u.since, Progress: u.progress, Group: spreadGroup(u), PerWorker: u.step.PerWorker, Label: u.step.Label,
 		Rack: u.step.Rack, LosesProgress: !u.step.Checkpoints,
 		Objective: q.Objective, Stretch: q.Stretch, Lasts: u.step.Lasts, IsFirm: u.step.Lasts && u.step.MayMiss > 0,
--- a/internal/state/fleet/job.go
+++ b/internal/state/fleet/job.go
@@ -13,6 +13,8 @@
 	// RunTime is the declared run time, which may differ widely from the actual one.
 	RunTime   time.Duration
 	Submitted time.Time
+	// Submission names what the job was submitted in together with others; empty means by itself.
+	Submission string
 	// Deadline is when the caller stops waiting; zero means that there is none.
 	Deadline time.Time
 	// Work is passed to the workers without being interpreted.
--- a/internal/state/place/ledger.go
+++ b/internal/state/place/ledger.go
@@ -22,6 +22,8 @@
 	PendingUnguaranteed Resources
 	// Closed excludes the site from new placements.
 	Closed bool
+	// Stopped is set while the worker leaves or a planned stop is in force, but not for its health.
+	Stopped bool
 	// StopFrom is when a planned stop begins; zero means none.
 	StopFrom time.Time
 	// BackfillUntil is when a blocked gang is planned to start here; other work must end by then. Zero means none.
--- /dev/null
+++ b/internal/state/plan/idle.go
@@ -0,0 +1,154 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/place"
+)
+
+// WithIdleBound sets how long a submission may have nothing running while there is room for two of a queued job of it. After
+// that, no rule that keeps room for other work holds the job back. Zero means no bound.
+func WithIdleBound(d time.Duration) Option {
+	return func(p *Planner) { p.idleBound = d }
+}
+
+// maxOverdueSearches bounds the distinct shapes of overdue jobs that one pass looks for room for.
+const maxOverdueSearches = 64
+
+// submission holds the jobs that were submitted together.
+type submission struct {
+	jobs int
+	// placed counts the jobs that have places on workers.
+	placed int
+	// idleSince is when the last of its jobs stopped running, or when the first was submitted.
+	idleSince time.Time
+}
+
+// submissionKey returns the name of the submission that a job is part of.
+func submissionKey(j fleet.Job) string {
+	if j.Submission != "" {
+		return j.Submission
+	}
+	return j.ID
+}
+
+func (p *Planner) submissionOf(e *entry) *submission {
+	return p.submissions[submissionKey(e.job)]
+}
+
+// addJob adds a job to the table and to its submission.
+func (p *Planner) addJob(e *entry) {
+	p.jobs[e.job.ID] = e
+	k := submissionKey(e.job)
+	if p.submissions[k] == nil {
+		p.submissions[k] = &submission{idleSince: p.now}
+		if p.now.IsZero() {
+			p.submissions[k].idleSince = e.job.Submitted
+		}
+	}
+	p.submissions[k].jobs++
+}
+
+// deleteJob removes a job from the table and from its submission.
+func (p *Planner) deleteJob(e *entry) {
+	delete(p.jobs, e.job.ID)
+	x := p.submissionOf(e)
+	if x.jobs--; x.jobs == 0 {
+		delete(p.submissions, submissionKey(e.job))
+	}
+}
+
+// unplace records that a job has left its places. A job that left before it ran does not end the idle time of its submission.
+func (p *Planner) unplace(e *entry) {
+	x := p.submissionOf(e)
+	if x.placed--; x.placed == 0 && e.state != StateStarting {
+		x.idleSince = p.now
+	}
+}
+
+// isOverdue reports whether the submission of a queued job has been idle for the idle bound while there is room for two of the
+// job.
+func (p *Planner) isOverdue(e *entry) bool {
+	x := p.submissionOf(e)
+	if p.idleBound == 0 || x.placed > 0 || p.now.Sub(x.idleSince) < p.idleBound {
+		return false
+	}
+	k := e.roomQuery()
+	if isTight, isKnown := p.pass.isTight[k]; isKnown {
+		return !isTight
+	}
+	if len(p.pass.isTight) >= maxOverdueSearches {
+		return false
+	}
+	isTight := !p.fitsTwice(e)
+	p.pass.isTight[k] = isTight
+	return !isTight
+}
+
+// IdleSince returns since when the submission of a queued job has had nothing running, or zero for a job that the planner does
+// not have.
+func (p *Planner) IdleSince(id string) time.Time {
+	e, ok := p.jobs[id]
+	if !ok {
+		return time.Time{}
+	}
+	return p.submissionOf(e).idleSince
+}
+
+// fitsTwice reports whether the workers have room for two of a job beside what runs, whatever is kept there for other work and
+// whatever is believed of their health.
+func (p *Planner) fitsTwice(e *entry) bool {
+	tasks := 0
+	for _, r := range p.ledger.Racks() {
+		for _, s := range r.Sites {
+			tasks += p.lastResortView(e)(s).Holds(e.need)
+			if tasks >= 2*e.shape.Tasks {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// FitsTwice reports whether the workers have room for two of a queued job beside what runs, whatever is kept there for other
+// work and whatever is believed of their health.
+func (p *Planner) FitsTwice(id string) bool {
+	e, ok := p.jobs[id]
+	return ok && p.fitsTwice(e)
+}
+
+// lastResortView returns the room that no running job and no awaited stop takes on workers that the job may use.
+func (p *Planner) lastResortView(e *entry) place.View {
+	return func(s *place.Site) place.Resources {
+		if s.Worker.Leaving || s.Stopped || !s.StopFrom.IsZero() || !p.matchesLabel(e, s) {
+			return place.Resources{}
+		}
+		return p.limitPerWorker(e, s, p.unreservedFor(e, s))
+	}
+}
+
+// unreservedFor returns the free room of a site that a job may use beside guarantees.
+func (p *Planner) unreservedFor(e *entry, s *place.Site) place.Resources {
+	if e.isPreemptible {
+		return s.Free()
+	}
+	return s.FreeUncommitted()
+}
+
+// findLastResort looks for room for an overdue job without regard to reservations for blocked gangs and adjacency, and, if there
+// is none on trusted workers, without regard to the health of the workers and the job's own record with them.
+func (p *Planner) findLastResort(e *entry) []*place.Site {
+	open := p.openView(e, p.now, func(s *place.Site) place.Resources { return p.unreservedFor(e, s) })
+	for _, v := range []place.View{open, p.lastResortView(e)} {
+		q := place.Search{Shape: e.shape, Targets: p.scoringTargets(), View: v}
+		if to := p.ledger.Fit(q); to != nil {
+			return to
+		}
+		q.Shape.Adjacent = fleet.LevelDomain
+		if to := p.ledger.Fit(q); e.shape.Adjacent == fleet.LevelRack && to != nil {
+			return to
+		}
+	}
+	return nil
+}
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -32,7 +32,7 @@
 // TestJobDoesNotIdleBesideHeadroom guards against accepted jobs that run nothing for as long as the headroom for urgent work
 // takes to decay.
 func TestJobDoesNotIdleBesideHeadroom(t *testing.T) {
-	p := planner(t, workers(6, 8), profiles(audit, urgent), WithHeadroom(10*time.Second, 1))
+	p := planner(t, workers(6, 8), profiles(audit, urgent), WithHeadroom(10*time.Second, 1), WithIdleBound(2*time.Second))
 	whole := shape(1, 8, fleet.LevelWorker)
 	for i := range 30 {
 		require.NoError(t, p.Submit(job(fmt.Sprintf("long%02d", i), "Gear", "Audit", whole)))
@@ -58,3 +58,84 @@
 	require.NoError(t, p.Submit(j))
 	requireStart(t, p, "small", at)
 }
+
+// TestGangDoesNotIdleBesideScatteredRoom guards against gangs that run nothing until a whole rack is free for them.
+func TestGangDoesNotIdleBesideScatteredRoom(t *testing.T) {
+	p := planner(t, workers(4, 4), profiles(audit), WithIdleBound(2*time.Second))
+	for i := range 16 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("a%02d", i), "Gear", "Audit", shape(1, 8, fleet.LevelWorker))))
+	}
+	d := p.Pass(start)
+	require.Len(t, d.Starts, 16)
+	run(p, d, start)
+	for i, s := range d.Starts {
+		if i%2 == 0 {
+			p.Ended(Ended{Job: s.Job.ID, Result: ResultDone, At: start})
+		}
+	}
+	require.NoError(t, p.Submit(job("gang", "Gear", "Audit", shape(4, 8, fleet.LevelRack))))
+	requireStart(t, p, "gang", start.Add(time.Millisecond))
+}
+
+// TestJobDoesNotIdleBesideQuarantinedWorkers guards against jobs that run nothing because the only workers with room are in
+// quarantine.
+func TestJobDoesNotIdleBesideQuarantinedWorkers(t *testing.T) {
+	p := planner(t, workers(1, 4), profiles(audit), WithIdleBound(2*time.Second))
+	require.NoError(t, p.Submit(job("long", "Gear", "Audit", shape(2, 8, fleet.LevelDomain))))
+	d := p.Pass(start)
+	require.Len(t, d.Starts, 1)
+	run(p, d, start)
+	var idle []fleet.Worker
+	for _, w := range workers(1, 4) {
+		if p.ledger.Get(w.Name).Used.Accelerators == 0 {
+			idle = append(idle, w)
+		}
+	}
+	require.Len(t, idle, 2)
+	for _, w := range idle {
+		for i := range 3 {
+			p.RecordCrash(w.Name, fmt.Sprintf("%s-%d", w.Name, i), start)
+		}
+	}
+	require.Empty(t, p.Pass(start).Starts)
+	for _, w := range idle {
+		require.True(t, p.ledger.Get(w.Name).Closed)
+	}
+	require.NoError(t, p.Submit(job("next", "Gear", "Audit", shape(1, 8, fleet.LevelWorker))))
+	requireStart(t, p, "next", start.Add(time.Millisecond))
+}
+
+// TestOverdueJobLeavesRoomForUrgentWork verifies that an idle submission takes kept accelerators only if room for it is left
+// beside it, and only for one of its jobs.
+func TestOverdueJobLeavesRoomForUrgentWork(t *testing.T) {
+	for _, x := range []struct{ kept, starts int }{{1, 0}, {2, 1}, {4, 1}} {
+		t.Run(fmt.Sprintf("%d workers kept", x.kept), func(t *testing.T) {
+			p := planner(t, workers(2, 4), profiles(audit, urgent), WithHeadroom(time.Hour, 1), WithIdleBound(2*time.Second))
+			whole := shape(1, 8, fleet.LevelWorker)
+			for i := range x.kept {
+				require.NoError(t, p.Submit(job(fmt.Sprintf("burst%d", i), "CW", "Urgent", whole)))
+			}
+			for i := range 8 - x.kept {
+				require.NoError(t, p.Submit(job(fmt.Sprintf("long%d", i), "Gear", "Audit", whole)))
+			}
+			d := p.Pass(start)
+			require.Len(t, d.Starts, 8)
+			run(p, d, start)
+			for i := range x.kept {
+				p.Ended(Ended{Job: fmt.Sprintf("burst%d", i), Result: ResultDone, At: start})
+			}
+			for i := range 4 {
+				j := volatile(fmt.Sprintf("part%d", i), "Audit", whole)
+				j.Submission = "all"
+				require.NoError(t, p.Submit(j))
+			}
+			n := 0
+			for i := range 100 {
+				d := p.Pass(start.Add(time.Duration(i) * 50 * time.Millisecond))
+				run(p, d, p.now)
+				n += len(d.Starts)
+			}
+			require.Equal(t, x.starts, n)
+		})
+	}
+}
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -116,7 +116,7 @@
 	if err := p.admit(e); err != nil {
 		return fmt.Errorf("submit %s: %w", j.ID, err)
 	}
-	p.jobs[j.ID] = e
+	p.addJob(e)
 	p.recordRecentShape(e)
 	p.enqueue(e)
 	return nil
@@ -130,7 +130,8 @@
 	e := p.newEntry(j)
 	e.state = StateRunning
 	e.since = started
-	p.jobs[j.ID] = e
+	p.addJob(e)
+	p.submissionOf(e).placed++
 	placement = slices.Clone(placement)
 	slices.SortFunc(placement, func(x, y fleet.Assignment) int { return x.Task - y.Task })
 	for _, a := range placement {
@@ -218,13 +219,14 @@
 	if e.isQueued() {
 		p.dequeue(e)
 	}
-	delete(p.jobs, e.job.ID)
+	p.deleteJob(e)
 	p.health.Forget(e.job.ID, false)
 }
 
 // releasePlaces releases the places of a job and withdraws its claim.
 func (p *Planner) releasePlaces(e *entry) {
 	if e.hasPlaces() {
+		p.unplace(e)
 		p.releaseExtraMemory(e)
 		p.deallocate(e)
 		if e.gang != nil {
--- a/internal/state/plan/overload_test.go
+++ b/internal/state/plan/overload_test.go
@@ -29,7 +29,7 @@
 
 func newOverload(workers int) *overload {
 	p := New("", WithRestartCost(500*time.Millisecond), WithClaimBound(2900*time.Millisecond), WithLossBounds(1.5, 0.3),
-		WithHeadroom(10*time.Second, 1))
+		WithHeadroom(10*time.Second, 1), WithIdleBound(2*time.Second))
 	p.Configure(profiles(bulk, normal, urgent))
 	g := map[string]int{}
 	for o := range 24 {
@@ -58,7 +58,7 @@
 		id := fmt.Sprintf("%016x/0/%d", o.jobs, i)
 		o.runs[id] = run
 		j := fleet.Job{
-			ID: id, Organisation: org, Profile: profile, Shape: s, RunTime: run, Submitted: o.at, LosesProgress: true,
+			ID: id, Submission: fmt.Sprintf("%016x", o.jobs), Organisation: org, Profile: profile, Shape: s, RunTime: run, Submitted: o.at, LosesProgress: true,
 			Objective: 3 * time.Second, Stretch: stretch,
 		}
 		if err := o.Submit(j); err != nil {
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -66,6 +66,8 @@
 	preemptionSearches int
 	// hasMovable is set if some job has been running for long enough to be moved.
 	hasMovable bool
+	// isTight tells for each query of an overdue job whether the room is short for two of it.
+	isTight map[roomQuery]bool
 	// ends caches the expected ends of started gangs.
 	ends map[*entry]time.Time
 	// lastSites holds the site where the last task of a query was placed, which often has room for the next one.
@@ -105,7 +107,7 @@
 	}
 	p.pass = passState{
 		failed: map[roomQuery]time.Duration{}, noPreemption: map[preemptionKey]bool{}, ends: map[*entry]time.Time{},
-		lastSites: map[roomQuery]*place.Site{},
+		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{},
 	}
 	p.sumJobs()
 	p.refreshSites()
@@ -162,6 +164,7 @@
 					from = x.From
 				}
 			}
+			s.Stopped = closed
 			closed = p.updateTrust(s) || closed
 			p.dirty = p.dirty || closed != s.Closed || from.IsZero() != s.StopFrom.IsZero()
 			s.Closed, s.StopFrom, s.BackfillUntil = closed, from, time.Time{}
@@ -229,15 +232,20 @@
 			return
 		}
 	}
-	if !p.leavesHeadroom(e) {
+	isOverdue := p.isOverdue(e)
+	if !p.leavesHeadroom(e) && !isOverdue {
 		e.reason = waitReason{code: reasonHeadroom, a: p.headroom.free, b: p.headroom.reserved}
 		return
 	}
-	if !p.hasStartToken(e) {
+	if !p.hasStartToken(e) && !isOverdue {
 		e.reason = waitReason{code: reasonStartRate}
 		return
 	}
-	if sites, reason := p.findSites(e); sites != nil {
+	sites, reason := p.findSites(e)
+	if sites == nil && isOverdue {
+		sites, reason = p.findLastResort(e), "as its submission has nothing running beside free room"
+	}
+	if sites != nil {
 		p.headroom.take(e.shape.TotalAccelerators(), e.isUrgent())
 		p.takeStartToken(e)
 		p.start(e, sites, reason, d)
@@ -261,6 +269,7 @@
 	e.state = StateStarting
 	e.since = p.now
 	e.sites = sites
+	p.submissionOf(e).placed++
 	e.awaited = nil
 	e.reason = waitReason{text: reason}
 	p.allocate(e)
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -23,6 +23,7 @@
 	ledger       *place.Ledger
 	reservations *hold.Reservations
 	jobs         map[string]*entry
+	submissions  map[string]*submission
 	// gangsOn lists the started gangs of each site.
 	gangsOn map[*place.Site][]*entry
 	// isPartial is set until all workers are known; until then no shape is rejected as impossible.
@@ -45,6 +46,8 @@
 	lossBounds [2]float64
 	// claimBound is how long a job within the guaranteed accelerators may wait for its start; zero means no bound.
 	claimBound time.Duration
+	// idleBound is how long a submission may idle beside room for two of it; zero means no bound.
+	idleBound time.Duration
 	// restartCost is the run time that a preempted gang loses in addition to the time of its checkpoint.
 	restartCost  time.Duration
 	limits       limits
@@ -105,6 +108,7 @@
 		ledger:              l,
 		reservations:        hold.New(l),
 		jobs:                map[string]*entry{},
+		submissions:         map[string]*submission{},
 		gangsOn:             map[*place.Site][]*entry{},
 		knownWorkers:        map[string]fleet.Worker{},
 		usage:               map[string]place.Resources{},
--- a/internal/state/plan/waiting.go
+++ b/internal/state/plan/waiting.go
@@ -1,7 +1,5 @@
 package plan
 
-import "github.com/auburncleat/auburncleat/internal/state/place"
-
 // WaitCause says which rule kept a queued job from its start in the last pass.
 type WaitCause string
 
@@ -48,25 +46,3 @@
 		return WaitPass
 	}
 }
-
-// FitsTwice reports whether the listed workers have room for two of a queued job beside what runs, whatever is reserved or
-// awaited there and whatever is believed of their health.
-func (p *Planner) FitsTwice(id string) bool {
-	e, ok := p.jobs[id]
-	if !ok {
-		return false
-	}
-	tasks := 0
-	for _, r := range p.ledger.Racks() {
-		for _, s := range r.Sites {
-			if s.Worker.Leaving || !p.matchesLabel(e, s) {
-				continue
-			}
-			tasks += p.limitPerWorker(e, s, s.Capacity.Minus(s.Used)).Holds(place.TaskResources(e.job.Shape))
-			if tasks >= 2*e.shape.Tasks {
-				return true
-			}
-		}
-	}
-	return false
-}
