Keep a lasting task queued when its lost run is reported as done

What callers see: a task that lasts has no run any more, without end, beside free workers; the owner counts its unit as queued and the planner does not have it (the summary says 'job does not exist' as the reason of the oldest unit).

Cause: the run of a lasting task is counted as lost (a lost answer, a lapsed lease) and queued again. If the worker then reports the end of that very run as done, handleLateEnd takes the unit out of the planner, since a done unit does not run again. finishRun turns the result of a lasting task into stopped, and releaseRun asks the planner to queue a unit that it no longer has: it ignores that, and the engine holds the unit as queued. Nothing leads out of that state within the term.

Fix: the late end of a lasting task is not taken over, as the task runs again whatever its result; the unit stays queued.

Ruled out by reading as other ways into 'queued here, unknown there': releaseRun asks the planner to queue again only units that started from it or were adopted by it, and only handleLateEnd takes such a unit out while it lives; the planner drops a unit by itself only with a refusal, which defers it.

--- /dev/null
+++ b/internal/coordination/exec/lost_test.go
@@ -0,0 +1,68 @@
+package exec
+
+import (
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/stretchr/testify/require"
+)
+
+const testID = "00000000000000aa"
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	runInRig(t, 2, runsTaking(time.Second), func(r *rig) {
+		r.advance(time.Second)
+		r.submit(testID, taskStep(3))
+		r.waitForState(testID, jobs.Completed, 3*time.Second)
+		require.Empty(t, r.engine.units)
+	})
+}
+
+// loseRun counts the run of the first task of a job as lost, and returns its unit, its worker and the end that the worker
+// may still report.
+func (r *rig) loseRun(id string) (*unit, *worker, port.RunEnd) {
+	e := r.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	u := e.units[jobs.UnitKey{Job: id}.String()]
+	m := u.members[0]
+	w := e.workers[m.worker]
+	x := port.RunEnd{Number: w.lastHandledEnd + 1, Ref: u.ref(m), Result: jobs.Done}
+	e.handleTaskEnd(u, m, jobs.Lost, "", false)
+	return u, w, x
+}
+
+// waitForPhase waits until a unit is in a phase.
+func (r *rig) waitForPhase(u *unit, p phase) {
+	r.t.Helper()
+	for range 1000 {
+		r.engine.mu.Lock()
+		isIn := u.phase == p
+		r.engine.mu.Unlock()
+		if isIn {
+			return
+		}
+		r.advance(time.Millisecond)
+	}
+	require.Equal(r.t, p, u.phase)
+}
+
+// TestLastingTaskRunsAgainAfterLateEnd guards against a unit that the engine counts as queued and the planner does not have: the
+// run of a lasting task was counted as lost and reported as done afterwards.
+func TestLastingTaskRunsAgainAfterLateEnd(t *testing.T) {
+	runInRig(t, 2, runsTaking(time.Hour), func(r *rig) {
+		r.advance(time.Second)
+		s := taskStep(1)
+		s.Lasts = true
+		r.submit(testID, s)
+		r.requireRunning(testID, 1, time.Second)
+		u, w, x := r.loseRun(testID)
+		r.waitForPhase(u, phaseQueued)
+		r.engine.mu.Lock()
+		r.engine.handleLateEnd(w, x)
+		r.engine.mu.Unlock()
+		r.requireRunning(testID, 1, 3*time.Second)
+	})
+}
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -60,11 +60,12 @@
 	})
 }
 
-// handleLateEnd accepts the successful end of a run that was counted as lost, unless the unit has been started again.
+// handleLateEnd accepts the successful end of a run that was counted as lost, unless the unit has been started again or runs
+// again whatever its result.
 func (e *Engine) handleLateEnd(w *worker, x port.RunEnd) {
 	for _, index := range []int{x.Ref.Task, jobs.WholeGang} {
 		u := e.units[jobs.UnitKey{Job: x.Ref.Job, Occurrence: x.Ref.Occurrence, Step: x.Ref.Step, Index: index}.String()]
-		if u == nil || u.phase != phaseQueued || u.run != x.Ref.Run || x.Result != jobs.Done {
+		if u == nil || u.phase != phaseQueued || u.run != x.Ref.Run || x.Result != jobs.Done || u.step.Lasts {
 			continue
 		}
 		e.log.Info("run counted as lost has completed", "Job", u.job, "Unit", u.name, "Run", u.run, "Worker", w.name)
