Submit no unit again whose end is being stored

What callers could see: a step that is done runs a second time, and a unit in the middle of a start or an end is set back to queued, from where nothing starts it if the planner counts it as started.

Cause: a refusal of the planner marks a unit as deferred whatever its phase, and runChecks submits every deferred unit again, which sets it to queued. A refusal waits in the planner for the next pass; a late end may be taken over meanwhile, so that the unit is in the phase of its end when the refusal comes. With a store that takes longer than 150 ms it was queued and started again.

Fix: a refusal defers queued units only. A deferred unit is thus never one that the planner has, so the Cancel before each new submission, which would have thrown away the idle time of its submission and its record with workers, goes.

Ruled out with it: that runChecks resets the idle time or the place of a waiting unit each 150 ms. Deferred units are those that Submit refused or that the planner dropped with its refusal; for neither did Cancel find anything.

--- a/internal/coordination/exec/health.go
+++ b/internal/coordination/exec/health.go
@@ -26,7 +26,6 @@
 		}
 	}
 	for _, u := range e.deferred {
-		e.planner.Cancel([]string{u.name})
 		e.enqueue(u)
 	}
 }
--- a/internal/coordination/exec/lost_test.go
+++ b/internal/coordination/exec/lost_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/auburncleat/auburncleat/internal/state/plan"
 	"github.com/stretchr/testify/require"
 )
 
@@ -66,3 +67,27 @@
 		r.requireRunning(testID, 1, 3*time.Second)
 	})
 }
+
+// TestRefusedUnitThatHasEndedStaysEnded guards against a unit that is submitted again while its end is being stored: a refusal
+// of the planner reached it after a late end.
+func TestRefusedUnitThatHasEndedStaysEnded(t *testing.T) {
+	runInRig(t, 2, runsTaking(time.Hour), func(r *rig) {
+		r.advance(time.Second)
+		after := taskStep(1)
+		after.After = []int{0}
+		r.submit(testID, taskStep(1), after)
+		r.requireRunning(testID, 1, time.Second)
+		u, w, x := r.loseRun(testID)
+		r.waitForPhase(u, phaseQueued)
+		r.store.SetDelay(500 * time.Millisecond)
+		r.engine.mu.Lock()
+		r.engine.handleLateEnd(w, x)
+		r.engine.applyDecisions(plan.Decisions{Refusals: []plan.Refusal{{Job: u.name}}})
+		r.engine.mu.Unlock()
+		r.advance(2 * time.Second)
+		r.store.SetDelay(2 * time.Millisecond)
+		r.advance(2 * time.Second)
+		require.Equal(t, 1, u.run)
+		require.Equal(t, map[phase]int{phaseRunning: 1}, r.phases(testID))
+	})
+}
--- a/internal/coordination/exec/pass.go
+++ b/internal/coordination/exec/pass.go
@@ -80,7 +80,7 @@
 	}
 	for _, r := range d.Refusals {
 		u := e.units[r.Job]
-		if u == nil {
+		if u == nil || u.phase != phaseQueued {
 			continue
 		}
 		e.log.Info("planner refused a unit", "Unit", u.name, "Reason", r.Reason)
