Tell the planner of a worker that does not answer a start

Cause: after a start without an answer the engine marks the worker as suspect, but not in the planner. The check for silent workers tells the planner only of workers that are not marked yet, so the planner learns nothing until the worker reports again. The run ends once the lease of its task is certainly over, and the planner, for which the worker is empty and sound, places the next run there.

Fix: the planner is told with the mark.

Evidence: TestSilentWorkerGetsNoSecondStart failed before: run 2 was started on the worker that had been cut off before run 1.

Not mended here: the first run still waits for the end of its lease though no start may have reached the worker, and a worker whose polls fail at once (its process has ended) is never counted as silent, since each poll renews the time from which its silence is counted.

--- a/internal/coordination/exec/lost_test.go
+++ b/internal/coordination/exec/lost_test.go
@@ -35,6 +35,17 @@
 	return u, w, x
 }
 
+// newestRun returns the number and the worker of the newest run of the first task of a job.
+func (r *rig) newestRun(id string) (run int, worker string) {
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	u := r.engine.units[jobs.UnitKey{Job: id}.String()]
+	if u == nil || len(u.members) == 0 {
+		return 0, ""
+	}
+	return u.run, u.members[0].worker
+}
+
 // waitForPhase waits until a unit is in a phase.
 func (r *rig) waitForPhase(u *unit, p phase) {
 	r.t.Helper()
@@ -91,3 +102,19 @@
 		require.Equal(t, map[phase]int{phaseRunning: 1}, r.phases(testID))
 	})
 }
+
+// TestSilentWorkerGetsNoSecondStart guards against work that waits for one lease after the other: each run of a unit goes to
+// the worker that did not answer its start, as the planner is not told.
+func TestSilentWorkerGetsNoSecondStart(t *testing.T) {
+	runInRig(t, 4, runsTaking(time.Hour), func(r *rig) {
+		r.advance(time.Second)
+		r.runners.SetCut(func(_, worker string) bool { return worker == "w0" })
+		r.submit(testID, taskStep(1))
+		run, worker := 0, ""
+		for run < 2 {
+			r.advance(10 * time.Millisecond)
+			run, worker = r.newestRun(testID)
+		}
+		require.NotEqual(t, "w0", worker)
+	})
+}
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -125,6 +125,7 @@
 	}
 	e.log.Warn("no reply to start request", "Job", u.job, "Unit", u.name, "Run", run, "Worker", m.worker, "Cause", err.Error())
 	w.isSuspect = true
+	e.updatePlannerWorker(w)
 	e.stopRun(u, "a worker did not accept its task")
 	return true
 }
