Test what becomes of units whose start is being stored

- The set of changed jobs that two engines of a host share: an election begins a term only once the engine of the last one has returned, and adopt takes the set before it reads the open jobs, so a change in between is seen twice and never lost.
TestNextTermTakesUpAllOpenJobs.
- A start whose record cannot be stored: Done gets an error only when the writer ends, which ends the term; the next one takes the unit up again.
TestTermEndsWhenStartCannotBeStored.
- A worker that is restarted, drains, leaves or falls silent while the start is stored: sendStarts compares instances, and a start without an answer ends with the lease.
TestUnitRunsAfterChangeOfWorkerDuringSlowStart.

By reading, an encoding error in storeStart, finishRun or endJob cannot arise: a protobuf message with these fields fails to encode only for strings that are not UTF-8. Checkpoints and ends come from JSON, whose decoder replaces such bytes; reasons are constants; ids, queues and organisations were encoded before when the job was accepted; a name of a worker is sent in a header first and the worker has to have answered.

--- a/internal/coordination/exec/lost_test.go
+++ b/internal/coordination/exec/lost_test.go
@@ -1,10 +1,14 @@
 package exec
 
 import (
+	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/auburncleat/auburncleat/internal/state/plan"
 	"github.com/stretchr/testify/require"
@@ -118,3 +122,97 @@
 		require.NotEqual(t, "w0", worker)
 	})
 }
+
+// TestNextTermTakesUpAllOpenJobs guards against jobs that no engine has a unit of: an ending term and the next one share the
+// table and its set of changed jobs, and jobs come all the while.
+func TestNextTermTakesUpAllOpenJobs(t *testing.T) {
+	for _, pause := range []time.Duration{0, time.Millisecond, 3 * time.Millisecond, 700 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			runInRig(t, 2, runsTaking(time.Hour), func(r *rig) {
+				r.advance(time.Second)
+				var ids []string
+				for term := range int64(6) {
+					for range 2 {
+						id := fmt.Sprintf("%016x", len(ids))
+						ids = append(ids, id)
+						r.submit(id, taskStep(1))
+						r.advance(pause)
+					}
+					r.stop()
+					r.start(term + 2)
+				}
+				for _, id := range ids {
+					r.requireRunning(id, 1, 2*time.Second)
+				}
+			})
+		})
+	}
+}
+
+// TestTermEndsWhenStartCannotBeStored guards against an owner that goes on with units whose start is never stored.
+func TestTermEndsWhenStartCannotBeStored(t *testing.T) {
+	for _, cause := range []error{port.ErrStaleEpoch, port.ErrOutOfSequence} {
+		t.Run(cause.Error(), func(t *testing.T) {
+			runInRig(t, 2, runsTaking(time.Hour), func(r *rig) {
+				r.advance(time.Second)
+				r.stop()
+				var isRejected atomic.Bool
+				r.change = func(d *Deps) {
+					appendTo := d.Store.Append
+					d.Store.Append = func(ctx context.Context, a port.Append) (port.Appended, error) {
+						if isRejected.Load() {
+							return port.Appended{}, cause
+						}
+						return appendTo(ctx, a)
+					}
+				}
+				r.start(2)
+				r.advance(time.Second)
+				isRejected.Store(true)
+				r.submit(testID, taskStep(1))
+				r.advance(100 * time.Millisecond)
+				require.Equal(t, map[phase]int{phaseStoring: 1}, r.phases(testID))
+				require.Error(t, r.engine.ctx.Err(), "the term goes on")
+				r.stop()
+				isRejected.Store(false)
+				r.start(3)
+				r.requireRunning(testID, 1, 2*time.Second)
+			})
+		})
+	}
+}
+
+// TestUnitRunsAfterChangeOfWorkerDuringSlowStart guards against a unit that stays in the phase in which its start is stored:
+// its worker is restarted, drained, unlisted or silent meanwhile.
+func TestUnitRunsAfterChangeOfWorkerDuringSlowStart(t *testing.T) {
+	cases := map[string]func(r *rig, w fleet.Worker){
+		"restarted": func(r *rig, w fleet.Worker) { r.runners.Add(w) },
+		"draining":  func(r *rig, w fleet.Worker) { r.put(port.Runner{Worker: w, IsDraining: true}) },
+		"unlisted":  func(r *rig, w fleet.Worker) { r.drop(w.Name) },
+		"silent":    func(r *rig, w fleet.Worker) { r.runners.SetCut(func(_, x string) bool { return x == w.Name }) },
+		"gone": func(r *rig, w fleet.Worker) {
+			r.runners.Remove(w.Addr)
+			r.drop(w.Name)
+		},
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			runInRig(t, 4, runsTaking(time.Hour), func(r *rig) {
+				r.advance(time.Second)
+				r.store.SetDelay(3 * time.Second)
+				r.submit(testID, taskStep(1))
+				for r.phases(testID)[phaseStoring] == 0 {
+					r.advance(10 * time.Millisecond)
+				}
+				r.engine.mu.Lock()
+				u := r.engine.units[jobs.UnitKey{Job: testID}.String()]
+				w := r.engine.workers[u.members[0].worker].runner.Worker
+				r.engine.mu.Unlock()
+				change(r, w)
+				r.store.SetDelay(2 * time.Millisecond)
+				r.advance(3 * time.Second)
+				r.requireRunning(testID, 1, testBounds.MaxHold+4*time.Second)
+			})
+		})
+	}
+}
