Try an unsent start elsewhere at once

Cause: a start that is not answered for 1.2 s stops its run, and the task counts as gone only once the worker confirms that or its lease is certainly over, as a start without an answer may be executed later. That also held for starts of which no attempt was sent (no connection could be opened) or all were refused as unhealthy.

Fix: if no attempt can still be executed, the task ends as not started, and the unit is placed anew. The planner has been told meanwhile that the worker does not answer.

--- a/internal/coordination/exec/engine_test.go
+++ b/internal/coordination/exec/engine_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,6 +51,8 @@
 	put  func(port.Runner)
 	drop func(string)
 	stop func()
+	// gone is the address of a worker whose process has ended, so that no connection to it can be opened.
+	gone atomic.Pointer[netip.AddrPort]
 }
 
 // runInRig runs f in a synctest bubble with an engine of term 1 and workers with 8 accelerators each.
@@ -59,7 +62,7 @@
 		c := clock.System()
 		limits := standin.RunLimits{MaxHold: testBounds.MaxHold, StopTimeout: testBounds.StopTimeout, GangTimeout: testBounds.GangTimeout}
 		r := &rig{t: t, store: standin.NewStore(c, 2*time.Millisecond), runners: standin.NewRunners(c, limits, plan), table: jobs.NewTable()}
-		r.view = r.runners.View("a")
+		r.view = r.refuseGone(r.runners.View("a"))
 		for i := range workers {
 			w := testWorker(i)
 			r.runners.Add(w)
@@ -86,6 +89,31 @@
 	}
 }
 
+// refuseGone sends no call to the worker that is gone.
+func (r *rig) refuseGone(x port.Runners) port.Runners {
+	isGone := func(to netip.AddrPort) bool { return r.gone.Load() != nil && *r.gone.Load() == to }
+	return port.Runners{
+		Start: func(ctx context.Context, to netip.AddrPort, s port.RunStart) (time.Duration, error) {
+			if isGone(to) {
+				return 0, port.ErrUnsent
+			}
+			return x.Start(ctx, to, s)
+		},
+		Stop: func(ctx context.Context, to netip.AddrPort, ref port.RunRef, token int64, worker string) error {
+			if isGone(to) {
+				return port.ErrUnsent
+			}
+			return x.Stop(ctx, to, ref, token, worker)
+		},
+		Renew: func(ctx context.Context, to netip.AddrPort, h port.LeaseRenewal) (port.RunReport, error) {
+			if isGone(to) {
+				return port.RunReport{}, port.ErrUnsent
+			}
+			return x.Renew(ctx, to, h)
+		},
+	}
+}
+
 func (r *rig) apply(e port.Entry) {
 	require.NoError(r.t, r.table.Apply(e.Offset, jobs.Record{Key: e.Key, Value: e.Value}))
 }
--- a/internal/coordination/exec/lost_test.go
+++ b/internal/coordination/exec/lost_test.go
@@ -216,3 +216,20 @@
 		})
 	}
 }
+
+// TestUnsentStartIsTriedElsewhereAtOnce guards against work that waits for the end of a lease that no worker holds: no attempt
+// of its start reached the worker, whose process has ended.
+func TestUnsentStartIsTriedElsewhereAtOnce(t *testing.T) {
+	for name, step := range map[string]jobs.Step{"task": taskStep(1), "gang": {Tasks: 2, Gang: true, Accelerators: 8, Estimate: time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			runInRig(t, 4, runsTaking(time.Hour), func(r *rig) {
+				r.advance(time.Second)
+				r.gone.Store(&r.workers[0].Addr)
+				r.submit(testID, step)
+				r.requireRunning(testID, 1, 2*startTimeout)
+				_, worker := r.newestRun(testID)
+				require.NotEqual(t, "w0", worker)
+			})
+		})
+	}
+}
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -126,6 +126,10 @@
 	e.log.Warn("no reply to start request", "Job", u.job, "Unit", u.name, "Run", run, "Worker", m.worker, "Cause", err.Error())
 	w.isSuspect = true
 	e.updatePlannerWorker(w)
+	if !isUndecided && !isUndecidedStart(err) {
+		e.failStart(u, m, jobs.Stopped, "no attempt reached the worker")
+		return true
+	}
 	e.stopRun(u, "a worker did not accept its task")
 	return true
 }
