Count an unsent start as gone when its run is stopped

What callers see: a gang of which a worker refuses a task has nothing running for up to 3 s and more beside free room, until it is placed anew.

Cause: when a run is stopped while some of its starts are not sent yet, nothing is sent for these any more, but the tasks count as possibly there. Their workers get a stop, and the run ends only once a report that was asked for after the confirmed stop does not list the task. The poll that is under way may last 1.5 s, and the next one, which finds no end either, another 1.5 s.

Fix: a task whose start was never sent by this owner ends at once when its run is stopped; the goroutine that would send it checks the phase under the same lock.

TestStopOfUnsentStartNeedsNoReport failed before: 100 ms after the refusal the gang still was in its first run. The case was found by a test in which a worker refuses its task of a gang, which passed or failed by the order of goroutines.

--- a/internal/coordination/exec/lost_test.go
+++ b/internal/coordination/exec/lost_test.go
@@ -39,6 +39,13 @@
 	return u, w, x
 }
 
+// unit returns a unit of the first step of a job, or nil.
+func (r *rig) unit(id string, index int) *unit {
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	return r.engine.units[jobs.UnitKey{Job: id, Index: index}.String()]
+}
+
 // newestRun returns the number and the worker of the newest run of the first task of a job.
 func (r *rig) newestRun(id string) (run int, worker string) {
 	r.engine.mu.Lock()
@@ -217,6 +224,31 @@
 	}
 }
 
+// TestStopOfUnsentStartNeedsNoReport guards against a gang that is not placed anew for seconds: a worker refuses its task before
+// the start of another one is sent, and two reports of the other worker have to show that nothing is there.
+func TestStopOfUnsentStartNeedsNoReport(t *testing.T) {
+	runInRig(t, 4, runsTaking(time.Hour), func(r *rig) {
+		r.advance(time.Second)
+		r.submit(testID, jobs.Step{Tasks: 2, Gang: true, Accelerators: 8, Estimate: time.Second})
+		var u *unit
+		for u == nil {
+			r.advance(time.Millisecond)
+			u = r.unit(testID, jobs.WholeGang)
+		}
+		r.engine.mu.Lock()
+		require.Equal(t, phaseStoring, u.phase)
+		// Starts are sent only by later goroutines, which find the run stopped.
+		r.engine.sendStarts(u)
+		r.engine.failStart(u, u.members[0], jobs.Stopped, "refused")
+		r.engine.mu.Unlock()
+		r.advance(100 * time.Millisecond)
+		r.engine.mu.Lock()
+		defer r.engine.mu.Unlock()
+		require.Equal(t, 2, u.run)
+		require.Equal(t, phaseRunning, u.phase)
+	})
+}
+
 // TestUnsentStartIsTriedElsewhereAtOnce guards against work that waits for the end of a lease that no worker holds: no attempt
 // of its start reached the worker, whose process has ended.
 func TestUnsentStartIsTriedElsewhereAtOnce(t *testing.T) {
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -61,7 +61,7 @@
 		}
 		w.leaseEnd = later(w.leaseEnd, now.Add(e.leaseBound()))
 		addr := w.runner.Worker.Addr
-		m.isUndecided = true
+		m.isSent, m.isUndecided = true, true
 		e.mu.Unlock()
 		workerClock, err := e.deps.Runners.Start(e.ctx, addr, s)
 		e.mu.Lock()
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -18,6 +18,9 @@
 	e.scope.Counter("units_stopped").Inc(1)
 	e.setPhase(u, phaseStopping)
 	for _, m := range u.members {
+		if !m.isSent && m.presence == taskUnknown {
+			m.presence, m.result = taskEnded, jobs.Stopped
+		}
 		if m.presence == taskEnded || m.isStopping {
 			continue
 		}
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -61,6 +61,8 @@
 	isStalled bool
 	// isWorkerFault is set when the loss of the task is evidence against its worker, and not just a loss of contact.
 	isWorkerFault bool
+	// isSent is set once a start of the task may have been sent to the worker.
+	isSent bool
 	// isUndecided is set while a start of the task is in transit or was not answered, so that it may still be executed.
 	isUndecided bool
 	// endNumber is the number of the end in the report of the worker; zero when the worker has not reported it.
