Place a refused start on another worker

What callers see: accepted jobs have nothing running, for as long as one worker refuses their starts, beside room for them many times over on other workers; more jobs of the same shape stand likewise, and all move once that worker takes tasks again. Each attempt is a rejected start.

Cause: the run of a refused start ends as stopped, which tells the planner nothing of the worker. A worker that answers its polls stays the best place for the job, as the planner counts it as free, so that the next pass, 15 ms later, sends the start there again. Workers refuse starts for want of room that they count otherwise than the owner, for a lease that their clock finds expired, and as unhealthy; a start without an answer on a worker that answers polls is the same.

Fix: the end of an attempt names the workers that have not accepted a task. The job avoids them like those that were lost under it, which gives way by the known rules (no other worker could hold it, half of the workers avoided, an overdue job). It is no evidence against their health.

TestRefusedStartIsTriedElsewhere failed before in five of its six cases (the sixth, a task on an unhealthy worker, passed): no run on another worker within 2.4 s; the log of 'task room' shows the start refused by the same worker every 15 ms, from run 1 to the end. Passed 30 times with -race.

--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -113,6 +113,7 @@
 		e.failStart(u, m, jobs.Lost, "another worker is at its address")
 		return true
 	case !isUndecided && isRefusedStart(err):
+		m.isRefused = true
 		e.failStart(u, m, jobs.Stopped, err.Error())
 		return true
 	case errors.Is(err, port.ErrFenced):
@@ -124,7 +125,7 @@
 		return false
 	}
 	e.log.Warn("no reply to start request", "Job", u.job, "Unit", u.name, "Run", run, "Worker", m.worker, "Cause", err.Error())
-	w.isSuspect = true
+	w.isSuspect, m.isRefused = true, true
 	e.updatePlannerWorker(w)
 	if !isUndecided && !isUndecidedStart(err) {
 		e.failStart(u, m, jobs.Stopped, "no attempt reached the worker")
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -174,7 +174,8 @@
 	e.acknowledge(u)
 	isRequeued := r != jobs.Done && !u.isOver
 	x := plan.Ended{
-		Job: u.name, Result: planResult(r), Workers: u.failedWorkers(r), Progress: u.progress, At: e.clock.Now(), Requeue: isRequeued,
+		Job: u.name, Result: planResult(r), Workers: u.failedWorkers(r), Refused: u.refusingWorkers(), Progress: u.progress,
+		At: e.clock.Now(), Requeue: isRequeued,
 	}
 	e.planner.Ended(x)
 	if u.isOver {
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -63,6 +63,8 @@
 	isWorkerFault bool
 	// isSent is set once a start of the task may have been sent to the worker.
 	isSent bool
+	// isRefused is set when the worker has not accepted the task.
+	isRefused bool
 	// isUndecided is set while a start of the task is in transit or was not answered, so that it may still be executed.
 	isUndecided bool
 	// endNumber is the number of the end in the report of the worker; zero when the worker has not reported it.
@@ -158,6 +160,17 @@
 	return out
 }
 
+// refusingWorkers returns the workers that have not accepted a task.
+func (u *unit) refusingWorkers() []string {
+	var out []string
+	for _, m := range u.members {
+		if m.isRefused {
+			out = append(out, m.worker)
+		}
+	}
+	return out
+}
+
 // isFenced reports whether the store rejected an append because it has seen a newer owner.
 func isFenced(err error) bool {
 	return errors.Is(err, port.ErrStaleEpoch)
--- a/internal/state/plan/attempt.go
+++ b/internal/state/plan/attempt.go
@@ -43,6 +43,7 @@
 	if x.Result == ResultLost || x.Result == ResultNoStart {
 		e.refusedBy = append(e.refusedBy, x.Workers...)
 	}
+	e.refusedBy = append(e.refusedBy, x.Refused...)
 	e.avoid = slices.Concat(p.health.FindFailedWorkers(e.job.ID), e.refusedBy)
 	if 2*len(e.avoid) > p.ledger.Len() {
 		e.avoid, e.refusedBy = nil, nil
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -36,7 +36,7 @@
 	// plannedRack is the rack in which a blocked gang is planned to start.
 	plannedRack *place.Rack
 	avoid       []string
-	// refusedBy are workers that were lost during an attempt or did not start it.
+	// refusedBy are workers that were lost during an attempt or did not accept a task of it.
 	refusedBy []string
 	// starts counts the starts decided by this planner; starts under a former owner are not included.
 	starts int
--- a/internal/state/plan/types.go
+++ b/internal/state/plan/types.go
@@ -86,7 +86,9 @@
 	Job    string
 	Result Result
 	// Workers are those that failed or were lost; empty if the end is not attributed to a worker.
-	Workers  []string
+	Workers []string
+	// Refused are workers that did not accept a task; the job avoids them, which says nothing of their health.
+	Refused  []string
 	Progress time.Duration
 	At       time.Time
 	// Requeue keeps the job in the queue for another attempt.
