Delete a record that was stored after the end of its job

What callers could see: a job that ended minutes ago is open again and runs again, for hosts that start or reload then; other hosts answer that it does not exist.

Cause: a repeated request may reach a host that has read neither the job nor its end; it stores the job again, after the end and its tombstone of the job. As long as the end is kept, the end wins. Once the retention is over, only the end and the cancellation were deleted, and the newest record of the job's key was a job.

Fix: what deletes an end deletes the key of the job as well.

--- a/internal/coordination/exec/purge.go
+++ b/internal/coordination/exec/purge.go
@@ -28,7 +28,7 @@
 	ids = ids[:min(len(ids), maxPurgeBatch)]
 	var records []jobs.Record
 	for _, id := range ids {
-		records = append(records, jobs.EndTombstone(id), jobs.CancelTombstone(id))
+		records = append(records, jobs.PurgeRecords(id)...)
 	}
 	e.log.Info("records of ended jobs dropped", "Jobs", len(ids), "Term", e.term)
 	e.store(records, nil)
--- a/internal/state/jobs/record.go
+++ b/internal/state/jobs/record.go
@@ -133,6 +133,12 @@
 	return Record{Key: cancelPrefix + id}
 }
 
+// PurgeRecords returns the records that delete the end of a job, and records that a host stored after the end as it had not
+// read that yet.
+func PurgeRecords(id string) []Record {
+	return []Record{EndTombstone(id), CancelTombstone(id), JobTombstone(id)}
+}
+
 // UnitRecord returns the record of the newest run of a unit.
 func UnitRecord(u *Unit) (Record, error) {
 	m := &wire.BatchUnit{
