Keep newer cancellations when the table is reloaded

What callers could see: a cancelled job is shown as running again for a moment, on the host that took the cancellation, after the log of the store has expired before the host read it.

Cause: a reload keeps what was applied of jobs, ends and runs from its offset on, as the records that it reads may lack it, but not cancellations, though their offsets are kept for that.

Fix: cancellations from that offset on are applied again.

TestReloadKeepsNewerRecords failed before in its case 'cancellation'; a job, a run and an end were kept. No job waits for it: the follower reads on from the offset of the reload and comes to the cancellation again.

--- a/internal/state/jobs/reload_test.go
+++ b/internal/state/jobs/reload_test.go
@@ -253,3 +253,32 @@
 		}
 	})
 }
+
+// TestReloadKeepsNewerRecords guards against answers that go back in time: what a writer of the host has applied above the offset
+// of a reload stays, as the reload may lack it.
+func TestReloadKeepsNewerRecords(t *testing.T) {
+	const id, before = "00000000000000aa", 10
+	job, err := JobRecord(&Job{ID: id, Accepted: time.Unix(0, 0), Steps: []Step{{Tasks: 2}}})
+	require.NoError(t, err)
+	end, err := EndRecord(&Job{ID: id, State: Completed})
+	require.NoError(t, err)
+	run, err := UnitRecord(&Unit{Key: UnitKey{Job: id}, Run: 2, Result: Running})
+	require.NoError(t, err)
+	for name, newer := range map[string]Record{"job": job, "run": run, "end": end, "cancellation": CancelRecord(id)} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable()
+			old := []StoredRecord{{Record: job, Offset: 1}}
+			if name == "job" {
+				old = nil
+			}
+			require.NoError(t, table.Reload(old, before))
+			require.NoError(t, table.Apply(before, newer))
+			want := describe(table)
+			require.NotEmpty(t, want)
+			table.TakeChanged()
+			require.NoError(t, table.Reload(old, before))
+			require.Equal(t, want, describe(table))
+			require.Equal(t, []string{id}, table.TakeChanged())
+		})
+	}
+}
--- a/internal/state/jobs/table.go
+++ b/internal/state/jobs/table.go
@@ -44,7 +44,7 @@
 func (t *Table) Reload(rs []StoredRecord, before int64) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old := t.jobs
+	old, cancels := t.jobs, t.cancels
 	t.jobs = map[string]*Job{}
 	t.orphans = map[string][]*Unit{}
 	t.cancels = map[string]int64{}
@@ -57,6 +57,11 @@
 	for id, j := range old {
 		t.restoreNewer(id, j, before)
 	}
+	for id, offset := range cancels {
+		if offset >= before {
+			t.applyCancel(offset, CancelRecord(id))
+		}
+	}
 	return err
 }
 
