--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -59,6 +59,8 @@
 	lastRenewal func() clock.Instant
 	// disabled are the mechanisms of the planner that are switched off.
 	disabled []plan.Mechanism
+	// plannerOptions are further options of the planner.
+	plannerOptions []plan.Option
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -120,9 +122,11 @@
 	for _, o := range opts {
 		o(e)
 	}
-	e.planner = plan.New("", plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim),
-		plan.WithLossBounds(urgentWasteRatio, otherWasteRatio), plan.WithHeadroom(headroomWindow, headroomShare),
-		plan.WithStartRate(startRate, startBurst), plan.WithIdleBound(maxIdleTime), plan.WithPartialFleet(), plan.Without(e.disabled...))
+	e.planner = plan.New("", append([]plan.Option{
+		plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim), plan.WithLossBounds(urgentWasteRatio, otherWasteRatio),
+		plan.WithHeadroom(headroomWindow, headroomShare), plan.WithStartRate(startRate, startBurst), plan.WithIdleBound(maxIdleTime),
+		plan.WithPartialFleet(), plan.Without(e.disabled...),
+	}, e.plannerOptions...)...)
 	e.writer = feed.NewWriter(deps.Store, deps.Jobs, ownerProducer, term, e.clock, e.log)
 	return e
 }
--- a/internal/coordination/exec/engine_test.go
+++ b/internal/coordination/exec/engine_test.go
@@ -47,6 +47,8 @@
 	workers  []fleet.Worker
 	// change may replace the dependencies of each engine before it starts.
 	change func(*Deps)
+	// options are those of each engine.
+	options []Option
 	// put and drop change the worker list of the running engine.
 	put  func(port.Runner)
 	drop func(string)
@@ -136,7 +138,7 @@
 	if r.change != nil {
 		r.change(&d)
 	}
-	r.engine = New(d, testBounds, term, WithLog(slog.New(slog.NewTextHandler(r.t.Output(), nil))))
+	r.engine = New(d, testBounds, term, append([]Option{WithLog(slog.New(slog.NewTextHandler(r.t.Output(), nil)))}, r.options...)...)
 	ctx, cancel := context.WithCancel(r.t.Context())
 	done := make(chan struct{})
 	go func() {
@@ -168,6 +170,18 @@
 	r.append(x)
 }
 
+// restart ends the engine and starts one for the next term.
+func (r *rig) restart() {
+	r.stop()
+	r.start(r.engine.term + 1)
+}
+
+// list starts and lists another worker.
+func (r *rig) list(w fleet.Worker) {
+	r.runners.Add(w)
+	r.put(port.Runner{Worker: w})
+}
+
 // append stores a record as another host.
 func (r *rig) append(x jobs.Record) {
 	r.t.Helper()
--- a/internal/coordination/exec/health.go
+++ b/internal/coordination/exec/health.go
@@ -25,9 +25,7 @@
 			e.updatePlannerWorker(w)
 		}
 	}
-	for _, u := range e.deferred {
-		e.enqueue(u)
-	}
+	e.resubmitDeferred()
 }
 
 // expireTasks counts the tasks of a worker as lost once its lease has certainly expired.
--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -173,15 +173,20 @@
 func (e *Engine) enqueue(u *unit) {
 	e.setPhase(u, phaseQueued)
 	u.members = nil
-	if err := e.planner.Submit(e.plannerJob(u)); err != nil {
-		if e.deferred[u.name] == nil {
-			e.log.Info("unit deferred", "Job", u.job, "Unit", u.name, "Cause", err.Error())
-		}
+	if err := e.submit(u); err != nil && e.deferred[u.name] == nil {
+		e.log.Info("unit deferred", "Job", u.job, "Unit", u.name, "Cause", err.Error())
 		e.deferred[u.name] = u
-		return
+	}
+}
+
+// submit submits a unit to the planner, and ends its deferral if the planner accepts it.
+func (e *Engine) submit(u *unit) error {
+	if err := e.planner.Submit(e.plannerJob(u)); err != nil {
+		return err
 	}
 	delete(e.deferred, u.name)
 	e.requestPass()
+	return nil
 }
 
 // endJob writes the end of a job to the store and stops its remaining units.
--- a/internal/coordination/exec/lost_test.go
+++ b/internal/coordination/exec/lost_test.go
@@ -138,15 +138,14 @@
 			runInRig(t, 2, runsTaking(time.Hour), func(r *rig) {
 				r.advance(time.Second)
 				var ids []string
-				for term := range int64(6) {
+				for range 6 {
 					for range 2 {
 						id := fmt.Sprintf("%016x", len(ids))
 						ids = append(ids, id)
 						r.submit(id, taskStep(1))
 						r.advance(pause)
 					}
-					r.stop()
-					r.start(term + 2)
+					r.restart()
 				}
 				for _, id := range ids {
 					r.requireRunning(id, 1, 2*time.Second)
@@ -180,9 +179,8 @@
 				r.advance(100 * time.Millisecond)
 				require.Equal(t, map[phase]int{phaseStoring: 1}, r.phases(testID))
 				require.Error(t, r.engine.ctx.Err(), "the term goes on")
-				r.stop()
 				isRejected.Store(false)
-				r.start(3)
+				r.restart()
 				r.requireRunning(testID, 1, 2*time.Second)
 			})
 		})
