Count a submission as idle while its only run is being stopped

What callers saw: a job of several tasks with nothing running beside free room for up to the length of a lease, while one of its tasks was being stopped on a worker that did not answer (leases of 10 s on some sites).

Cause: the planner counted a submission as placed while any of its jobs held places on a worker, and the engine did not tell it that a run was being stopped. So rules that keep room went on to hold the other jobs of the submission back. Beside that, the idle time of a submission did not begin anew when a run ended while another of its jobs was starting, so that a failed start could take kept room at once.

Fix: a submission counts its jobs that run or start; the engine reports the stop of a run. One function changes the state of a job and keeps the count.

Evidence: TestJobDoesNotIdleBehindTaskOfLostWorker failed before with 'of 32 free accelerators 31 are kept for urgent work', TestStartThatFailsDoesNotMakeJobOverdue with an idle time that began a minute too early.

--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -17,6 +17,7 @@
 	e.log.Info("unit stops", "Job", u.job, "Unit", u.name, "Run", u.run, "Reason", reason)
 	e.scope.Counter("units_stopped").Inc(1)
 	e.setPhase(u, phaseStopping)
+	e.planner.Stopping(u.name)
 	for _, m := range u.members {
 		if m.presence == taskEnded || m.isStopping {
 			continue
--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -19,9 +19,9 @@
 // submission holds the jobs that were submitted together.
 type submission struct {
 	jobs int
-	// placed counts the jobs that have places on workers.
-	placed int
-	// idleSince is when the last of its jobs stopped running, or when the first was submitted.
+	// live counts the jobs that run or start.
+	live int
+	// idleSince is when one of its jobs last ran, or when the first was submitted.
 	idleSince time.Time
 }
 
@@ -53,25 +53,38 @@
 // deleteJob removes a job from the table and from its submission.
 func (p *Planner) deleteJob(e *entry) {
 	delete(p.jobs, e.job.ID)
+	p.setState(e, "")
 	x := p.submissionOf(e)
 	if x.jobs--; x.jobs == 0 {
 		delete(p.submissions, submissionKey(e.job))
 	}
 }
 
-// unplace records that a job has left its places. A job that left before it ran does not end the idle time of its submission.
-func (p *Planner) unplace(e *entry) {
+// isLive reports whether a job runs or starts.
+func (e *entry) isLive() bool {
+	return e.state == StateStarting || e.state == StateRunning
+}
+
+// setState changes the state of a job in the table. A job that never ran does not end the idle time of its submission.
+func (p *Planner) setState(e *entry, state string) {
 	x := p.submissionOf(e)
-	if x.placed--; x.placed == 0 && e.state != StateStarting {
+	if e.isLive() {
+		x.live--
+	}
+	if e.state == StateRunning {
 		x.idleSince = p.now
 	}
+	e.state = state
+	if e.isLive() {
+		x.live++
+	}
 }
 
 // isOverdue reports whether the submission of a queued job has been idle for the idle bound while there is room for two of the
 // job.
 func (p *Planner) isOverdue(e *entry) bool {
 	x := p.submissionOf(e)
-	if p.idleBound == 0 || x.placed > 0 || p.now.Sub(x.idleSince) < p.idleBound {
+	if p.idleBound == 0 || x.live > 0 || p.now.Sub(x.idleSince) < p.idleBound {
 		return false
 	}
 	k := e.roomQuery()
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -139,3 +139,46 @@
 		})
 	}
 }
+
+// TestJobDoesNotIdleBehindTaskOfLostWorker guards against submissions that run nothing while one of their tasks is being stopped
+// on a worker that does not answer.
+func TestJobDoesNotIdleBehindTaskOfLostWorker(t *testing.T) {
+	p := planner(t, workers(2, 4), profiles(audit, urgent), WithHeadroom(time.Hour, 1), WithIdleBound(2*time.Second))
+	whole := shape(1, 8, fleet.LevelWorker)
+	for i := range 7 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("burst%d", i), "CW", "Urgent", whole)))
+	}
+	first := volatile("first", "Audit", whole)
+	first.Submission = "all"
+	require.NoError(t, p.Submit(first))
+	d := p.Pass(start)
+	require.Len(t, d.Starts, 8)
+	run(p, d, start)
+	for i := range 4 {
+		p.Ended(Ended{Job: fmt.Sprintf("burst%d", i), Result: ResultDone, At: start})
+	}
+	next := volatile("next", "Audit", whole)
+	next.Submission = "all"
+	require.NoError(t, p.Submit(next))
+	p.Stopping("first")
+	requireStart(t, p, "next", start)
+}
+
+// TestStartThatFailsDoesNotMakeJobOverdue guards against jobs that take kept room because a start failed beside a run that has
+// just ended.
+func TestStartThatFailsDoesNotMakeJobOverdue(t *testing.T) {
+	p := planner(t, workers(1, 4), profiles(audit), WithIdleBound(2*time.Second))
+	for _, id := range []string{"a", "b"} {
+		j := job(id, "Gear", "Audit", shape(1, 8, fleet.LevelWorker))
+		j.Submission = "all"
+		require.NoError(t, p.Submit(j))
+	}
+	d := p.Pass(start)
+	require.Len(t, d.Starts, 2)
+	p.Started("a", start)
+	at := start.Add(time.Minute)
+	p.Pass(at)
+	p.Ended(Ended{Job: "a", Result: ResultStopped, At: at, Requeue: true})
+	p.Ended(Ended{Job: "b", Result: ResultStopped, At: at, Requeue: true})
+	require.Equal(t, at, p.IdleSince("a"))
+}
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -128,10 +128,9 @@
 		p.remove(e)
 	}
 	e := p.newEntry(j)
-	e.state = StateRunning
 	e.since = started
 	p.addJob(e)
-	p.submissionOf(e).placed++
+	p.setState(e, StateRunning)
 	placement = slices.Clone(placement)
 	slices.SortFunc(placement, func(x, y fleet.Assignment) int { return x.Task - y.Task })
 	for _, a := range placement {
@@ -185,10 +184,17 @@
 	if !ok || e.state != StateStarting {
 		return
 	}
-	e.state = StateRunning
+	p.setState(e, StateRunning)
 	e.since = at
 }
 
+// Stopping records that a started job is being stopped and no longer counts as running.
+func (p *Planner) Stopping(id string) {
+	if e, ok := p.jobs[id]; ok && e.isLive() {
+		p.setState(e, StateStopping)
+	}
+}
+
 // Ended records the end of an attempt and releases its resources.
 func (p *Planner) Ended(x Ended) {
 	e, ok := p.jobs[x.Job]
@@ -205,7 +211,7 @@
 	}
 	p.releasePlaces(e)
 	p.raiseMemory(e)
-	e.state = StateQueued
+	p.setState(e, StateQueued)
 	e.stopReason = ""
 	e.job.Progress = max(e.job.Progress, x.Progress)
 	p.enqueue(e)
@@ -226,7 +232,6 @@
 // releasePlaces releases the places of a job and withdraws its claim.
 func (p *Planner) releasePlaces(e *entry) {
 	if e.hasPlaces() {
-		p.unplace(e)
 		p.releaseExtraMemory(e)
 		p.deallocate(e)
 		if e.gang != nil {
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -266,10 +266,9 @@
 	p.dequeue(e)
 	e.job.Attempt++
 	e.starts++
-	e.state = StateStarting
+	p.setState(e, StateStarting)
 	e.since = p.now
 	e.sites = sites
-	p.submissionOf(e).placed++
 	e.awaited = nil
 	e.reason = waitReason{text: reason}
 	p.allocate(e)
@@ -397,7 +396,7 @@
 			continue
 		}
 		if e.state == StateRunning {
-			e.state = StateStopping
+			p.setState(e, StateStopping)
 			e.reason = waitReason{text: e.stopReason}
 			d.Stops = append(d.Stops, Stop{Job: e.job.ID, Grace: e.profile.ReclaimBound, Reason: e.stopReason})
 			continue
