Look for stalled jobs after faults that come and go under load

Accepted jobs stood still beside free room on machines of the users, and no test looked for that together with faults. The monitor of stalled jobs so far watched a load without faults and single faults of single jobs.

The stand-in workers: a gang with a task on a worker that stands still makes no progress as a whole; before, its other tasks ended as done and a part of it as alone, so that the owner counted the room of a task as free that ran on. The monitor counts the room of running jobs whose acceptance the caller never learned of.

--- a/internal/host/roster_test.go
+++ b/internal/host/roster_test.go
@@ -106,6 +106,15 @@
 	r.s.runners.Remove(w.Addr)
 }
 
+// restart starts a worker anew, without its tasks, and lists it.
+func (r *roster) restart(w fleet.Worker) {
+	r.mu.Lock()
+	r.removed[w.Name] = false
+	r.mu.Unlock()
+	r.s.runners.Add(w)
+	r.list(w, false)
+}
+
 // isUsable reports whether a worker is up, listed and not draining.
 func (r *roster) isUsable(name string) bool {
 	r.mu.Lock()
--- a/internal/host/stalled_test.go
+++ b/internal/host/stalled_test.go
@@ -32,6 +32,8 @@
 	// since is when the job was first seen with nothing running beside room for it; zero while it is not.
 	since time.Time
 	task  string
+	// lastOn holds the workers that the job was last seen on.
+	lastOn []string
 	// isOver is set once the job has ended or is being cancelled.
 	isOver bool
 }
@@ -46,8 +48,8 @@
 }
 
 func (x stall) String() string {
-	return fmt.Sprintf("%s of %s in %s: %s from %s for %s", x.job.id, x.job.org, x.job.queue, x.task, x.from.Format("05.000"),
-		x.to.Sub(x.from))
+	return fmt.Sprintf("%s of %s in %s: %s from %s for %s, last on %v", x.job.id, x.job.org, x.job.queue, x.task,
+		x.from.Format("04:05.000"), x.to.Sub(x.from), x.job.lastOn)
 }
 
 // stallMonitor looks for jobs that have nothing running while one of their tasks could run and there is room for it twice
@@ -58,6 +60,8 @@
 	// mu guards the fields below.
 	mu   sync.Mutex
 	jobs []*knownJob
+	// steps holds the steps of all jobs that were submitted, also of those that were not accepted as far as the caller knows.
+	steps map[string][]jobs.Step
 	// active counts the faults in force; lastFault is when the last one was in force.
 	active    int
 	lastFault time.Time
@@ -82,6 +86,16 @@
 	return slices.DeleteFunc(slices.Clone(m.stalls), func(x stall) bool { return x.to.Sub(x.from) < atLeast })
 }
 
+// submit notes that a job is being submitted.
+func (m *stallMonitor) submit(id string, steps []jobs.Step) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.steps == nil {
+		m.steps = map[string][]jobs.Step{}
+	}
+	m.steps[id] = steps
+}
+
 // accept adds an accepted job.
 func (m *stallMonitor) accept(id, queue, org string, steps []jobs.Step) {
 	m.mu.Lock()
@@ -101,6 +115,19 @@
 	}
 }
 
+// findOpen returns the jobs that have neither ended nor are being cancelled.
+func (m *stallMonitor) findOpen() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []string
+	for _, j := range m.jobs {
+		if !j.isOver {
+			ids = append(ids, j.id)
+		}
+	}
+	return ids
+}
+
 // beginFault notes that a fault is in force, until the returned function is called.
 func (m *stallMonitor) beginFault() func() {
 	m.mu.Lock()
@@ -124,18 +151,14 @@
 	if m.active > 0 {
 		m.lastFault = now
 	}
-	byID := map[string]*knownJob{}
-	for _, j := range m.jobs {
-		byID[j.id] = j
-	}
-	running := map[string]bool{}
+	running := map[string][]string{}
 	room := map[string]room{}
 	for w, ts := range assigned {
 		x := newRoom(m.findWorker(w))
 		for _, t := range ts {
-			running[t.Job] = true
-			if j := byID[t.Job]; j != nil {
-				x.take(j.steps[t.Step], t)
+			running[t.Job] = append(running[t.Job], w)
+			if steps := m.steps[t.Job]; steps != nil {
+				x.take(steps[t.Step], t)
 			}
 		}
 		if m.roster.isUsable(w) {
@@ -151,7 +174,10 @@
 			continue
 		}
 		step := j.findRunnable(done)
-		if step < 0 || running[j.id] || !fitsTwice(j, step, room) {
+		if on := running[j.id]; len(on) > 0 {
+			j.lastOn = on
+		}
+		if step < 0 || len(running[j.id]) > 0 || !fitsTwice(j, step, room) {
 			m.endStall(j, now)
 			continue
 		}
--- a/internal/host/stalledload_test.go
+++ b/internal/host/stalledload_test.go
@@ -18,6 +18,22 @@
 	"github.com/auburncleat/auburncleat/internal/state/queue"
 )
 
+// The last digit of the version of a mixed configuration selects its variant.
+const (
+	configPlain = 1 + iota
+	// configShares takes the guarantee of the first organisation away.
+	configShares
+	// configNoKey has no key for the last organisation.
+	configNoKey
+	// configLimits allows more failed runs and more time.
+	configLimits
+	// configNoQueue lacks the last queue.
+	configNoQueue
+)
+
+// moreAttempts is the largest number of failed runs of a task that any variant allows.
+const moreAttempts = 6
+
 // mixedConfig has three urgencies and four organisations, whose keys are their names.
 func mixedConfig(version int64, workers int) *queue.Config {
 	c := &queue.Config{Version: version, Keys: map[string]string{}}
@@ -34,6 +50,20 @@
 		c.Organisations = append(c.Organisations, queue.Organisation{Name: n, Accelerators: workers * 8 * 6 / 10 / 4})
 		c.Keys[n] = n
 	}
+	switch version % 10 {
+	case configShares:
+		for i := range c.Organisations {
+			c.Organisations[i].Accelerators *= min(i, 1)
+		}
+	case configNoKey:
+		delete(c.Keys, "org3")
+	case configLimits:
+		for i := range c.Queues {
+			c.Queues[i].MaxAttempts, c.Queues[i].Stretch = moreAttempts, 2*c.Queues[i].Stretch
+		}
+	case configNoQueue:
+		c.Queues = c.Queues[:2]
+	}
 	return c
 }
 
@@ -46,12 +76,15 @@
 	share float64
 	next  time.Time
 	n     int
-	// cancels is the share of jobs that are cancelled.
-	cancels float64
+	// cancels is the share of jobs that are cancelled, and poisonous that of jobs whose runs all fail.
+	cancels   float64
+	poisonous float64
 
 	mu    sync.Mutex
 	steps map[string][]jobs.Step
 	work  map[string]time.Duration
+	// poison holds the jobs whose runs all fail.
+	poison map[string]bool
 	// failures draws the runs that fail.
 	failures *rand.Rand
 }
@@ -59,7 +92,7 @@
 func newMixedLoad(seed uint64, workers int, share float64) *mixedLoad {
 	return &mixedLoad{
 		rand: rand.New(rand.NewPCG(seed, 7)), failures: rand.New(rand.NewPCG(seed, 8)), workers: workers, share: share,
-		steps: map[string][]jobs.Step{}, work: map[string]time.Duration{}, cancels: 0.05,
+		steps: map[string][]jobs.Step{}, work: map[string]time.Duration{}, poison: map[string]bool{}, cancels: 0.05,
 	}
 }
 
@@ -71,7 +104,7 @@
 	if x := l.steps[id]; x != nil && x[r.Step].Gang {
 		out.Gang = x[r.Step].Tasks
 	}
-	if l.failures.IntN(40) == 0 {
+	if l.failures.IntN(40) == 0 || l.poison[id] {
 		out.Work, out.Result = out.Work/4, jobs.FailedRun
 	}
 	return out
@@ -102,10 +135,12 @@
 	org := fmt.Sprintf("org%d", l.rand.IntN(4))
 	l.mu.Lock()
 	l.steps[id], l.work[id] = steps, work
+	l.poison[id] = l.poisonous > 0 && l.rand.Float64() < l.poisonous
 	l.mu.Unlock()
 	h := s.hosts[s.pickHost(l.rand)]
 	cancelAfter := time.Duration(l.rand.IntN(6000)) * time.Millisecond
 	isCancelled := l.rand.Float64() < l.cancels
+	l.m.submit(id, steps)
 	go func() {
 		if s.submitOnce(org, h, id, q, steps...) != nil {
 			return
--- a/internal/host/stalledpolicy_test.go
+++ b/internal/host/stalledpolicy_test.go
@@ -17,6 +17,7 @@
 	x.load.mu.Lock()
 	x.load.steps[id], x.load.work[id] = steps, work
 	x.load.mu.Unlock()
+	x.m.submit(id, steps)
 	require.NoError(x.t, x.submitOnce("org0", x.hosts["a"], id, q, steps...))
 	x.m.accept(id, q, "org0", steps)
 }
--- a/internal/standin/gangrun.go
+++ b/internal/standin/gangrun.go
@@ -13,11 +13,21 @@
 	brokenAt time.Time
 }
 
+// stall stops the progress of all tasks of a gang, because one of them is on a worker that stands still.
+func (g *gangRun) stall() {
+	for _, x := range g.tasks {
+		x.doneAt = time.Time{}
+	}
+}
+
 // startWork sets when and how the tasks of a gang end, once all of them have started. If runs are to fail, the earliest
-// failure stops the others.
+// failure stops the others. A gang with a task on a worker that stands still makes no progress.
 func (g *gangRun) startWork(now time.Time) {
 	var failed *runTask
 	for _, x := range g.tasks {
+		if x.worker.isStalled {
+			return
+		}
 		if x.outcome.Result == jobs.FailedRun && (failed == nil || x.outcome.Work < failed.outcome.Work) {
 			failed = x
 		}
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -160,52 +160,6 @@
 	}
 }
 
-// SetCommandDelay makes starts and stops at a worker go unanswered and take effect after the given delay; zero ends the fault.
-func (r *Runners) SetCommandDelay(addr netip.AddrPort, delay time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.byAddr[addr].commandDelay = delay
-}
-
-// SetStalled stops the progress of all tasks of a worker, present and future.
-func (r *Runners) SetStalled(addr netip.AddrPort) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	w := r.byAddr[addr]
-	w.isStalled = true
-	for _, x := range w.tasks {
-		x.doneAt = time.Time{}
-	}
-}
-
-// SetAdjust sets a function that changes the outcome of each run by the worker that it runs on.
-func (r *Runners) SetAdjust(f func(worker string, o RunOutcome) RunOutcome) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.adjust = f
-}
-
-// SetAttempts changes how many runs of a task may fail; zero means no limit.
-func (r *Runners) SetAttempts(n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.limits.Attempts = n
-}
-
-// SetFull sets whether a worker refuses all starts with port.ErrNoRoom.
-func (r *Runners) SetFull(addr netip.AddrPort, isFull bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.byAddr[addr].isFull = isFull
-}
-
-// SetReportDelay delays the answers of a worker to Hold.
-func (r *Runners) SetReportDelay(addr netip.AddrPort, d time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.byAddr[addr].reportDelay = d
-}
-
 // FindWorker returns the name of the worker on which a task runs, or an empty string.
 func (r *Runners) FindWorker(t port.RunRef) string {
 	r.mu.Lock()
@@ -468,7 +422,7 @@
 			r.endRun(w, t, x, jobs.Stopped, "stopped")
 		case x.gang != nil && !x.gang.brokenAt.IsZero():
 			r.endRun(w, t, x, jobs.Stopped, "broken")
-		case x.gang != nil && x.doneAt.IsZero() && now.Sub(x.startedAt) > r.limits.GangTimeout:
+		case x.gang != nil && len(x.gang.tasks) < x.outcome.Gang && now.Sub(x.startedAt) > r.limits.GangTimeout:
 			r.endRun(w, t, x, jobs.Stopped, "alone")
 		case isLapsed:
 			r.endRun(w, t, x, jobs.Lost, "lapsed")
