Count a worker as silent whose polls fail at once

Cause: a worker is silent once its newest poll has had no answer for 2.4 s. With a process that has ended no connection can be opened: the poll fails at once and is repeated every 200 ms, so that the newest is never old.

Fix: a worker is silent as well if its newest poll failed and it has not reported for 2.4 s. An idle worker, which is not asked, is so after its first failed poll. That keeps new work off it until it answers, and nothing else.

TestWorkerThatRefusesConnectionsGetsNoWork failed before: a job that came 2.55 s after the end of the process was placed on its worker.

--- a/internal/coordination/exec/engine_test.go
+++ b/internal/coordination/exec/engine_test.go
@@ -182,6 +182,12 @@
 	r.put(port.Runner{Worker: w})
 }
 
+// kill ends the process of a worker that stays listed.
+func (r *rig) kill(w fleet.Worker) {
+	r.gone.Store(&w.Addr)
+	r.runners.Remove(w.Addr)
+}
+
 // append stores a record as another host.
 func (r *rig) append(x jobs.Record) {
 	r.t.Helper()
--- a/internal/coordination/exec/health.go
+++ b/internal/coordination/exec/health.go
@@ -10,7 +10,7 @@
 // lifts the avoidance of workers where tasks stalled, and resubmits deferred units.
 func (e *Engine) runChecks(now time.Time) {
 	for _, w := range e.workers {
-		if !w.isSuspect && !w.lastPoll.IsZero() && w.lastPoll.After(w.lastReport) && now.Sub(w.lastPoll) > pollWait+responseTimeout {
+		if !w.isSuspect && w.isSilent(now) {
 			w.isSuspect = true
 			e.log.Info("worker is silent", "Worker", w.name, "Tasks", len(w.tasks), "Asked", now.Sub(w.lastPoll).String())
 			e.updatePlannerWorker(w)
@@ -28,6 +28,15 @@
 	e.resubmitDeferred()
 }
 
+// isSilent reports whether the worker has not reported for too long, and has left a poll unanswered or failed one.
+func (w *worker) isSilent(now time.Time) bool {
+	const limit = pollWait + responseTimeout
+	if w.isFailing && now.Sub(w.lastReport) > limit {
+		return true
+	}
+	return !w.lastPoll.IsZero() && w.lastPoll.After(w.lastReport) && now.Sub(w.lastPoll) > limit
+}
+
 // expireTasks counts the tasks of a worker as lost once its lease has certainly expired.
 func (e *Engine) expireTasks(w *worker) {
 	for _, t := range w.tasks {
--- a/internal/coordination/exec/lost_test.go
+++ b/internal/coordination/exec/lost_test.go
@@ -254,7 +254,7 @@
 		t.Run(name, func(t *testing.T) {
 			runInRig(t, 4, runsTaking(time.Hour), func(r *rig) {
 				r.advance(time.Second)
-				r.gone.Store(&r.workers[0].Addr)
+				r.kill(r.workers[0])
 				r.submit(testID, step)
 				r.requireRunning(testID, 1, 2*startTimeout)
 				_, worker := r.newestRun(testID)
--- a/internal/coordination/exec/refuse_test.go
+++ b/internal/coordination/exec/refuse_test.go
@@ -41,3 +41,23 @@
 		}
 	}
 }
+
+// TestWorkerThatRefusesConnectionsGetsNoWork guards against work that is placed on a worker whose process has ended: each poll fails
+// at once, and none is ever unanswered for long.
+func TestWorkerThatRefusesConnectionsGetsNoWork(t *testing.T) {
+	runInRig(t, 4, runsTaking(time.Hour), func(r *rig) {
+		r.advance(time.Second)
+		r.submit(testID, taskStep(1))
+		r.requireRunning(testID, 1, time.Second)
+		_, worker := r.newestRun(testID)
+		require.Equal(t, "w0", worker)
+		r.kill(r.workers[0])
+		r.advance(pollWait + responseTimeout + checkInterval)
+		const other = "00000000000000bb"
+		r.submit(other, taskStep(1))
+		r.requireRunning(other, 1, 500*time.Millisecond)
+		run, worker := r.newestRun(other)
+		require.Equal(t, 1, run)
+		require.NotEqual(t, "w0", worker)
+	})
+}
