Drop a worker under the lock under which it was found done

What callers could see: units that stay in the phase of a start or a stop for good, on a worker that came back at the moment at which its poller ended.

Cause, by reading: the poller finds its worker unlisted and without tasks, unlocks, locks again and deletes it. If the worker is listed again in between (an entry that expired and is back), no new poller starts, as the old one has not ended, and then the old one ends: the platform lists the worker, the planner places work on it, and nothing polls it. Starts get a worker without address, and the end of their lease is looked for in a worker that has no tasks.

Fix: one critical section. Not reproduced: nothing can be put between the two locks from outside, so there is no test that failed; the tests of the package and of internal/host pass as before.

--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -14,10 +14,7 @@
 	for ctx.Err() == nil {
 		e.mu.Lock()
 		isIdle := w.hasReported && !w.isSuspect && len(w.tasks) == 0 && len(w.orphans) == 0 && w.lastAckedEnd == w.lastHandledEnd
-		isDone := !w.isListed && len(w.tasks) == 0
-		e.mu.Unlock()
-		if isDone {
-			e.mu.Lock()
+		if !w.isListed && len(w.tasks) == 0 {
 			w.cancel()
 			w.cancel = nil
 			e.updatePlannerWorker(w)
@@ -25,6 +22,7 @@
 			e.mu.Unlock()
 			return
 		}
+		e.mu.Unlock()
 		if isIdle {
 			select {
 			case <-w.wake:
