Bound the leases of workers by 6 s from their last answer

What callers saw: after a worker was lost, jobs had nothing running for 8 s and more beside room for them, many of one organisation and queue at once.

The owner granted the longest lease that the deployment allows (10 s on one of them), and each start that it sent to the worker in the meantime extended the lease again, whether the worker answered or not. New jobs were placed on the lost worker beside the old one, and all of them waited for the same, ever later, end.

Fix: an owner grants at most 6 s, which with drift of clocks, slack and restart is below the 7 s that the users leave after a fault. While a poll is unanswered a lease counts from that poll, and while polls fail no start is sent, so a lost worker ends at most one lease after its last answer. A start of which no attempt reached the worker counts as not run and need not wait for a lease.

Leases of others still count in full: owners state the bound of their leases in their records of the election, and as long as one of an earlier version may have granted longer ones, a new owner waits for the longest. A new instance of a worker may have got a lease that ends by the clock of the former one, and so holds it for the longest time that it allows.

Weighed: a refused connection, or an entry that has gone from the list, proves no end of a worker: links are cut with refusals, and entries lapse while the store is down. Leases per worker by what runs there: nearly all workers hold gangs, and a gang with a lost member has nothing running. The list of machines names those that are down, but nothing says when it does; not tried.

Cost: a failure domain that is cut off for longer than about 5 s loses its work.

--- a/internal/coordination/elect/elect.go
+++ b/internal/coordination/elect/elect.go
@@ -51,6 +51,8 @@
 	clock clock.Clock
 	log   *slog.Logger
 
+	// maxLease bounds the leases that this host grants to workers while it is the owner; zero if nothing does.
+	maxLease time.Duration
 	// claimDelay is how long this host leaves a vacant ownership to other hosts.
 	claimDelay time.Duration
 
@@ -60,6 +62,8 @@
 	lastHeard   time.Time
 	isReleased  bool
 	lastRenewal clock.Instant
+	// longLeaseAt is when a record was last read of an owner that may grant longer leases than maxLease.
+	longLeaseAt time.Time
 	isReachable bool
 	isLeaving   bool
 	// isRenewalFailing is set once a renewal of this host was refused or timed out, until one is confirmed.
@@ -80,6 +84,9 @@
 	}
 }
 
+// WithMaxLease sets the bound of the leases that this host grants to workers while it is the owner.
+func WithMaxLease(d time.Duration) Option { return func(e *Election) { e.maxLease = d } }
+
 // New returns an election in which a host takes part under the given name, lifetime and address.
 func New(s port.Store, host, lifetime string, addr netip.AddrPort, c clock.Clock, l *slog.Logger, opts ...Option) *Election {
 	e := &Election{store: s, self: Owner{Host: host, Lifetime: lifetime, Addr: addr}, clock: c, log: l, nextOffset: -1}
@@ -103,6 +110,13 @@
 	return e.lastRenewal
 }
 
+// LongLeaseAt returns when this host last heard of an owner that may grant longer leases than this host would; zero if never.
+func (e *Election) LongLeaseAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.longLeaseAt
+}
+
 // IsOwner reports whether this lifetime of the host owns the jobs, according to the newest record that it has read.
 func (e *Election) IsOwner() bool {
 	e.mu.Lock()
@@ -281,6 +295,7 @@
 // from there instead.
 func (e *Election) append(ctx context.Context, offset int64, m *wire.LeadRecord) error {
 	m.Host, m.Lifetime, m.Addr = e.self.Host, e.self.Lifetime, e.self.Addr.String()
+	m.LeaseMillis = e.maxLease.Milliseconds()
 	b, err := proto.Marshal(m)
 	if err != nil {
 		return fmt.Errorf("encode claim: %w", err)
@@ -336,6 +351,9 @@
 	defer e.mu.Unlock()
 	e.nextOffset = max(e.nextOffset, offset+1)
 	e.lastHeard = e.clock.Now()
+	if lease := m.GetLeaseMillis(); lease == 0 || lease > e.maxLease.Milliseconds() {
+		e.longLeaseAt = e.lastHeard
+	}
 	e.isReleased = m.GetReleased()
 	isSame := e.owner.Host == m.GetHost() && e.owner.Lifetime == m.GetLifetime()
 	if m.GetRenewal() && isSame {
--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -57,6 +57,9 @@
 	writer      *feed.Writer
 	cancel      context.CancelFunc
 	lastRenewal func() clock.Instant
+	longLeaseAt func() time.Time
+	// formerLease bounds the leases of former owners.
+	formerLease time.Duration
 	// disabled are the mechanisms of the planner that are switched off.
 	disabled []plan.Mechanism
 
@@ -104,6 +107,10 @@
 // WithLastRenewal sets the function that returns when the newest confirmed renewal of the term was sent.
 func WithLastRenewal(f func() clock.Instant) Option { return func(e *Engine) { e.lastRenewal = f } }
 
+// WithLongLeaseAt sets the function that returns when an owner was last heard of that may grant leases above MaxLease; zero if
+// never.
+func WithLongLeaseAt(f func() time.Time) Option { return func(e *Engine) { e.longLeaseAt = f } }
+
 // WithDisabled switches mechanisms of the planner off.
 func WithDisabled(ms ...plan.Mechanism) Option { return func(e *Engine) { e.disabled = ms } }
 
@@ -148,6 +155,7 @@
 			e.cancel()
 		}
 	})
+	e.formerLease = e.findFormerLease()
 	e.adopt()
 	wg.Go(func() {
 		if err := e.deps.FollowRunners(ctx, e.putRunner, e.dropRunner); err != nil && ctx.Err() == nil {
--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -140,7 +140,7 @@
 		p = append(p, fleet.Assignment{Task: i, Worker: m.worker})
 		w := e.getWorker(m.worker)
 		w.addTask(u, m)
-		w.leaseEnd = later(w.leaseEnd, now.Add(e.leaseBound()+adoptedLeaseGrace))
+		w.leaseEnd = later(w.leaseEnd, now.Add(leaseBound(e.formerLease)+adoptedLeaseGrace))
 	}
 	e.planner.Adopt(e.plannerJob(u), p, now)
 }
--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -56,9 +56,11 @@
 	if !w.hasReported || w.isSuspect || len(w.orphans) > 0 {
 		h.Wait = 0
 	}
+	if w.askedAt.IsZero() {
+		w.askedAt = now
+	}
 	if !w.lastClockTime.IsZero() && !w.isFailing && e.mayHold() {
-		h.Until = w.leaseUntil(now, e.bounds.MaxHold)
-		w.leaseEnd = later(w.leaseEnd, now.Add(e.leaseBound()))
+		h.Until = e.grantLease(w, now)
 	}
 	w.lastPoll = now
 	addr := w.runner.Worker.Addr
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -12,7 +12,7 @@
 // handleReport processes the report of a worker; onStored is called once all ends in it are stored.
 func (e *Engine) handleReport(w *worker, polledAt time.Time, r port.RunReport, onStored func()) {
 	now := e.clock.Now()
-	w.lastReport = now
+	w.lastReport, w.askedAt = now, time.Time{}
 	w.isFailing = false
 	if r.Instance != w.instance {
 		e.handleRestart(w, r)
@@ -23,6 +23,9 @@
 		w.isSuspect = false
 	}
 	isFirst := !w.hasReported
+	if isFirst {
+		w.leaseEnd = later(w.leaseEnd, now.Add(leaseBound(e.formerLease)))
+	}
 	w.hasReported = true
 	newest := w.lastHandledEnd
 	for _, x := range r.Ended {
@@ -86,6 +89,10 @@
 	if w.instance != "" && len(w.tasks) > 0 {
 		e.planner.RecordCrash(w.name, w.instance, e.clock.Now())
 	}
+	if !w.lastClockTime.IsZero() {
+		// A lease that was meant for the former instance, by whose clock it ends, lasts for as long as the new one allows.
+		w.leaseEnd = later(w.leaseEnd, e.clock.Now().Add(leaseBound(e.bounds.MaxHold)))
+	}
 	w.instance = instance
 	w.lastClock, w.lastClockTime = 0, time.Time{}
 	w.lastHandledEnd, w.lastStoredEnd, w.lastAckedEnd = 0, 0, 0
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -46,20 +46,23 @@
 			e.mu.Unlock()
 			return
 		}
-		if !e.mayHold() {
-			// The term may be over, and a start would extend the lease of the worker.
+		if !e.mayHold() || w.isFailing {
+			// The term may be over, or the worker may have ended, and a start would extend its lease.
+			isLate := w.isFailing && !e.clock.Now().Before(deadline)
+			done := isLate && e.handleStartReply(u, m, run, w, 0, port.ErrUnsent, deadline, isUndecided)
 			e.mu.Unlock()
+			if done {
+				return
+			}
 			if e.clock.Sleep(e.ctx, commandRetryInterval) != nil {
 				return
 			}
 			continue
 		}
-		now := e.clock.Now()
 		s := port.RunStart{
-			Ref: u.ref(m), Spec: u.spec, Until: w.leaseUntil(now, e.bounds.MaxHold), Token: e.term, Checkpoint: u.checkpoint,
+			Ref: u.ref(m), Spec: u.spec, Until: e.grantLease(w, e.clock.Now()), Token: e.term, Checkpoint: u.checkpoint,
 			Worker: m.worker,
 		}
-		w.leaseEnd = later(w.leaseEnd, now.Add(e.leaseBound()))
 		addr := w.runner.Worker.Addr
 		m.isUndecided = true
 		e.mu.Unlock()
@@ -125,6 +128,10 @@
 	}
 	e.log.Warn("no reply to start request", "Job", u.job, "Unit", u.name, "Run", run, "Worker", m.worker, "Cause", err.Error())
 	w.isSuspect = true
+	if !isUndecided && !isUndecidedStart(err) {
+		e.failStart(u, m, jobs.Stopped, "no attempt reached the worker")
+		return true
+	}
 	e.stopRun(u, "a worker did not accept its task")
 	return true
 }
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -20,6 +20,8 @@
 	unackedPollInterval = 100 * time.Millisecond
 	// maxAckAge is how long after its last report a worker is assumed not to have restarted.
 	maxAckAge = 700 * time.Millisecond
+	// MaxLease bounds the leases that an owner grants, so that the work of a worker that has ended runs again soon.
+	MaxLease = 6 * time.Second
 	// clockSlack is added to the bound of a lease for slow worker clocks and for calls in transit.
 	clockSlack = 300 * time.Millisecond
 	// adoptedLeaseGrace is how long a former owner may still have extended leases after this owner took over.
@@ -57,6 +59,8 @@
 	leaseEnd   time.Time
 	lastReport time.Time
 	lastPoll   time.Time
+	// askedAt is when the first poll since the last report was sent; zero if there was none.
+	askedAt time.Time
 	// lastHandledEnd is the number of the newest processed end. lastStoredEnd is the number of the newest end for which
 	// all records submitted while it was processed are stored.
 	lastHandledEnd int64
@@ -80,6 +84,10 @@
 }
 
 func (w *worker) addTask(u *unit, m *member) {
+	if len(w.tasks) == 0 {
+		// No lease has to end, so an old poll without an answer does not shorten the new one.
+		w.askedAt = time.Time{}
+	}
 	w.tasks[u.ref(m)] = task{u, m}
 	w.wakePoller()
 }
@@ -104,14 +112,33 @@
 	return w.lastClock + time.Duration(float64(now.Sub(w.lastClockTime))/clockDriftFactor)
 }
 
-// leaseUntil returns the end of a full lease that starts now, by the worker's clock.
-func (w *worker) leaseUntil(now time.Time, hold time.Duration) time.Duration {
-	return w.clockTime(now) + hold
+// grantLease returns the end of a lease that is granted now, by the worker's clock. While a poll is unanswered the lease counts
+// from that poll, so that starts on a worker that has ended do not extend the lease of what ran there.
+func (e *Engine) grantLease(w *worker, now time.Time) time.Duration {
+	from := now
+	if !w.askedAt.IsZero() {
+		from = w.askedAt
+	}
+	lease := min(e.bounds.MaxHold, MaxLease)
+	w.leaseEnd = later(w.leaseEnd, from.Add(leaseBound(lease)))
+	return w.clockTime(from) + lease
+}
+
+// findFormerLease returns the bound of the leases of former owners; those of an earlier version grant leases of any length.
+func (e *Engine) findFormerLease() time.Duration {
+	if e.longLeaseAt == nil {
+		return e.bounds.MaxHold
+	}
+	at := e.longLeaseAt()
+	if at.IsZero() || e.clock.Since(at) > leaseBound(e.bounds.MaxHold)+adoptedLeaseGrace {
+		return min(e.bounds.MaxHold, MaxLease)
+	}
+	return e.bounds.MaxHold
 }
 
 // leaseBound returns the time after which a lease has certainly expired, counted from its grant.
-func (e *Engine) leaseBound() time.Duration {
-	return time.Duration(float64(e.bounds.MaxHold)*clockDriftFactor) + clockSlack
+func leaseBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*clockDriftFactor) + clockSlack
 }
 
 // getWorker returns the worker with the given name, and creates it if it is unknown.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -137,7 +137,7 @@
 	h.config = feed.NewFollower(deps.Store, deps.ConfigTopic, feed.Handler{Apply: h.applyConfig}, h.clock, h.log)
 	h.writer = feed.NewWriter(deps.Store, jobsTopic, s.Host.Name+"-"+instance, 1, h.clock, h.log)
 	h.elect = elect.New(deps.Store, s.Host.Name, instance, s.Listen.Peer, h.clock, h.log,
-		elect.WithProcessorShare(s.Limits.Processors), elect.WithProbe(h.probeOwner))
+		elect.WithProcessorShare(s.Limits.Processors), elect.WithProbe(h.probeOwner), elect.WithMaxLease(exec.MaxLease))
 	h.intake = intake.New(h.table, h.jobs, h.writer, h.config.Fresh, intakeLimits(s), h.clock, h.log, h.scope)
 	self := relay.Host{Name: s.Host.Name, Domain: s.Host.Domain, Addr: s.Listen.Peer}
 	h.hosts = relay.NewHosts(deps.Store, self, h.clock, h.log)
@@ -238,7 +238,7 @@
 		MaxHold: b.MaxHold, StopTimeout: b.StopTimeout, Claim: b.Claim, GangTimeout: b.GangTimeout, KeepEnded: b.KeepEnded,
 	},
 		o.Term, exec.WithClock(h.clock), exec.WithLog(h.log), exec.WithScope(h.scope.SubScope("owner")),
-		exec.WithLastRenewal(h.elect.LastRenewal), exec.WithDisabled(h.settings.Plan.Disable...))
+		exec.WithLastRenewal(h.elect.LastRenewal), exec.WithLongLeaseAt(h.elect.LongLeaseAt), exec.WithDisabled(h.settings.Plan.Disable...))
 	h.engine.Store(x)
 	defer h.engine.Store(nil)
 	if err := x.Run(ctx); err != nil && ctx.Err() == nil {
