Send no start to a worker that takes no work any more

What callers see: a job that was placed while the store was slow has nothing running until the lease of its worker is over, beside free workers.

Cause: between the placement and the moment at which the record of the start is stored, the worker may fall silent, drain, leave or get an orphan. The planner is told, but the start was sent all the same; only another instance of the worker was looked for. A silent worker does not answer it, and as it may be executed later, the run ends only with the lease.

Fix: a start that comes due for a worker that takes no work is not sent, and the unit is placed anew. The condition is the one that the planner is told.

Not needed: workers whose polls fail at once count as silent already.

--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -28,11 +28,14 @@
 	e.setPhase(u, phaseStarting)
 	for _, m := range u.members {
 		w := e.getWorker(m.worker)
-		if m.instance != w.instance {
+		switch {
+		case m.instance != w.instance:
 			e.failStart(u, m, jobs.Lost, "worker was restarted")
-			continue
+		case !w.takesWork(e.clock.Now()):
+			e.failStart(u, m, jobs.Stopped, "worker takes no work any more")
+		default:
+			go e.sendStart(u, m, u.run, w)
 		}
-		go e.sendStart(u, m, u.run, w)
 	}
 }
 
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -210,8 +210,7 @@
 		return
 	}
 	x := w.runner.Worker
-	x.Leaving = !w.isListed || w.runner.IsDraining || w.isSuspect || len(w.orphans) > 0 || !w.hasReported ||
-		e.clock.Now().Before(w.avoidUntil)
+	x.Leaving = !w.takesWork(e.clock.Now())
 	if !w.isListed && len(w.tasks) == 0 {
 		if w.isInPlanner {
 			e.planner.DropWorker(w.name)
@@ -223,6 +222,11 @@
 	e.planner.PutWorker(x)
 }
 
+// takesWork reports whether new work may be started on a worker.
+func (w *worker) takesWork(now time.Time) bool {
+	return w.isListed && w.hasReported && !w.runner.IsDraining && !w.isSuspect && len(w.orphans) == 0 && !now.Before(w.avoidUntil)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
