Ask a worker at once after a failed poll

What callers see: after a single failed poll, a link that breaks for a moment, a start on the worker waits for 1.2 s and is then given up, and the worker gets no work until its next report. A worker on which nothing runs may get none for 5 s though it answers.

Cause: starts are held back from a failed poll until the worker reports, but the next poll lets the worker delay its report by 1.5 s, longer than a start is tried. And a worker without tasks is not asked any more; if its last poll had failed it is counted as silent 2.4 s after its last report, and asked only once the pause of an idle worker (5 s) is over.

Fix: until a worker has answered again, it is polled without a wait, and does not count as idle.

--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -13,7 +13,7 @@
 func (e *Engine) pollWorker(ctx context.Context, w *worker) {
 	for ctx.Err() == nil {
 		e.mu.Lock()
-		isIdle := w.hasReported && !w.isSuspect && len(w.tasks) == 0 && len(w.orphans) == 0 && w.lastAckedEnd == w.lastHandledEnd
+		isIdle := w.isAnswering() && len(w.tasks) == 0 && len(w.orphans) == 0 && w.lastAckedEnd == w.lastHandledEnd
 		if !w.isListed && len(w.tasks) == 0 {
 			w.cancel()
 			w.cancel = nil
@@ -36,6 +36,11 @@
 	}
 }
 
+// isAnswering reports whether the worker has reported to this owner and has answered the last poll, as far as is known.
+func (w *worker) isAnswering() bool {
+	return w.hasReported && !w.isSuspect && !w.isFailing
+}
+
 // idlePollInterval is how often a worker without tasks is checked for new ones.
 const idlePollInterval = 5 * time.Second
 
@@ -51,7 +56,7 @@
 	if !w.isFailing && now.Sub(w.lastReport) <= maxAckAge && w.ackableEnd() > w.lastAckedEnd {
 		h.AckedEnd, h.Once, h.Within = w.ackableEnd(), true, responseTimeout
 	}
-	if !w.hasReported || w.isSuspect || len(w.orphans) > 0 {
+	if !w.isAnswering() || len(w.orphans) > 0 {
 		h.Wait = 0
 	}
 	if w.askedAt.IsZero() {
