Count leases of former owners to the first report of a worker

What callers see: after the loss of the owner and, some seconds later, of a worker, the work that was taken over on that worker has nothing running for 7.4 to 10.4 s beside free workers.

Fix: the end of the leases of former owners is kept by itself, and is at most one lease after the first report of the worker to this owner.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -58,8 +58,9 @@
 	cancel      context.CancelFunc
 	lastRenewal func() clock.Instant
 	longLeaseAt func() time.Time
-	// formerLease bounds the leases of former owners.
-	formerLease time.Duration
+	// formerLease bounds the leases of former owners, all of which have certainly expired at formerLeaseEnd.
+	formerLease    time.Duration
+	formerLeaseEnd time.Time
 	// disabled are the mechanisms of the planner that are switched off.
 	disabled []plan.Mechanism
 	// plannerOptions are further options of the planner.
@@ -160,6 +161,7 @@
 		}
 	})
 	e.formerLease = e.findFormerLease()
+	e.formerLeaseEnd = e.clock.Now().Add(leaseBound(e.formerLease) + adoptedLeaseGrace)
 	e.adopt()
 	wg.Go(func() {
 		if err := e.deps.FollowRunners(ctx, e.putRunner, e.dropRunner); err != nil && ctx.Err() == nil {
--- a/internal/coordination/exec/health.go
+++ b/internal/coordination/exec/health.go
@@ -15,7 +15,7 @@
 			e.log.Info("worker is silent", "Worker", w.name, "Tasks", len(w.tasks), "Asked", now.Sub(w.lastPoll).String())
 			e.updatePlannerWorker(w)
 		}
-		if !w.leaseEnd.IsZero() && now.After(w.leaseEnd) {
+		if now.After(later(w.leaseEnd, w.formerLeaseEnd)) {
 			e.expireTasks(w)
 		}
 	}
--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -138,9 +138,7 @@
 	now := e.clock.Now()
 	for i, m := range u.members {
 		p = append(p, fleet.Assignment{Task: i, Worker: m.worker})
-		w := e.getWorker(m.worker)
-		w.addTask(u, m)
-		w.leaseEnd = later(w.leaseEnd, now.Add(leaseBound(e.formerLease)+adoptedLeaseGrace))
+		e.getWorker(m.worker).addTask(u, m)
 	}
 	e.planner.Adopt(e.plannerJob(u), p, now)
 }
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -24,7 +24,8 @@
 	}
 	isFirst := !w.hasReported
 	if isFirst {
-		w.leaseEnd = later(w.leaseEnd, now.Add(leaseBound(e.formerLease)))
+		// The worker has seen the term of this owner, so that former owners extend its leases no more.
+		w.formerLeaseEnd = earlier(w.formerLeaseEnd, now.Add(leaseBound(e.formerLease)))
 	}
 	w.hasReported = true
 	newest := w.lastHandledEnd
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -55,10 +55,12 @@
 	orphans       map[port.RunRef]bool
 	lastClock     time.Duration
 	lastClockTime time.Time
-	// leaseEnd is the time by which all tasks on the worker have certainly ended if the worker no longer answers.
-	leaseEnd   time.Time
-	lastReport time.Time
-	lastPoll   time.Time
+	// leaseEnd is the time by which all leases that this owner granted have certainly expired, and formerLeaseEnd the same for
+	// former owners.
+	leaseEnd       time.Time
+	formerLeaseEnd time.Time
+	lastReport     time.Time
+	lastPoll       time.Time
 	// askedAt is when the first poll since the last report was sent; zero if there was none.
 	askedAt time.Time
 	// lastHandledEnd is the number of the newest processed end. lastStoredEnd is the number of the newest end for which
@@ -145,7 +147,10 @@
 func (e *Engine) getWorker(name string) *worker {
 	w := e.workers[name]
 	if w == nil {
-		w = &worker{name: name, tasks: map[port.RunRef]task{}, unstoredEnds: map[int64]bool{}, wake: make(chan struct{}, 1)}
+		w = &worker{
+			name: name, tasks: map[port.RunRef]task{}, unstoredEnds: map[int64]bool{}, wake: make(chan struct{}, 1),
+			formerLeaseEnd: e.formerLeaseEnd,
+		}
 		w.runner.Worker.Name = name
 		e.workers[name] = w
 	}
@@ -233,3 +238,10 @@
 	}
 	return b
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
