Count leases from the last renewal of the owner's term

What callers see: work on a worker that is lost at about the same time as the owner, before it answers the next one, has nothing running for up to 14.2 s beside free workers.

The next owner cannot know that the former one is gone, and so counts with leases up to 10.45 s after its take-over, which comes about 1 s after the loss.

Fix: a lease of 6 s counts from the newest confirmed renewal of the term, at most 0.45 s old as long as the store answers. The next owner counts from when it last read a record of a former owner. For that bound to hold, a claim counts as a renewal, and a renewal of which the answer was lost counts from its first attempt; it counted from the attempt that found it stored. An owner without any confirmed renewal extends no lease; it did so without an end. Owners of an earlier version are waited for as before. Where a run shows that orders for a former instance of its worker came to the new one, the longest lease is assumed, as at other restarts.

Cost: what runs ends after about 6 s in which the store answers no host; it was 10 s before. A host that alone is cut off from the store is replaced as owner in 2 s.

Weighed: a refused connection to the former owner proves no end of it; asking a majority of the hosts before leases are extended past a renewal would spare the cost, and needs an agreement about who is a host.

TestWorkRunsAgainSoonAfterLossOfOwnerAndWorker failed before with the worker lost 3 s and 1 s before the owner and with it: 14.2, 12.15 and 11.35 s idle, now 9.4, 7.4 and 6.6 s, of which at most 6.6 s follow the loss of the owner. TestLeasesEndSoonAfterLastRenewal failed before with all tasks running 6.5 s after the store went down.

--- a/internal/coordination/elect/elect.go
+++ b/internal/coordination/elect/elect.go
@@ -62,6 +62,13 @@
 	lastHeard   time.Time
 	isReleased  bool
 	lastRenewal clock.Instant
+	// renewedAt is the offset of the newest renewal that this host sent, and renewalSent when it was first sent.
+	renewedAt   int64
+	renewalSent clock.Instant
+	// lastRecord is when the newest record was read, at the latest, and formerHeardAt the same for the newest record before the
+	// current term.
+	lastRecord    time.Time
+	formerHeardAt time.Time
 	// longLeaseAt is when a record was last read of an owner that may grant longer leases than maxLease.
 	longLeaseAt time.Time
 	isReachable bool
@@ -117,6 +124,14 @@
 	return e.longLeaseAt
 }
 
+// FormerHeardAt returns when this host last heard of a former owner before the current term; no renewal of a former owner was
+// sent later and confirmed.
+func (e *Election) FormerHeardAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.formerHeardAt
+}
+
 // IsOwner reports whether this lifetime of the host owns the jobs, according to the newest record that it has read.
 func (e *Election) IsOwner() bool {
 	e.mu.Lock()
@@ -137,7 +152,8 @@
 	if !isOwner {
 		return nil
 	}
-	return e.append(ctx, offset, &wire.LeadRecord{Released: true, Renewal: true})
+	_, err := e.append(ctx, offset, &wire.LeadRecord{Released: true, Renewal: true})
+	return err
 }
 
 // Run takes part in the election until ctx ends. It calls own in a goroutine for each term of this host, with a context
@@ -201,7 +217,7 @@
 		return
 	}
 	e.log.Warn("ending ownership term", "Term", term)
-	if err := e.append(ctx, offset, &wire.LeadRecord{Released: true, Renewal: true}); err != nil {
+	if _, err := e.append(ctx, offset, &wire.LeadRecord{Released: true, Renewal: true}); err != nil {
 		e.log.Warn("cannot release the term in the store", "Term", term, "Cause", err.Error())
 		e.mu.Lock()
 		// This host renews no more, so that another host takes over or this one claims again.
@@ -242,7 +258,14 @@
 	nextOffset, former, silent := e.nextOffset, e.owner.Host, e.clock.Since(e.lastHeard)
 	e.mu.Unlock()
 	e.log.Info("claiming ownership", "Former", former, "Silent", silent.Round(time.Millisecond).String())
-	return e.append(ctx, nextOffset, &wire.LeadRecord{})
+	sent := e.clock.Instant()
+	isStored, err := e.append(ctx, nextOffset, &wire.LeadRecord{})
+	if isStored {
+		e.mu.Lock()
+		e.lastRenewal = sent
+		e.mu.Unlock()
+	}
+	return err
 }
 
 // nextReadWait returns how long the store may delay the answer to the next read.
@@ -266,11 +289,18 @@
 
 func (e *Election) renew(ctx context.Context, offset int64) error {
 	sent := e.clock.Instant()
-	err := e.append(ctx, offset, &wire.LeadRecord{Renewal: true})
+	if offset != e.renewedAt {
+		e.renewedAt, e.renewalSent = offset, sent
+	}
+	isStored, err := e.append(ctx, offset, &wire.LeadRecord{Renewal: true})
 	e.mu.Lock()
 	e.isRenewalFailing = err != nil
-	if err == nil {
+	switch {
+	case isStored:
 		e.lastRenewal = sent
+	case err == nil && e.isOwner():
+		// An earlier attempt was stored, possibly the first.
+		e.lastRenewal = e.renewalSent
 	}
 	e.mu.Unlock()
 	if err != nil {
@@ -291,36 +321,40 @@
 	return nil
 }
 
-// append writes a record on the condition that the topic ends at offset; when it does not, append reads the records
-// from there instead.
-func (e *Election) append(ctx context.Context, offset int64, m *wire.LeadRecord) error {
+// append writes a record on the condition that the topic ends at offset, and reports whether it did; when the topic ends
+// elsewhere, append reads the records from there instead.
+func (e *Election) append(ctx context.Context, offset int64, m *wire.LeadRecord) (isStored bool, err error) {
 	m.Host, m.Lifetime, m.Addr = e.self.Host, e.self.Lifetime, e.self.Addr.String()
 	m.LeaseMillis = e.maxLease.Milliseconds()
 	b, err := proto.Marshal(m)
 	if err != nil {
-		return fmt.Errorf("encode claim: %w", err)
+		return false, fmt.Errorf("encode claim: %w", err)
 	}
 	_, err = e.store.Append(ctx, port.Append{Topic: topic, Entries: []port.Entry{{Value: b}}, IsConditional: true, At: offset})
 	if errors.Is(err, port.ErrConflict) {
-		return e.read(ctx, offset, 0)
+		return false, e.read(ctx, offset, 0)
 	}
 	if err != nil {
-		return fmt.Errorf("append claim at %d: %w", offset, err)
+		return false, fmt.Errorf("append claim at %d: %w", offset, err)
 	}
 	e.apply(offset, m)
-	return nil
+	return true, nil
 }
 
 // read applies the records from an offset on.
 func (e *Election) read(ctx context.Context, from int64, wait time.Duration) error {
 	p, err := e.store.Read(ctx, topic, from, wait)
-	if errors.Is(err, port.ErrExpired) {
+	isExpired := errors.Is(err, port.ErrExpired)
+	if isExpired {
 		p, err = e.store.Read(ctx, topic, p.First, 0)
 	}
 	if err != nil {
 		return fmt.Errorf("read claims from %d: %w", from, err)
 	}
 	e.mu.Lock()
+	if isExpired || e.nextOffset < 0 {
+		e.lastRecord = e.clock.Now()
+	}
 	if !e.isReachable {
 		// Renewals could not be read while the store was unreachable, so their absence does not show that the owner failed.
 		e.isReachable = true
@@ -350,7 +384,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.nextOffset = max(e.nextOffset, offset+1)
+	former := e.lastRecord
 	e.lastHeard = e.clock.Now()
+	e.lastRecord = e.lastHeard
 	if lease := m.GetLeaseMillis(); lease == 0 || lease > e.maxLease.Milliseconds() {
 		e.longLeaseAt = e.lastHeard
 	}
@@ -360,4 +396,5 @@
 		return
 	}
 	e.owner = Owner{Host: m.GetHost(), Lifetime: m.GetLifetime(), Addr: addr, Term: offset + 1}
+	e.formerHeardAt = former
 }
--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -58,6 +58,8 @@
 	cancel      context.CancelFunc
 	lastRenewal func() clock.Instant
 	longLeaseAt func() time.Time
+	// formerHeardAt returns when a former owner was last heard of before this term.
+	formerHeardAt func() time.Time
 	// formerLease bounds the leases of former owners, all of which have certainly expired at formerLeaseEnd.
 	formerLease    time.Duration
 	formerLeaseEnd time.Time
@@ -114,6 +116,9 @@
 // never.
 func WithLongLeaseAt(f func() time.Time) Option { return func(e *Engine) { e.longLeaseAt = f } }
 
+// WithFormerHeardAt sets the function that returns when a former owner was last heard of before this term.
+func WithFormerHeardAt(f func() time.Time) Option { return func(e *Engine) { e.formerHeardAt = f } }
+
 // WithDisabled switches mechanisms of the planner off.
 func WithDisabled(ms ...plan.Mechanism) Option { return func(e *Engine) { e.disabled = ms } }
 
@@ -160,8 +165,7 @@
 			e.cancel()
 		}
 	})
-	e.formerLease = e.findFormerLease()
-	e.formerLeaseEnd = e.clock.Now().Add(leaseBound(e.formerLease) + adoptedLeaseGrace)
+	e.boundFormerLeases()
 	e.adopt()
 	wg.Go(func() {
 		if err := e.deps.FollowRunners(ctx, e.putRunner, e.dropRunner); err != nil && ctx.Err() == nil {
--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -103,14 +103,20 @@
 	return n
 }
 
-// mayHold reports whether this owner may still extend leases, which it does for at most leaseExtensionGrace after the
-// last confirmed renewal of its term.
+// mayHold reports whether this owner may still start work and extend leases.
 func (e *Engine) mayHold() bool {
+	return e.renewalAge() < maxRenewalAge
+}
+
+// renewalAge returns the time since the newest confirmed renewal of the term was sent, and maxRenewalAge if there was none.
+func (e *Engine) renewalAge() time.Duration {
 	if e.lastRenewal == nil {
-		return true
+		return 0
+	}
+	if at := e.lastRenewal(); !at.IsZero() {
+		return e.clock.Age(at)
 	}
-	at := e.lastRenewal()
-	return at.IsZero() || e.clock.Age(at) < leaseExtensionGrace
+	return maxRenewalAge
 }
 
 func (e *Engine) handlePollError(ctx context.Context, w *worker, err error) {
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -91,9 +91,10 @@
 	if w.instance != "" && len(w.tasks) > 0 {
 		e.planner.RecordCrash(w.name, w.instance, e.clock.Now())
 	}
+	// A lease that was meant for the former instance, by whose clock it ends, lasts for as long as the new one allows.
+	strayLeaseEnd := e.clock.Now().Add(leaseBound(e.bounds.MaxHold))
 	if !w.lastClockTime.IsZero() {
-		// A lease that was meant for the former instance, by whose clock it ends, lasts for as long as the new one allows.
-		w.leaseEnd = later(w.leaseEnd, e.clock.Now().Add(leaseBound(e.bounds.MaxHold)))
+		w.leaseEnd = later(w.leaseEnd, strayLeaseEnd)
 	}
 	w.instance = instance
 	w.lastClock, w.lastClockTime = 0, time.Time{}
@@ -111,6 +112,7 @@
 		case t.member.instance == instance, t.unit.phase == phaseStoring:
 		case present[ref]:
 			t.member.instance = instance
+			w.leaseEnd = later(w.leaseEnd, strayLeaseEnd)
 		case t.member.isUndecided && t.member.presence != taskEnded:
 			t.member.instance = instance
 			e.blockStart(t.unit, t.member, w)
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -24,10 +24,10 @@
 	MaxLease = 6 * time.Second
 	// clockSlack is added to the bound of a lease for slow worker clocks and for calls in transit.
 	clockSlack = 300 * time.Millisecond
-	// adoptedLeaseGrace is how long a former owner may still have extended leases after this owner took over.
-	adoptedLeaseGrace = leaseExtensionGrace
-	// leaseExtensionGrace is how long an owner extends leases without a confirmed renewal of its term.
-	leaseExtensionGrace = 4 * time.Second
+	// formerLeaseGrace is how long an owner of an earlier version may still have extended leases after this owner took over.
+	formerLeaseGrace = 4 * time.Second
+	// maxRenewalAge is how long an owner starts work and extends leases without a confirmed renewal of its term.
+	maxRenewalAge = 4 * time.Second
 	// clockDriftFactor is the largest ratio of real time to the time shown by the clock of a worker.
 	clockDriftFactor = 1.025
 )
@@ -114,28 +114,34 @@
 	return w.lastClock + time.Duration(float64(now.Sub(w.lastClockTime))/clockDriftFactor)
 }
 
-// grantLease returns the end of a lease that is granted now, by the worker's clock. While a poll is unanswered the lease counts
-// from that poll, so that starts on a worker that has ended do not extend the lease of what ran there.
+// grantLease returns the end of a lease that is granted now, by the worker's clock. The lease counts from the newest confirmed
+// renewal of the term, so that the next owner need not wait longer, and while a poll is unanswered from that poll, so that
+// starts on a worker that has ended do not extend the lease of what ran there.
 func (e *Engine) grantLease(w *worker, now time.Time) time.Duration {
-	from := now
+	silence := time.Duration(0)
 	if !w.askedAt.IsZero() {
-		from = w.askedAt
+		silence = now.Sub(w.askedAt)
 	}
-	lease := min(e.bounds.MaxHold, MaxLease)
-	w.leaseEnd = later(w.leaseEnd, from.Add(leaseBound(lease)))
-	return w.clockTime(from) + lease
+	lease := min(e.bounds.MaxHold-silence, MaxLease-max(silence, e.renewalAge()))
+	w.leaseEnd = later(w.leaseEnd, now.Add(leaseBound(lease)))
+	return w.clockTime(now) + lease
 }
 
-// findFormerLease returns the bound of the leases of former owners; those of an earlier version grant leases of any length.
-func (e *Engine) findFormerLease() time.Duration {
-	if e.longLeaseAt == nil {
-		return e.bounds.MaxHold
+// boundFormerLeases sets the bounds of the leases of former owners. Owners of an earlier version grant leases of any length and
+// extend them for formerLeaseGrace after their last renewal; all leases of others end MaxLease after it.
+func (e *Engine) boundFormerLeases() {
+	now := e.clock.Now()
+	e.formerLease = e.bounds.MaxHold
+	e.formerLeaseEnd = now.Add(leaseBound(e.formerLease) + formerLeaseGrace)
+	if e.longLeaseAt == nil || e.formerHeardAt == nil {
+		return
 	}
 	at := e.longLeaseAt()
-	if at.IsZero() || e.clock.Since(at) > leaseBound(e.bounds.MaxHold)+adoptedLeaseGrace {
-		return min(e.bounds.MaxHold, MaxLease)
+	if !at.IsZero() && now.Sub(at) <= leaseBound(e.bounds.MaxHold)+formerLeaseGrace {
+		return
 	}
-	return e.bounds.MaxHold
+	e.formerLease = min(e.bounds.MaxHold, MaxLease)
+	e.formerLeaseEnd = e.formerHeardAt().Add(leaseBound(MaxLease))
 }
 
 // leaseBound returns the time after which a lease has certainly expired, counted from its grant.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -238,7 +238,8 @@
 		MaxHold: b.MaxHold, StopTimeout: b.StopTimeout, Claim: b.Claim, GangTimeout: b.GangTimeout, KeepEnded: b.KeepEnded,
 	},
 		o.Term, exec.WithClock(h.clock), exec.WithLog(h.log), exec.WithScope(h.scope.SubScope("owner")),
-		exec.WithLastRenewal(h.elect.LastRenewal), exec.WithLongLeaseAt(h.elect.LongLeaseAt), exec.WithDisabled(h.settings.Plan.Disable...))
+		exec.WithLastRenewal(h.elect.LastRenewal), exec.WithLongLeaseAt(h.elect.LongLeaseAt),
+		exec.WithFormerHeardAt(h.elect.FormerHeardAt), exec.WithDisabled(h.settings.Plan.Disable...))
 	h.engine.Store(x)
 	defer h.engine.Store(nil)
 	if err := x.Run(ctx); err != nil && ctx.Err() == nil {
