Poll without a wait once a lost start is barred

What callers see: a gang of which one start was lost has nothing running for 3 s and more beside free room, until it is placed anew.

Cause: a task whose start was not answered counts as gone once the worker has confirmed its stop and a report that was asked for afterwards does not list it. The poll under way may last 1.5 s, and the next one, which comes to no end either, another 1.5 s.

Fix: a worker that has confirmed the stop of a task that it never listed is polled without a wait. The answer decides the task either way, so that this is one poll.

Not mended: the poll under way. It would have to be broken off, which costs a channel.

--- a/internal/coordination/exec/lost_test.go
+++ b/internal/coordination/exec/lost_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/standin"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/auburncleat/auburncleat/internal/state/plan"
@@ -247,6 +249,31 @@
 	})
 }
 
+// TestLostStartNeedsOneReport guards against a gang that is not placed anew for two polls of a worker after its start was lost there
+// and the worker has confirmed that it will not run.
+func TestLostStartNeedsOneReport(t *testing.T) {
+	runInRig(t, 4, runsTaking(time.Hour), func(r *rig) {
+		r.stop()
+		var lost atomic.Int32
+		r.change = func(d *Deps) {
+			start := d.Runners.Start
+			d.Runners.Start = func(ctx context.Context, to netip.AddrPort, s port.RunStart) (time.Duration, error) {
+				if s.Worker == "w0" && s.Ref.Run == 1 {
+					lost.Add(1)
+					return 0, standin.ErrNoAnswer
+				}
+				return start(ctx, to, s)
+			}
+		}
+		r.start(2)
+		r.advance(time.Second)
+		r.submit(testID, jobs.Step{Tasks: 4, Gang: true, Accelerators: 8, Estimate: time.Second})
+		r.requireRunning(testID, 1, 2*startTimeout)
+		require.NotZero(t, lost.Load())
+		require.Equal(t, 2, r.unit(testID, jobs.WholeGang).run)
+	})
+}
+
 // TestUnsentStartIsTriedElsewhereAtOnce guards against work that waits for the end of a lease that no worker holds: no attempt
 // of its start reached the worker, whose process has ended.
 func TestUnsentStartIsTriedElsewhereAtOnce(t *testing.T) {
--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -41,6 +41,17 @@
 	return w.hasReported && !w.isSuspect && !w.isFailing
 }
 
+// hasBarredTask reports whether the worker has confirmed the stop of a task that it has not listed; its next report shows that
+// the task is not there.
+func (w *worker) hasBarredTask() bool {
+	for _, t := range w.tasks {
+		if t.member.presence == taskUnknown && !t.member.stopConfirmedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // idlePollInterval is how often a worker without tasks is checked for new ones.
 const idlePollInterval = 5 * time.Second
 
@@ -56,7 +67,7 @@
 	if !w.isFailing && now.Sub(w.lastReport) <= maxAckAge && w.ackableEnd() > w.lastAckedEnd {
 		h.AckedEnd, h.Once, h.Within = w.ackableEnd(), true, responseTimeout
 	}
-	if !w.isAnswering() || len(w.orphans) > 0 {
+	if !w.isAnswering() || len(w.orphans) > 0 || w.hasBarredTask() {
 		h.Wait = 0
 	}
 	if w.askedAt.IsZero() {
