Start work only on workers that have reported lately

What callers see: many jobs of one organisation and queue at once have nothing running for 6.35 s (longer with longer leases) beside free workers, some seconds after workers were lost; others move at once.

A start that is not answered may be executed later, so that the run waits for the end of the lease that the start would have granted, 6.45 s from the start, which may be sent any time until the worker is unlisted.

Fix: a start is sent only if the worker has reported within 2.4 s; otherwise it waits for a report, which the poller asks for without a wait while the record of the start is stored. Without a report within 1.2 s the task counts as never sent, and goes elsewhere. Leases count from the last report instead of from the first poll after it, so that all work of a lost worker ends 6.45 s after its last report at the latest, however late it was sent.

The same mends starts that workers refused as too late: leases end by a lower bound of the worker's clock, which lags by 2.4% of the time since its last reading, more than a lease after 4 min without work. Each gang was started and refused about 65 times a second for the 1.5 s that the first poll may last.

Cost: one more poll of a worker that gets work after 0.9 s without.

--- a/internal/coordination/exec/health.go
+++ b/internal/coordination/exec/health.go
@@ -30,11 +30,10 @@
 
 // isSilent reports whether the worker has not reported for too long, and has left a poll unanswered or failed one.
 func (w *worker) isSilent(now time.Time) bool {
-	const limit = pollWait + responseTimeout
-	if w.isFailing && now.Sub(w.lastReport) > limit {
+	if w.isFailing && now.Sub(w.lastReport) > maxReportAge {
 		return true
 	}
-	return !w.lastPoll.IsZero() && w.lastPoll.After(w.lastReport) && now.Sub(w.lastPoll) > limit
+	return !w.lastPoll.IsZero() && w.lastPoll.After(w.lastReport) && now.Sub(w.lastPoll) > maxReportAge
 }
 
 // expireTasks counts the tasks of a worker as lost once its lease has certainly expired.
--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -41,6 +41,11 @@
 	return w.hasReported && !w.isSuspect && !w.isFailing
 }
 
+// mayHaveEnded reports whether the worker has not reported for so long, or has not answered a poll since, that it gets no start.
+func (w *worker) mayHaveEnded(now time.Time) bool {
+	return w.isFailing || now.Sub(w.lastReport) > maxReportAge
+}
+
 // hasBarredTask reports whether the worker has confirmed the stop of a task that it has not listed; its next report shows that
 // the task is not there.
 func (w *worker) hasBarredTask() bool {
@@ -67,12 +72,10 @@
 	if !w.isFailing && now.Sub(w.lastReport) <= maxAckAge && w.ackableEnd() > w.lastAckedEnd {
 		h.AckedEnd, h.Once, h.Within = w.ackableEnd(), true, responseTimeout
 	}
-	if !w.isAnswering() || len(w.orphans) > 0 || w.hasBarredTask() {
+	mayWait := w.isAnswering() && !w.mayHaveEnded(now.Add(pollWait)) && len(w.orphans) == 0 && !w.hasBarredTask()
+	if !mayWait {
 		h.Wait = 0
 	}
-	if w.askedAt.IsZero() {
-		w.askedAt = now
-	}
 	if !w.lastClockTime.IsZero() && !w.isFailing && e.mayHold() {
 		h.Until = e.grantLease(w, now)
 	}
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -12,7 +12,7 @@
 // handleReport processes the report of a worker; onStored is called once all ends in it are stored.
 func (e *Engine) handleReport(w *worker, polledAt time.Time, r port.RunReport, onStored func()) {
 	now := e.clock.Now()
-	w.lastReport, w.askedAt = now, time.Time{}
+	w.lastReport = now
 	w.isFailing = false
 	if r.Instance != w.instance {
 		e.handleRestart(w, r)
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -14,6 +14,8 @@
 	startTimeout = 1200 * time.Millisecond
 	// commandRetryInterval is the pause between attempts of a start or stop.
 	commandRetryInterval = 80 * time.Millisecond
+	// reportCheckInterval is the pause between checks of whether a worker has reported so that a start can be sent.
+	reportCheckInterval = 10 * time.Millisecond
 )
 
 // sendStarts sends the tasks of a unit to its workers; the start of the unit has been stored.
@@ -49,21 +51,18 @@
 			e.mu.Unlock()
 			return
 		}
-		if !e.mayHold() || w.isFailing {
-			// The term may be over, or the worker may have ended, and a start would extend its lease.
-			isLate := w.isFailing && !e.clock.Now().Before(deadline)
+		now := e.clock.Now()
+		if pause := e.startPause(w, now); pause > 0 {
+			isLate := w.mayHaveEnded(now) && !now.Before(deadline)
 			done := isLate && e.handleStartReply(u, m, run, w, 0, port.ErrUnsent, deadline, isUndecided)
 			e.mu.Unlock()
-			if done {
-				return
-			}
-			if e.clock.Sleep(e.ctx, commandRetryInterval) != nil {
+			if done || e.clock.Sleep(e.ctx, pause) != nil {
 				return
 			}
 			continue
 		}
 		s := port.RunStart{
-			Ref: u.ref(m), Spec: u.spec, Until: e.grantLease(w, e.clock.Now()), Token: e.term, Checkpoint: u.checkpoint,
+			Ref: u.ref(m), Spec: u.spec, Until: e.grantLease(w, now), Token: e.term, Checkpoint: u.checkpoint,
 			Worker: m.worker,
 		}
 		addr := w.runner.Worker.Addr
@@ -84,6 +83,19 @@
 	}
 }
 
+// startPause returns how long a start has to wait at least, as it would extend the lease of a worker that may have ended, or in a
+// term that may be over.
+func (e *Engine) startPause(w *worker, now time.Time) time.Duration {
+	switch {
+	case !e.mayHold() || w.isFailing:
+		return commandRetryInterval
+	case w.mayHaveEnded(now):
+		return reportCheckInterval
+	default:
+		return 0
+	}
+}
+
 // isUndecidedStart reports whether a start that failed with err may have been, or may still be, executed.
 func isUndecidedStart(err error) bool {
 	for _, x := range []error{port.ErrWrongWorker, port.ErrNoRoom, port.ErrLeaseExpired, port.ErrRunEnded, port.ErrFenced, port.ErrUnhealthy, port.ErrUnsent} {
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -14,6 +14,8 @@
 	pollRetryInterval = 200 * time.Millisecond
 	// responseTimeout is how long, beyond pollWait, a worker may leave a poll unanswered before it gets no new work.
 	responseTimeout = 900 * time.Millisecond
+	// maxReportAge is how old the last report of a worker may be for a start.
+	maxReportAge = pollWait + responseTimeout
 	// storeTimeout is how long the next poll waits for the ends of the last report to be stored.
 	storeTimeout = 500 * time.Millisecond
 	// unackedPollInterval is the pause between polls of a worker with ends that cannot be acknowledged yet.
@@ -61,8 +63,6 @@
 	formerLeaseEnd time.Time
 	lastReport     time.Time
 	lastPoll       time.Time
-	// askedAt is when the first poll since the last report was sent; zero if there was none.
-	askedAt time.Time
 	// lastHandledEnd is the number of the newest processed end. lastStoredEnd is the number of the newest end for which
 	// all records submitted while it was processed are stored.
 	lastHandledEnd int64
@@ -86,10 +86,6 @@
 }
 
 func (w *worker) addTask(u *unit, m *member) {
-	if len(w.tasks) == 0 {
-		// No lease has to end, so an old poll without an answer does not shorten the new one.
-		w.askedAt = time.Time{}
-	}
 	w.tasks[u.ref(m)] = task{u, m}
 	w.wakePoller()
 }
@@ -114,15 +110,14 @@
 	return w.lastClock + time.Duration(float64(now.Sub(w.lastClockTime))/clockDriftFactor)
 }
 
-// grantLease returns the end of a lease that is granted now, by the worker's clock. The lease counts from the newest confirmed
-// renewal of the term, so that the next owner need not wait longer, and while a poll is unanswered from that poll, so that
-// starts on a worker that has ended do not extend the lease of what ran there.
+// grantLease returns the end of a lease that is granted now, by the worker's clock, or zero if there is none to grant. The lease
+// counts from the newest confirmed renewal of the term, so that the next owner need not wait longer, and from the last report
+// of the worker, so that orders to a worker that has ended do not extend the lease of what ran there.
 func (e *Engine) grantLease(w *worker, now time.Time) time.Duration {
-	silence := time.Duration(0)
-	if !w.askedAt.IsZero() {
-		silence = now.Sub(w.askedAt)
+	lease := min(e.bounds.MaxHold, MaxLease-max(now.Sub(w.lastReport), e.renewalAge()))
+	if lease <= 0 {
+		return 0
 	}
-	lease := min(e.bounds.MaxHold-silence, MaxLease-max(silence, e.renewalAge()))
 	w.leaseEnd = later(w.leaseEnd, now.Add(leaseBound(lease)))
 	return w.clockTime(now) + lease
 }
