Count starts on a replaced worker as lost at once

What callers see: work that was placed on a worker shortly before it ended has nothing running for 10 s and more beside free workers, once another worker has come to the address.

Cause: when another worker answers at the address of a worker, its tasks are lost, but one whose start was not answered waits for the confirmation of its stop, as for a worker that was restarted. Nobody can confirm that, the stop is not repeated after such an answer, and the task waits for the longest lease that a worker grants, counted from that answer.

Fix: the process to which the start was sent has ended, and another worker refuses all orders for it, so that the start can no longer be executed and the task is lost.

TestWorkOfReplacedWorkerRunsAgainAtOnce failed before with the unit in the phase of its stop 1.5 s after the other worker came; now both runs end with the first answer.

--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -141,9 +141,7 @@
 	w.isFailing = true
 	if errors.Is(err, port.ErrWrongWorker) {
 		e.log.Info("another worker is at the address", "Worker", w.name)
-		e.handleRestart(w, port.RunReport{})
-		w.hasReported = false
-		e.updatePlannerWorker(w)
+		e.handleReplacement(w)
 	} else if errors.Is(err, port.ErrFenced) {
 		e.log.Warn("poll refused, worker has seen a newer owner", "Worker", w.name, "Term", e.term)
 		e.cancel()
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -85,21 +85,7 @@
 // have received starts that were sent to the previous instance.
 func (e *Engine) handleRestart(w *worker, r port.RunReport) {
 	instance := r.Instance
-	if w.instance != "" || w.hasReported {
-		e.log.Info("worker has a new lifetime", "Worker", w.name, "Before", w.instance, "Now", instance)
-	}
-	if w.instance != "" && len(w.tasks) > 0 {
-		e.planner.RecordCrash(w.name, w.instance, e.clock.Now())
-	}
-	// A lease that was meant for the former instance, by whose clock it ends, lasts for as long as the new one allows.
-	strayLeaseEnd := e.clock.Now().Add(leaseBound(e.bounds.MaxHold))
-	if !w.lastClockTime.IsZero() {
-		w.leaseEnd = later(w.leaseEnd, strayLeaseEnd)
-	}
-	w.instance = instance
-	w.lastClock, w.lastClockTime = 0, time.Time{}
-	w.lastHandledEnd, w.lastStoredEnd, w.lastAckedEnd = 0, 0, 0
-	w.unstoredEnds = map[int64]bool{}
+	strayLeaseEnd := e.beginInstance(w, instance)
 	present := map[port.RunRef]bool{}
 	for _, x := range r.Running {
 		present[x.Ref] = true
@@ -122,6 +108,39 @@
 	}
 }
 
+// handleReplacement records that another worker is at the address of a worker, which has thus ended and executes no start any more.
+func (e *Engine) handleReplacement(w *worker) {
+	e.beginInstance(w, "")
+	w.hasReported = false
+	for _, t := range w.tasks {
+		if t.unit.phase != phaseStoring {
+			e.handleTaskEnd(t.unit, t.member, jobs.Lost, "", false)
+		}
+	}
+	e.updatePlannerWorker(w)
+}
+
+// beginInstance forgets what is known of the former instance of a worker, and returns the end of the leases that orders for the
+// former one may have got at the new one.
+func (e *Engine) beginInstance(w *worker, instance string) time.Time {
+	if w.instance != "" || w.hasReported {
+		e.log.Info("worker has a new lifetime", "Worker", w.name, "Before", w.instance, "Now", instance)
+	}
+	if w.instance != "" && len(w.tasks) > 0 {
+		e.planner.RecordCrash(w.name, w.instance, e.clock.Now())
+	}
+	// A lease that was meant for the former instance, by whose clock it ends, lasts for as long as the new one allows.
+	strayLeaseEnd := e.clock.Now().Add(leaseBound(e.bounds.MaxHold))
+	if !w.lastClockTime.IsZero() {
+		w.leaseEnd = later(w.leaseEnd, strayLeaseEnd)
+	}
+	w.instance = instance
+	w.lastClock, w.lastClockTime = 0, time.Time{}
+	w.lastHandledEnd, w.lastStoredEnd, w.lastAckedEnd = 0, 0, 0
+	w.unstoredEnds = map[int64]bool{}
+	return strayLeaseEnd
+}
+
 // blockStart stops a run whose start may still arrive at a new instance of its worker; the task counts as ended only
 // once the worker has confirmed the stop.
 func (e *Engine) blockStart(u *unit, m *member, w *worker) {
