--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -58,8 +58,11 @@
 	cancel      context.CancelFunc
 	lastRenewal func() clock.Instant
 	longLeaseAt func() time.Time
-	// formerLease bounds the leases of former owners.
-	formerLease time.Duration
+	// formerHeardAt returns when a former owner was last heard of before this term.
+	formerHeardAt func() time.Time
+	// formerLease bounds the leases of former owners, all of which have certainly expired at formerLeaseEnd.
+	formerLease    time.Duration
+	formerLeaseEnd time.Time
 	// disabled are the mechanisms of the planner that are switched off.
 	disabled []plan.Mechanism
 	// plannerOptions are further options of the planner.
@@ -113,6 +116,9 @@
 // never.
 func WithLongLeaseAt(f func() time.Time) Option { return func(e *Engine) { e.longLeaseAt = f } }
 
+// WithFormerHeardAt sets the function that returns when a former owner was last heard of before this term.
+func WithFormerHeardAt(f func() time.Time) Option { return func(e *Engine) { e.formerHeardAt = f } }
+
 // WithDisabled switches mechanisms of the planner off.
 func WithDisabled(ms ...plan.Mechanism) Option { return func(e *Engine) { e.disabled = ms } }
 
@@ -159,7 +165,7 @@
 			e.cancel()
 		}
 	})
-	e.formerLease = e.findFormerLease()
+	e.boundFormerLeases()
 	e.adopt()
 	wg.Go(func() {
 		if err := e.deps.FollowRunners(ctx, e.putRunner, e.dropRunner); err != nil && ctx.Err() == nil {
--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -13,7 +13,7 @@
 func (e *Engine) pollWorker(ctx context.Context, w *worker) {
 	for ctx.Err() == nil {
 		e.mu.Lock()
-		isIdle := w.hasReported && !w.isSuspect && len(w.tasks) == 0 && len(w.orphans) == 0 && w.lastAckedEnd == w.lastHandledEnd
+		isIdle := w.isAnswering() && len(w.tasks) == 0 && len(w.orphans) == 0 && w.lastAckedEnd == w.lastHandledEnd
 		if !w.isListed && len(w.tasks) == 0 {
 			w.cancel()
 			w.cancel = nil
@@ -36,6 +36,27 @@
 	}
 }
 
+// isAnswering reports whether the worker has reported to this owner and has answered the last poll, as far as is known.
+func (w *worker) isAnswering() bool {
+	return w.hasReported && !w.isSuspect && !w.isFailing
+}
+
+// mayHaveEnded reports whether the worker has not reported for so long, or has not answered a poll since, that it gets no start.
+func (w *worker) mayHaveEnded(now time.Time) bool {
+	return w.isFailing || now.Sub(w.lastReport) > maxReportAge
+}
+
+// hasBarredTask reports whether the worker has confirmed the stop of a task that it has not listed; its next report shows that
+// the task is not there.
+func (w *worker) hasBarredTask() bool {
+	for _, t := range w.tasks {
+		if t.member.presence == taskUnknown && !t.member.stopConfirmedAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // idlePollInterval is how often a worker without tasks is checked for new ones.
 const idlePollInterval = 5 * time.Second
 
@@ -51,12 +72,10 @@
 	if !w.isFailing && now.Sub(w.lastReport) <= maxAckAge && w.ackableEnd() > w.lastAckedEnd {
 		h.AckedEnd, h.Once, h.Within = w.ackableEnd(), true, responseTimeout
 	}
-	if !w.hasReported || w.isSuspect || len(w.orphans) > 0 {
+	mayWait := w.isAnswering() && !w.mayHaveEnded(now.Add(pollWait)) && len(w.orphans) == 0 && !w.hasBarredTask()
+	if !mayWait {
 		h.Wait = 0
 	}
-	if w.askedAt.IsZero() {
-		w.askedAt = now
-	}
 	if !w.lastClockTime.IsZero() && !w.isFailing && e.mayHold() {
 		h.Until = e.grantLease(w, now)
 	}
@@ -98,14 +117,20 @@
 	return n
 }
 
-// mayHold reports whether this owner may still extend leases, which it does for at most leaseExtensionGrace after the
-// last confirmed renewal of its term.
+// mayHold reports whether this owner may still start work and extend leases.
 func (e *Engine) mayHold() bool {
+	return e.renewalAge() < maxRenewalAge
+}
+
+// renewalAge returns the time since the newest confirmed renewal of the term was sent, and maxRenewalAge if there was none.
+func (e *Engine) renewalAge() time.Duration {
 	if e.lastRenewal == nil {
-		return true
+		return 0
+	}
+	if at := e.lastRenewal(); !at.IsZero() {
+		return e.clock.Age(at)
 	}
-	at := e.lastRenewal()
-	return at.IsZero() || e.clock.Age(at) < leaseExtensionGrace
+	return maxRenewalAge
 }
 
 func (e *Engine) handlePollError(ctx context.Context, w *worker, err error) {
@@ -116,9 +141,7 @@
 	w.isFailing = true
 	if errors.Is(err, port.ErrWrongWorker) {
 		e.log.Info("another worker is at the address", "Worker", w.name)
-		e.handleRestart(w, port.RunReport{})
-		w.hasReported = false
-		e.updatePlannerWorker(w)
+		e.handleReplacement(w)
 	} else if errors.Is(err, port.ErrFenced) {
 		e.log.Warn("poll refused, worker has seen a newer owner", "Worker", w.name, "Term", e.term)
 		e.cancel()
