Count a lasting task as idle by itself

What callers see: tasks of a step that lasts have nothing running beside room for two of them, for as long as room is kept for other work, if one task of the step runs.

Cause: the idle time is one of the submission, and a submission of which one job runs is not idle. A lasting task is missed whatever the others do, so the rule of the users holds for each of them.

Fix: a job that lasts is a submission of its own in the planner's count.

--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -25,9 +25,10 @@
 	idleSince time.Time
 }
 
-// submissionKey returns the name of the submission that a job is part of.
+// submissionKey returns the name of the submission that a job is part of. A job that lasts counts by itself, as it is missed
+// whatever else of its submission runs.
 func submissionKey(j fleet.Job) string {
-	if j.Submission != "" {
+	if j.Submission != "" && !j.Lasts {
 		return j.Submission
 	}
 	return j.ID
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -182,3 +182,46 @@
 	p.Ended(Ended{Job: "b", Result: ResultStopped, At: at, Requeue: true})
 	require.Equal(t, at, p.IdleSince("a"))
 }
+
+// fullOfLongRuns returns a planner in which the accelerators of kept workers are free and kept for urgent work, beside running
+// jobs on all other workers.
+func fullOfLongRuns(t *testing.T, ws []fleet.Worker, kept int, opts ...Option) *Planner {
+	t.Helper()
+	opts = append([]Option{WithHeadroom(time.Hour, 1), WithIdleBound(2 * time.Second)}, opts...)
+	p := planner(t, ws, profiles(audit, urgent), opts...)
+	whole := shape(1, 8, fleet.LevelWorker)
+	for i := range kept {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("burst%02d", i), "CW", "Urgent", whole)))
+	}
+	for i := range len(ws) - kept {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("long%02d", i), "Gear", "Audit", whole)))
+	}
+	d := p.Pass(start)
+	require.Len(t, d.Starts, len(ws))
+	run(p, d, start)
+	for i := range kept {
+		p.Ended(Ended{Job: fmt.Sprintf("burst%02d", i), Result: ResultDone, At: start})
+	}
+	return p
+}
+
+// parts returns n jobs of one submission, each for a whole worker.
+func parts(n int) []fleet.Job {
+	out := make([]fleet.Job, n)
+	for i := range out {
+		out[i] = volatile(fmt.Sprintf("part%d", i), "Audit", shape(1, 8, fleet.LevelWorker))
+		out[i].Submission = "all"
+	}
+	return out
+}
+
+// TestLastingTaskDoesNotIdleBehindOthersOfItsSubmission guards against tasks that last and run nothing because another task of
+// their submission runs.
+func TestLastingTaskDoesNotIdleBehindOthersOfItsSubmission(t *testing.T) {
+	p := fullOfLongRuns(t, workers(1, 8), 4)
+	for _, j := range parts(2) {
+		j.Lasts = true
+		require.NoError(t, p.Submit(j))
+	}
+	requireStart(t, p, "part1", start)
+}
