Count no run on a silent worker and no start that hangs as work

What callers see: nothing of a submission runs for 6 s and more beside room for two of its queued jobs, after the worker of its only run was lost, or while the start of one of its jobs has no outcome.

Cause: a submission was idle only from the time at which none of its jobs ran or started by the planner's table. A run on a worker that does not answer stays there until its lease is over (6 s), and a start until its outcome is known. Only then the idle time of 2 s began, so that 8 s after the loss nothing ran.

Fix: each pass counts the jobs that run on workers that stay and answer as work of their submissions. A start counts for 1 s, so that no second job of the submission starts as overdue beside it. Runs that a new owner adopts count from the adoption.

TestJobDoesNotIdleBehindRunOnSilentWorker and TestJobDoesNotIdleBehindStartThatHangs failed before, both with 'part1 is still queued after 3s beside room for two of it: Headroom'.

--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
@@ -16,12 +17,13 @@
 // maxOverdueSearches bounds the distinct shapes of overdue jobs that one pass looks for room for.
 const maxOverdueSearches = 64
 
+// maxStartTime is how long a start without outcome counts as work of its submission.
+const maxStartTime = time.Second
+
 // submission holds the jobs that were submitted together.
 type submission struct {
 	jobs int
-	// live counts the jobs that run or start.
-	live int
-	// idleSince is when one of its jobs last ran, or when the first was submitted.
+	// idleSince is when one of its jobs was last at work, or when the first was submitted.
 	idleSince time.Time
 }
 
@@ -34,10 +36,6 @@
 	return j.ID
 }
 
-func (p *Planner) submissionOf(e *entry) *submission {
-	return p.submissions[submissionKey(e.job)]
-}
-
 // addJob adds a job to the table and to its submission.
 func (p *Planner) addJob(e *entry) {
 	p.jobs[e.job.ID] = e
@@ -48,44 +46,37 @@
 			p.submissions[k].idleSince = e.job.Submitted
 		}
 	}
-	p.submissions[k].jobs++
+	e.submission = p.submissions[k]
+	e.submission.jobs++
 }
 
 // deleteJob removes a job from the table and from its submission.
 func (p *Planner) deleteJob(e *entry) {
 	delete(p.jobs, e.job.ID)
-	p.setState(e, "")
-	x := p.submissionOf(e)
-	if x.jobs--; x.jobs == 0 {
+	if e.submission.jobs--; e.submission.jobs == 0 {
 		delete(p.submissions, submissionKey(e.job))
 	}
 }
 
-// isLive reports whether a job runs or starts.
-func (e *entry) isLive() bool {
-	return e.state == StateStarting || e.state == StateRunning
+// isAtWork reports whether a job runs, on workers that stay and answer.
+func (e *entry) isAtWork() bool {
+	return e.state == StateRunning && !slices.ContainsFunc(e.sites, func(s *place.Site) bool { return s.Worker.Leaving })
 }
 
-// setState changes the state of a job in the table. A job that never ran does not end the idle time of its submission.
-func (p *Planner) setState(e *entry, state string) {
-	x := p.submissionOf(e)
-	if e.isLive() {
-		x.live--
-	}
-	if e.state == StateRunning {
-		x.idleSince = p.now
-	}
-	e.state = state
-	if e.isLive() {
-		x.live++
+// noteWork records whether a job ends the idle time of its submission, or may do so soon.
+func (p *Planner) noteWork(e *entry) {
+	switch {
+	case e.isAtWork():
+		e.submission.idleSince = p.now
+	case e.state == StateStarting && p.now.Sub(e.since) < maxStartTime:
+		p.pass.isStarting[e.submission] = true
 	}
 }
 
 // isOverdue reports whether the submission of a queued job has been idle for the idle bound while there is room for two of the
 // job.
 func (p *Planner) isOverdue(e *entry) bool {
-	x := p.submissionOf(e)
-	if p.idleBound == 0 || x.live > 0 || p.now.Sub(x.idleSince) < p.idleBound {
+	if p.idleBound == 0 || p.pass.isStarting[e.submission] || p.now.Sub(e.submission.idleSince) < p.idleBound {
 		return false
 	}
 	k := e.roomQuery()
@@ -107,7 +98,7 @@
 	if !ok {
 		return time.Time{}
 	}
-	return p.submissionOf(e).idleSince
+	return e.submission.idleSince
 }
 
 // fitsTwice reports whether the workers have room for two of a job beside what runs, whatever is kept there for other work and
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -183,18 +183,20 @@
 	require.Equal(t, at, p.IdleSince("a"))
 }
 
-// fullOfLongRuns returns a planner in which the accelerators of kept workers are free and kept for urgent work, beside running
-// jobs on all other workers.
-func fullOfLongRuns(t *testing.T, ws []fleet.Worker, kept int, opts ...Option) *Planner {
+// fullOfLongRuns returns a planner in which the accelerators of kept workers are free and kept for urgent work. All other
+// workers run the given jobs, each of which takes a whole worker, and long jobs.
+func fullOfLongRuns(t *testing.T, ws []fleet.Worker, kept int, running ...fleet.Job) *Planner {
 	t.Helper()
-	opts = append([]Option{WithHeadroom(time.Hour, 1), WithIdleBound(2 * time.Second)}, opts...)
-	p := planner(t, ws, profiles(audit, urgent), opts...)
+	p := planner(t, ws, profiles(audit, urgent), WithHeadroom(time.Hour, 1), WithIdleBound(2*time.Second))
 	whole := shape(1, 8, fleet.LevelWorker)
 	for i := range kept {
 		require.NoError(t, p.Submit(job(fmt.Sprintf("burst%02d", i), "CW", "Urgent", whole)))
 	}
-	for i := range len(ws) - kept {
-		require.NoError(t, p.Submit(job(fmt.Sprintf("long%02d", i), "Gear", "Audit", whole)))
+	for i := range len(ws) - kept - len(running) {
+		running = append(running, job(fmt.Sprintf("long%02d", i), "Gear", "Audit", whole))
+	}
+	for _, j := range running {
+		require.NoError(t, p.Submit(j))
 	}
 	d := p.Pass(start)
 	require.Len(t, d.Starts, len(ws))
@@ -225,3 +227,29 @@
 	}
 	requireStart(t, p, "part1", start)
 }
+
+// TestJobDoesNotIdleBehindRunOnSilentWorker guards against submissions that run nothing because one of their tasks counts as
+// running on a worker that no longer answers.
+func TestJobDoesNotIdleBehindRunOnSilentWorker(t *testing.T) {
+	js := parts(2)
+	p := fullOfLongRuns(t, workers(1, 8), 4, js[0])
+	s, err := p.Status(js[0].ID)
+	require.NoError(t, err)
+	w := p.ledger.Get(s.Workers[0]).Worker
+	w.Leaving = true
+	p.PutWorker(w)
+	require.NoError(t, p.Submit(js[1]))
+	requireStart(t, p, js[1].ID, start)
+}
+
+// TestJobDoesNotIdleBehindStartThatHangs guards against submissions that run nothing for as long as the start of one of their
+// tasks has no outcome.
+func TestJobDoesNotIdleBehindStartThatHangs(t *testing.T) {
+	p := fullOfLongRuns(t, workers(1, 8), 4)
+	js := parts(2)
+	require.NoError(t, p.Submit(js[0]))
+	at := start.Add(2 * time.Second)
+	require.Len(t, p.Pass(at).Starts, 1)
+	require.NoError(t, p.Submit(js[1]))
+	requireStart(t, p, js[1].ID, at)
+}
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -12,9 +12,10 @@
 )
 
 type entry struct {
-	job     fleet.Job
-	profile *config.Profile
-	state   string
+	job        fleet.Job
+	submission *submission
+	profile    *config.Profile
+	state      string
 	// shape is the job's shape with the estimated memory; need is the room for one of its tasks.
 	shape fleet.Shape
 	need  place.Resources
@@ -130,7 +131,8 @@
 	e := p.newEntry(j)
 	e.since = started
 	p.addJob(e)
-	p.setState(e, StateRunning)
+	e.state = StateRunning
+	e.submission.idleSince = started
 	placement = slices.Clone(placement)
 	slices.SortFunc(placement, func(x, y fleet.Assignment) int { return x.Task - y.Task })
 	for _, a := range placement {
@@ -184,14 +186,15 @@
 	if !ok || e.state != StateStarting {
 		return
 	}
-	p.setState(e, StateRunning)
+	e.state = StateRunning
 	e.since = at
+	e.submission.idleSince = at
 }
 
 // Stopping records that a started job is being stopped and no longer counts as running.
 func (p *Planner) Stopping(id string) {
-	if e, ok := p.jobs[id]; ok && e.isLive() {
-		p.setState(e, StateStopping)
+	if e, ok := p.jobs[id]; ok && (e.state == StateStarting || e.state == StateRunning) {
+		e.state = StateStopping
 	}
 }
 
@@ -211,7 +214,7 @@
 	}
 	p.releasePlaces(e)
 	p.raiseMemory(e)
-	p.setState(e, StateQueued)
+	e.state = StateQueued
 	e.stopReason = ""
 	e.job.Progress = max(e.job.Progress, x.Progress)
 	p.enqueue(e)
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -66,6 +66,8 @@
 	preemptionSearches int
 	// hasMovable is set if some job has been running for long enough to be moved.
 	hasMovable bool
+	// isStarting is set for each submission of which a job starts and has not done so for long.
+	isStarting map[*submission]bool
 	// isTight tells for each query of an overdue job whether the room is short for two of it.
 	isTight map[roomQuery]bool
 	// ends caches the expected ends of started gangs.
@@ -107,7 +109,7 @@
 	}
 	p.pass = passState{
 		failed: map[roomQuery]time.Duration{}, noPreemption: map[preemptionKey]bool{}, ends: map[*entry]time.Time{},
-		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{},
+		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{}, isStarting: map[*submission]bool{},
 	}
 	p.sumJobs()
 	p.refreshSites()
@@ -117,13 +119,14 @@
 	p.refillStartRate()
 }
 
-// sumJobs sums up the demand of urgent jobs and notes whether any job is movable.
+// sumJobs sums up the demand of urgent jobs, and notes which submissions have work and whether any job is movable.
 func (p *Planner) sumJobs() {
 	p.pass.urgent = map[string]int{}
 	for _, e := range p.jobs {
 		if e.isUrgent() {
 			p.pass.urgent[e.job.Organisation] += e.shape.TotalAccelerators()
 		}
+		p.noteWork(e)
 		p.pass.hasMovable = p.pass.hasMovable || p.isMovable(e)
 	}
 }
@@ -266,7 +269,8 @@
 	p.dequeue(e)
 	e.job.Attempt++
 	e.starts++
-	p.setState(e, StateStarting)
+	e.state = StateStarting
+	p.pass.isStarting[e.submission] = true
 	e.since = p.now
 	e.sites = sites
 	e.awaited = nil
@@ -396,7 +400,7 @@
 			continue
 		}
 		if e.state == StateRunning {
-			p.setState(e, StateStopping)
+			e.state = StateStopping
 			e.reason = waitReason{text: e.stopReason}
 			d.Stops = append(d.Stops, Stop{Job: e.job.ID, Grace: e.profile.ReclaimBound, Reason: e.stopReason})
 			continue
