End the backoff of an overdue job after half a second

What callers see: a job has nothing running for up to 5 s beside room for it many times over, after runs or starts that failed.

Cause: the planner decides on the backoff, which doubles up to 5 s, before it asks whether the job is overdue.

Fix: for an overdue job the backoff ends 0.5 s after the last attempt at the latest, so that starts that are refused again and again do not follow each other with every pass.

TestJobDoesNotIdleBehindBackoff failed before with 'fails is still queued after 3s beside room for two of it: Backoff, its last attempt came to nothing; tried again after 3.2s'.

--- a/internal/state/plan/attempt.go
+++ b/internal/state/plan/attempt.go
@@ -73,6 +73,8 @@
 	maxBackoff = 5 * time.Second
 	// maxLongRunningBackoff is shorter, because a long-running job is missed throughout the backoff.
 	maxLongRunningBackoff = time.Second
+	// maxOverdueBackoff applies once nothing of a submission has run for the idle bound beside room for it.
+	maxOverdueBackoff = 500 * time.Millisecond
 )
 
 // applyBackoff delays a job after an unsuccessful attempt, and twice as long after each further one in a row.
@@ -92,6 +94,14 @@
 	}
 }
 
+// retryTime returns when the backoff of a job ends.
+func (p *Planner) retryTime(e *entry) time.Time {
+	if e.backoff > maxOverdueBackoff && p.now.Before(e.notBefore) && p.isOverdue(e) {
+		return e.notBefore.Add(maxOverdueBackoff - e.backoff)
+	}
+	return e.notBefore
+}
+
 // Next returns the earliest time at which another pass may decide differently if nothing else changes, or zero while
 // no job is queued.
 func (p *Planner) Next(now time.Time) time.Time {
@@ -108,6 +118,7 @@
 	for _, e := range p.jobs {
 		if e.isQueued() {
 			consider(e.notBefore)
+			consider(e.submission.idleSince.Add(p.idleBound))
 			consider(e.expected)
 			consider(e.job.Deadline)
 		}
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -253,3 +253,17 @@
 	require.NoError(t, p.Submit(js[1]))
 	requireStart(t, p, js[1].ID, at)
 }
+
+// TestJobDoesNotIdleBehindBackoff guards against jobs that run nothing for up to maxBackoff after runs that failed.
+func TestJobDoesNotIdleBehindBackoff(t *testing.T) {
+	p := planner(t, workers(1, 8), profiles(audit), WithIdleBound(2*time.Second))
+	require.NoError(t, p.Submit(job("fails", "Gear", "Audit", shape(1, 8, fleet.LevelWorker))))
+	at := start
+	for range 7 {
+		requireStart(t, p, "fails", at)
+		at = p.now.Add(50 * time.Millisecond)
+		p.Ended(Ended{Job: "fails", Result: ResultFailed, At: at, Requeue: true})
+	}
+	require.Greater(t, p.jobs["fails"].backoff, idleBound)
+	requireStart(t, p, "fails", at)
+}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -218,7 +218,7 @@
 		d.Refusals = append(d.Refusals, Refusal{Job: e.job.ID, Reason: "its deadline passed before a start", Ran: e.hasRun()})
 		return
 	}
-	if p.now.Before(e.notBefore) {
+	if p.now.Before(p.retryTime(e)) {
 		e.reason = waitReason{code: reasonBackoff}
 		return
 	}
