Start an overdue job that claims its guarantee in other free room

What callers see: a job within a guarantee has nothing running beside room for two of it, for as long as the stop of a borrower of its guaranteed places takes. On a worker that does not answer that is until the end of its lease.

Cause: a claim that waits for a stop returns before the planner asks whether the job is overdue.

Fix: an overdue job gives up its claim for room outside of the guarantee, within the quota of its organisation. Quotas stay hard limits for overdue jobs: they are set by the operator and end with nothing that the planner believes.

Urgent jobs that wait by preemption are searched for anew in each pass and had the check already.

TestClaimDoesNotIdleBehindStopThatHangs failed before with 'gang is still queued after 3s beside room for two of it: Reclaim, 1 rack with borrowed work of 1 job, reclaim under way'.

--- a/internal/state/plan/claim.go
+++ b/internal/state/plan/claim.go
@@ -15,12 +15,11 @@
 		p.bookPending(e, -1)
 		e.awaited = nil
 		if len(g.Places) > 0 {
-			if p.startInGang(e, g, d) || p.reclaim(e, g) {
+			if p.startInGang(e, g, d) || p.startOverdue(e, d) || p.reclaim(e, g) {
 				return true
 			}
 		}
-		g.Claim = ""
-		e.gang = nil
+		p.withdrawClaim(e)
 	}
 	gs := p.reservations.Find(e.job.Organisation, e.job.Profile, e.shape)
 	for _, g := range gs {
@@ -28,6 +27,9 @@
 			return true
 		}
 	}
+	if len(gs) > 0 && p.startOverdue(e, d) {
+		return true
+	}
 	for _, g := range gs {
 		if p.reclaim(e, g) {
 			return true
@@ -36,6 +38,15 @@
 	return false
 }
 
+// withdrawClaim ends the claim of a queued job on a guaranteed gang, if it has one.
+func (p *Planner) withdrawClaim(e *entry) {
+	if e.gang == nil {
+		return
+	}
+	e.gang.Claim = ""
+	e.gang = nil
+}
+
 // startInGang starts a job in a guaranteed gang if its places are free now, or if the gang is idle and can move to
 // free places.
 func (p *Planner) startInGang(e *entry, g *hold.Gang, d *Decisions) bool {
--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -141,6 +141,20 @@
 	return s.FreeUncommitted()
 }
 
+// startOverdue starts an overdue job outside of its guarantee and reports whether there is room for it.
+func (p *Planner) startOverdue(e *entry, d *Decisions) bool {
+	if !p.isOverdue(e) || p.exceedsQuota(e) {
+		return false
+	}
+	sites := p.findLastResort(e)
+	if sites == nil {
+		return false
+	}
+	p.withdrawClaim(e)
+	p.startOutside(e, sites, "as its submission has nothing running beside free room", d)
+	return true
+}
+
 // findLastResort looks for room for an overdue job without regard to reservations for blocked gangs and adjacency, and, if there
 // is none on trusted workers, without regard to the health of the workers and the job's own record with them.
 func (p *Planner) findLastResort(e *entry) []*place.Site {
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -267,3 +267,28 @@
 	require.Greater(t, p.jobs["fails"].backoff, idleBound)
 	requireStart(t, p, "fails", at)
 }
+
+// TestClaimDoesNotIdleBehindStopThatHangs guards against guaranteed gangs that run nothing while the stop of a borrower on a
+// worker that does not answer has no outcome.
+func TestClaimDoesNotIdleBehindStopThatHangs(t *testing.T) {
+	claims := recon
+	claims.Guarantees = guarantee("CW", 1, shape(2, 8, fleet.LevelRack))
+	p := planner(t, workers(5, 2), profiles(audit, claims), WithIdleBound(2*time.Second))
+	for i := range 10 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("a%02d", i), "Gear", "Audit", shape(1, 8, fleet.LevelWorker))))
+	}
+	d := p.Pass(start)
+	require.Len(t, d.Starts, 10)
+	run(p, d, start)
+	for _, s := range d.Starts {
+		if p.ledger.Get(s.Placement[0].Worker).Rack().Sites[0].Worker.Name == s.Placement[0].Worker {
+			p.Ended(Ended{Job: s.Job.ID, Result: ResultDone, At: start})
+		}
+	}
+	require.NoError(t, p.Submit(job("gang", "CW", "Recon", shape(2, 8, fleet.LevelRack))))
+	d = p.Pass(start)
+	require.Empty(t, d.Starts)
+	require.Len(t, d.Stops, 1)
+	requireStart(t, p, "gang", start.Add(time.Millisecond))
+	require.Empty(t, p.UnkeptGuarantees())
+}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -228,30 +228,17 @@
 	p.dropAwaited(e)
 	p.relaxAvoidance(e)
 	p.relaxAdjacency(e)
-	if q := p.quota(e); q > 0 {
-		used := p.usage[e.job.Organisation].Accelerators + p.usedElsewhere[e.job.Organisation]
-		if used+e.shape.TotalAccelerators() > q {
-			e.reason = waitReason{code: reasonQuota, a: used, b: q}
-			return
-		}
-	}
-	isOverdue := p.isOverdue(e)
-	if !p.leavesHeadroom(e) && !isOverdue {
-		e.reason = waitReason{code: reasonHeadroom, a: p.headroom.free, b: p.headroom.reserved}
+	if p.exceedsQuota(e) {
 		return
 	}
-	if !p.hasStartToken(e) && !isOverdue {
-		e.reason = waitReason{code: reasonStartRate}
+	if p.isHeldBack(e) && !p.isOverdue(e) {
 		return
 	}
-	sites, reason := p.findSites(e)
-	if sites == nil && isOverdue {
-		sites, reason = p.findLastResort(e), "as its submission has nothing running beside free room"
+	if sites, reason := p.findSites(e); sites != nil {
+		p.startOutside(e, sites, reason, d)
+		return
 	}
-	if sites != nil {
-		p.headroom.take(e.shape.TotalAccelerators(), e.isUrgent())
-		p.takeStartToken(e)
-		p.start(e, sites, reason, d)
+	if p.startOverdue(e, d) {
 		return
 	}
 	if p.preempt(e, d) {
@@ -264,6 +251,40 @@
 	return !e.job.Deadline.IsZero() && p.now.After(e.job.Deadline)
 }
 
+// exceedsQuota reports, as the reason for which a job waits, whether it would exceed the quota of its organisation.
+func (p *Planner) exceedsQuota(e *entry) bool {
+	q := p.quota(e)
+	if q <= 0 {
+		return false
+	}
+	used := p.usage[e.job.Organisation].Accelerators + p.usedElsewhere[e.job.Organisation]
+	if used+e.shape.TotalAccelerators() <= q {
+		return false
+	}
+	e.reason = waitReason{code: reasonQuota, a: used, b: q}
+	return true
+}
+
+// isHeldBack reports, as the reason for which a job waits, whether room is kept from it for urgent jobs.
+func (p *Planner) isHeldBack(e *entry) bool {
+	switch {
+	case !p.leavesHeadroom(e):
+		e.reason = waitReason{code: reasonHeadroom, a: p.headroom.free, b: p.headroom.reserved}
+	case !p.hasStartToken(e):
+		e.reason = waitReason{code: reasonStartRate}
+	default:
+		return false
+	}
+	return true
+}
+
+// startOutside starts a gang outside of guarantees.
+func (p *Planner) startOutside(e *entry, sites []*place.Site, reason string, d *Decisions) {
+	p.headroom.take(e.shape.TotalAccelerators(), e.isUrgent())
+	p.takeStartToken(e)
+	p.start(e, sites, reason, d)
+}
+
 // start allocates the resources of a gang and adds its start to the decisions.
 func (p *Planner) start(e *entry, sites []*place.Site, reason string, d *Decisions) {
 	p.dequeue(e)
