Let an overdue job have room that others wait for

What callers see: a job has nothing running beside room for it many times over, for as long as the stop takes for which an urgent gang waits, and longer if further gangs wait there one after the other.

Cause: the planner books the whole room of a job that waits for stops, also the part of it that is free, and counts booked room as taken when it looks whether an overdue job has room for two.

Fix: only claims of guaranteed gangs keep the room that they wait for. Other booked room counts as free for an overdue job, which takes it if there is no room that nothing waits for on trusted workers. The waiting job chooses again in the next pass.

TestJobDoesNotIdleBesideAwaitedRoom failed before with 'small no longer fits twice, 0s after the first pass', with three of four workers free.

--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -123,22 +123,22 @@
 	return ok && p.fitsTwice(e)
 }
 
-// lastResortView returns the room that no running job and no awaited stop takes on workers that the job may use.
+// lastResortView returns the room that no running job and no claim of a guarantee takes on workers that the job may use.
 func (p *Planner) lastResortView(e *entry) place.View {
 	return func(s *place.Site) place.Resources {
 		if s.Worker.Leaving || s.Stopped || !s.StopFrom.IsZero() || !p.matchesLabel(e, s) {
 			return place.Resources{}
 		}
-		return p.limitPerWorker(e, s, p.unreservedFor(e, s))
+		return p.limitPerWorker(e, s, besideGuarantees(e, s, s.FreeForClaim()))
 	}
 }
 
-// unreservedFor returns the free room of a site that a job may use beside guarantees.
-func (p *Planner) unreservedFor(e *entry, s *place.Site) place.Resources {
+// besideGuarantees returns the part of the room of a site that a job may use beside guarantees.
+func besideGuarantees(e *entry, s *place.Site, room place.Resources) place.Resources {
 	if e.isPreemptible {
-		return s.Free()
+		return room
 	}
-	return s.FreeUncommitted()
+	return room.Min(s.Uncommitted())
 }
 
 // startOverdue starts an overdue job outside of its guarantee and reports whether there is room for it.
@@ -155,11 +155,15 @@
 	return true
 }
 
-// findLastResort looks for room for an overdue job without regard to reservations for blocked gangs and adjacency, and, if there
-// is none on trusted workers, without regard to the health of the workers and the job's own record with them.
+// findLastResort looks for room for an overdue job without regard to reservations for blocked gangs and adjacency. If there is
+// none that nothing waits for, it takes room that other jobs wait for, and at last disregards the health of the workers and the
+// job's own record with them.
 func (p *Planner) findLastResort(e *entry) []*place.Site {
-	open := p.openView(e, p.now, func(s *place.Site) place.Resources { return p.unreservedFor(e, s) })
-	for _, v := range []place.View{open, p.lastResortView(e)} {
+	for _, v := range []place.View{
+		p.openView(e, p.now, func(s *place.Site) place.Resources { return besideGuarantees(e, s, s.Free()) }),
+		p.openView(e, p.now, func(s *place.Site) place.Resources { return besideGuarantees(e, s, s.FreeForClaim()) }),
+		p.lastResortView(e),
+	} {
 		q := place.Search{Shape: e.shape, Targets: p.scoringTargets(), View: v}
 		if to := p.ledger.Fit(q); to != nil {
 			return to
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -292,3 +292,19 @@
 	requireStart(t, p, "gang", start.Add(time.Millisecond))
 	require.Empty(t, p.UnkeptGuarantees())
 }
+
+// TestJobDoesNotIdleBesideAwaitedRoom guards against jobs that run nothing beside free workers for which an urgent gang waits until
+// a stop ends that hangs.
+func TestJobDoesNotIdleBesideAwaitedRoom(t *testing.T) {
+	p := planner(t, workers(1, 4), profiles(audit, urgent), WithIdleBound(2*time.Second))
+	whole := shape(1, 8, fleet.LevelWorker)
+	require.NoError(t, p.Submit(job("long", "Gear", "Audit", whole)))
+	d := p.Pass(start)
+	run(p, d, start)
+	require.NoError(t, p.Submit(job("gang", "CW", "Urgent", shape(4, 8, fleet.LevelDomain))))
+	require.NoError(t, p.Submit(job("small", "Gear", "Audit", whole)))
+	d = p.Pass(start.Add(time.Millisecond))
+	require.Empty(t, d.Starts)
+	require.Len(t, d.Stops, 1)
+	requireStart(t, p, "small", start.Add(2*time.Millisecond))
+}
