Count the room for a spread job as others see it

What callers see: a task with a limit of tasks per worker has nothing running beside room for several of it, if only few workers are left that may take one.

Cause: to be overdue, two tasks had to have room at the same time within the limit, while an observer counts the free room of the workers that the task may use. A gang that has to be on one worker was the other way round: parts of it on several workers counted as room for it, though it cannot start there.

Fix: there has to be room for the job once within its limit, and twice on the workers that it may use; for a gang on one worker, in whole gangs on each.

TestSpreadJobDoesNotIdleBesideOneWorker failed before with 'spread no longer fits twice', beside a free worker with room for two.

--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -102,13 +102,21 @@
 }
 
 // fitsTwice reports whether the workers have room for two of a job beside what runs, whatever is kept there for other work and
-// whatever is believed of their health.
+// whatever is believed of their health. A limit of tasks per worker has to leave room for one.
 func (p *Planner) fitsTwice(e *entry) bool {
-	tasks := 0
+	once, twice := 0, 0
 	for _, r := range p.ledger.Racks() {
 		for _, s := range r.Sites {
-			tasks += p.lastResortView(e)(s).Holds(e.need)
-			if tasks >= 2*e.shape.Tasks {
+			n, left := p.lastResortRoom(e, s).Holds(e.need), p.tasksLeft(e, s)
+			if e.shape.Adjacent == fleet.LevelWorker {
+				n -= n % e.shape.Tasks
+			}
+			if left == 0 {
+				continue
+			}
+			once += min(n, left)
+			twice += n
+			if once >= e.shape.Tasks && twice >= 2*e.shape.Tasks {
 				return true
 			}
 		}
@@ -123,14 +131,12 @@
 	return ok && p.fitsTwice(e)
 }
 
-// lastResortView returns the room that no running job and no claim of a guarantee takes on workers that the job may use.
-func (p *Planner) lastResortView(e *entry) place.View {
-	return func(s *place.Site) place.Resources {
-		if s.Worker.Leaving || s.Stopped || !s.StopFrom.IsZero() || !p.matchesLabel(e, s) {
-			return place.Resources{}
-		}
-		return p.limitPerWorker(e, s, besideGuarantees(e, s, s.FreeForClaim()))
+// lastResortRoom returns the room of a site that no running job and no claim of a guarantee takes, if the job may use its worker.
+func (p *Planner) lastResortRoom(e *entry, s *place.Site) place.Resources {
+	if s.Worker.Leaving || s.Stopped || !s.StopFrom.IsZero() || !p.matchesLabel(e, s) {
+		return place.Resources{}
 	}
+	return besideGuarantees(e, s, s.FreeForClaim())
 }
 
 // besideGuarantees returns the part of the room of a site that a job may use beside guarantees.
@@ -162,7 +168,7 @@
 	for _, v := range []place.View{
 		p.openView(e, p.now, func(s *place.Site) place.Resources { return besideGuarantees(e, s, s.Free()) }),
 		p.openView(e, p.now, func(s *place.Site) place.Resources { return besideGuarantees(e, s, s.FreeForClaim()) }),
-		p.lastResortView(e),
+		func(s *place.Site) place.Resources { return p.limitPerWorker(e, s, p.lastResortRoom(e, s)) },
 	} {
 		q := place.Search{Shape: e.shape, Targets: p.scoringTargets(), View: v}
 		if to := p.ledger.Fit(q); to != nil {
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -308,3 +308,13 @@
 	require.Len(t, d.Stops, 1)
 	requireStart(t, p, "small", start.Add(2*time.Millisecond))
 }
+
+// TestSpreadJobDoesNotIdleBesideOneWorker guards against jobs with a limit of tasks per worker that run nothing because only one of
+// two tasks that have room could have it at a time.
+func TestSpreadJobDoesNotIdleBesideOneWorker(t *testing.T) {
+	p := fullOfLongRuns(t, workers(1, 2), 1)
+	j := volatile("spread", "Audit", shape(1, 4, fleet.LevelDomain))
+	j.Group, j.PerWorker = "all", 1
+	require.NoError(t, p.Submit(j))
+	requireStart(t, p, "spread", start)
+}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -330,8 +331,14 @@
 
 // limitPerWorker limits the room of a site to the tasks that the job, together with its group, may have on one worker.
 func (p *Planner) limitPerWorker(e *entry, s *place.Site, r place.Resources) place.Resources {
+	r.Slots = min(r.Slots, p.tasksLeft(e, s))
+	return r
+}
+
+// tasksLeft returns how many tasks the limit of a job and its group leaves on a worker.
+func (p *Planner) tasksLeft(e *entry, s *place.Site) int {
 	if e.job.PerWorker == 0 {
-		return r
+		return math.MaxInt
 	}
 	left := e.job.PerWorker
 	for _, b := range p.gangsOn[s] {
@@ -339,8 +346,7 @@
 			left -= b.roomOn(s).Slots
 		}
 	}
-	r.Slots = max(min(r.Slots, left), 0)
-	return r
+	return max(left, 0)
 }
 
 // isOpen reports whether a site accepts the job now.
