Keep overdue jobs from workers that will be stopped under them

What operators could see: an overdue job starts on a worker with a planned stop that it would outlive, though there is room for it elsewhere.

Cause: the search for room for an overdue job on trusted workers took the job as ending at once, while the check whether it is overdue counts no worker with a planned stop.

Fix: the search takes the estimated end.

TestOverdueJobKeepsToPlannedStops failed before: the job ran on the worker with the planned stop.

--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -165,9 +165,10 @@
 // none that nothing waits for, it takes room that other jobs wait for, and at last disregards the health of the workers and the
 // job's own record with them.
 func (p *Planner) findLastResort(e *entry) []*place.Site {
+	end := p.now.Add(p.runTime(e))
 	for _, v := range []place.View{
-		p.openView(e, p.now, func(s *place.Site) place.Resources { return besideGuarantees(e, s, s.Free()) }),
-		p.openView(e, p.now, func(s *place.Site) place.Resources { return besideGuarantees(e, s, s.FreeForClaim()) }),
+		p.openView(e, end, func(s *place.Site) place.Resources { return besideGuarantees(e, s, s.Free()) }),
+		p.openView(e, end, func(s *place.Site) place.Resources { return besideGuarantees(e, s, s.FreeForClaim()) }),
 		func(s *place.Site) place.Resources { return p.limitPerWorker(e, s, p.lastResortRoom(e, s)) },
 	} {
 		q := place.Search{Shape: e.shape, Targets: p.scoringTargets(), View: v}
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/stretchr/testify/require"
 )
@@ -318,3 +319,24 @@
 	require.NoError(t, p.Submit(j))
 	requireStart(t, p, "spread", start)
 }
+
+// TestOverdueJobKeepsToPlannedStops verifies that an overdue job takes a worker in quarantine rather than one with a planned stop
+// that it would outlive.
+func TestOverdueJobKeepsToPlannedStops(t *testing.T) {
+	c := profiles(audit)
+	c.Stops = map[string]config.Stop{"s": {
+		Name: "s", Kind: "Worker", Domain: "north-quay", Target: "w000", From: start.Add(30 * time.Second), Until: start.Add(time.Hour),
+	}}
+	p := planner(t, workers(1, 4), c, WithIdleBound(2*time.Second))
+	for _, w := range []string{"w002", "w003"} {
+		for i := range 3 {
+			p.RecordCrash(w, fmt.Sprintf("%s-%d", w, i), start)
+		}
+	}
+	require.NoError(t, p.Submit(job("long", "Gear", "Audit", shape(1, 8, fleet.LevelWorker))))
+	run(p, p.Pass(start), start)
+	require.Equal(t, 8, p.ledger.Get("w001").Used.Accelerators)
+	require.NoError(t, p.Submit(job("next", "Gear", "Audit", shape(1, 8, fleet.LevelWorker))))
+	requireStart(t, p, "next", start.Add(time.Millisecond))
+	require.Zero(t, p.ledger.Get("w000").Used.Accelerators)
+}
