Look at every overdue job, and search only where it may fit

What callers see: jobs have nothing running beside room for two of them, as long as 64 and more idle jobs of other shapes come before them in the queue.

Cause: a pass looked for room for 64 shapes of overdue jobs at most, since a look went over all workers. The answer stood for the whole pass, also once other jobs had taken the room, so that an overdue job could take the last room that was kept.

Fix: a pass notes once which workers have a slot to spare and how much room. A look for an overdue job and a check before each search go over that. Only a shape that was found short of room is not looked at again in the pass, as the room gets no more.

TestEveryOverdueJobIsLookedAt failed before with 'small is still queued after 3s beside room for two of it: Headroom', behind 200 shapes that do not fit. TestOverdueJobsLeaveRoomForOneMore failed before with three starts in place of two.

--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -14,9 +14,6 @@
 	return func(p *Planner) { p.idleBound = d }
 }
 
-// maxOverdueSearches bounds the distinct shapes of overdue jobs that one pass looks for room for.
-const maxOverdueSearches = 64
-
 // maxStartTime is how long a start without outcome counts as work of its submission.
 const maxStartTime = time.Second
 
@@ -80,15 +77,11 @@
 		return false
 	}
 	k := e.roomQuery()
-	if isTight, isKnown := p.pass.isTight[k]; isKnown {
-		return !isTight
-	}
-	if len(p.pass.isTight) >= maxOverdueSearches {
+	if p.pass.isTight[k] {
 		return false
 	}
-	isTight := !p.fitsTwice(e)
-	p.pass.isTight[k] = isTight
-	return !isTight
+	p.pass.isTight[k] = !p.fitsTwice(e, p.unused())
+	return !p.pass.isTight[k]
 }
 
 // IdleSince returns since when the submission of a queued job has had nothing running, or zero for a job that the planner does
@@ -101,24 +94,30 @@
 	return e.submission.idleSince
 }
 
-// fitsTwice reports whether the workers have room for two of a job beside what runs, whatever is kept there for other work and
-// whatever is believed of their health. A limit of tasks per worker has to leave room for one.
-func (p *Planner) fitsTwice(e *entry) bool {
+// fitsTwice reports whether there is room for two of a job beside what runs, whatever is kept there for other work and whatever is
+// believed of the health of the workers. A limit of tasks per worker has to leave room for one.
+func (p *Planner) fitsTwice(e *entry, us []unusedRoom) bool {
 	once, twice := 0, 0
-	for _, r := range p.ledger.Racks() {
-		for _, s := range r.Sites {
-			n, left := p.lastResortRoom(e, s).Holds(e.need), p.tasksLeft(e, s)
-			if e.shape.Adjacent == fleet.LevelWorker {
-				n -= n % e.shape.Tasks
-			}
-			if left == 0 {
-				continue
-			}
-			once += min(n, left)
-			twice += n
-			if once >= e.shape.Tasks && twice >= 2*e.shape.Tasks {
-				return true
-			}
+	for i := range us {
+		if !e.need.IsWithin(us[i].room) {
+			continue
+		}
+		s := us[i].site
+		n := p.lastResortRoom(e, s).Holds(e.need)
+		if e.shape.Adjacent == fleet.LevelWorker {
+			n -= n % e.shape.Tasks
+		}
+		if n == 0 {
+			continue
+		}
+		left := p.tasksLeft(e, s)
+		if left == 0 {
+			continue
+		}
+		once += min(n, left)
+		twice += n
+		if once >= e.shape.Tasks && twice >= 2*e.shape.Tasks {
+			return true
 		}
 	}
 	return false
@@ -128,7 +127,7 @@
 // work and whatever is believed of their health.
 func (p *Planner) FitsTwice(id string) bool {
 	e, ok := p.jobs[id]
-	return ok && p.fitsTwice(e)
+	return ok && p.fitsTwice(e, p.findUnused())
 }
 
 // lastResortRoom returns the room of a site that no running job and no claim of a guarantee takes, if the job may use its worker.
@@ -154,6 +153,7 @@
 	}
 	sites := p.findLastResort(e)
 	if sites == nil {
+		p.pass.isTight[e.roomQuery()] = true
 		return false
 	}
 	p.withdrawClaim(e)
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -340,3 +340,28 @@
 	requireStart(t, p, "next", start.Add(time.Millisecond))
 	require.Zero(t, p.ledger.Get("w000").Used.Accelerators)
 }
+
+// TestEveryOverdueJobIsLookedAt guards against jobs that run nothing because many idle jobs of other shapes come before them in the
+// queue.
+func TestEveryOverdueJobIsLookedAt(t *testing.T) {
+	p := fullOfLongRuns(t, workers(1, 8), 4)
+	for i := range 200 {
+		j := volatile(fmt.Sprintf("large%03d", i), "Audit", shape(8, 8, fleet.LevelDomain))
+		j.Shape.Memory += fleet.Bytes(i)
+		require.NoError(t, p.Submit(j))
+	}
+	require.NoError(t, p.Submit(volatile("small", "Audit", shape(1, 8, fleet.LevelWorker))))
+	requireStart(t, p, "small", start)
+}
+
+// TestOverdueJobsLeaveRoomForOneMore guards against jobs that take the last room that is kept for urgent work because there was
+// room for two at the beginning of the pass.
+func TestOverdueJobsLeaveRoomForOneMore(t *testing.T) {
+	p := fullOfLongRuns(t, workers(1, 8), 3)
+	for i := range 3 {
+		require.NoError(t, p.Submit(volatile(fmt.Sprintf("idle%d", i), "Audit", shape(1, 8, fleet.LevelWorker))))
+	}
+	require.Empty(t, p.Pass(start).Starts)
+	require.Len(t, p.Pass(start.Add(2*time.Second)).Starts, 2)
+	require.Empty(t, p.Pass(start.Add(3*time.Second)).Starts)
+}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -68,8 +68,10 @@
 	hasMovable bool
 	// isStarting is set for each submission of which a job starts and has not done so for long.
 	isStarting map[*submission]bool
-	// isTight tells for each query of an overdue job whether the room is short for two of it.
+	// isTight is set for each query of an overdue job for two of which the room was found to be short; it only gets shorter.
 	isTight map[roomQuery]bool
+	// unused is the room in which the pass may start work; nil if it was not looked for yet.
+	unused []unusedRoom
 	// ends caches the expected ends of started gangs.
 	ends map[*entry]time.Time
 	// lastSites holds the site where the last task of a query was placed, which often has room for the next one.
@@ -371,6 +373,11 @@
 		e.reason = waitReason{code: reasonRoom}
 		return nil, ""
 	}
+	if !p.mayFit(e) {
+		p.pass.failed[key], p.pass.isTight[key] = run, true
+		e.reason = waitReason{code: reasonRoom}
+		return nil, ""
+	}
 	end := p.now.Add(run)
 	q := place.Search{Shape: e.shape, Targets: p.scoringTargets()}
 	q.View = p.backfillView(e, end, (*place.Site).FreeUncommitted)
