End the backoff of a job that was stopped

What callers see: a job has nothing running for up to 5 s after it was stopped for other work or its start was refused, though neither calls for a backoff.

Cause: the end of an attempt as stopped resets the length of the backoff, but not the time until which it lasts. Since overdue jobs start before that time, it may be ahead; such a job then waited it out, with a backoff of zero that gives way to nothing.

Fix: both are reset. TestStoppedJobHasNoBackoff failed before with no start in place of one.

--- a/internal/state/plan/attempt.go
+++ b/internal/state/plan/attempt.go
@@ -80,7 +80,7 @@
 // applyBackoff delays a job after an unsuccessful attempt, and twice as long after each further one in a row.
 func (p *Planner) applyBackoff(e *entry, x Ended) {
 	if x.Result == ResultStopped || x.Result == ResultDone || p.disabled[Backoff] {
-		e.backoff = 0
+		e.backoff, e.notBefore = 0, time.Time{}
 		return
 	}
 	limit := maxBackoff
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -365,3 +365,20 @@
 	require.Len(t, p.Pass(start.Add(2*time.Second)).Starts, 2)
 	require.Empty(t, p.Pass(start.Add(3*time.Second)).Starts)
 }
+
+// TestStoppedJobHasNoBackoff guards against jobs that wait out the backoff of an earlier attempt after they were stopped.
+func TestStoppedJobHasNoBackoff(t *testing.T) {
+	p := planner(t, workers(1, 4), profiles(audit), WithIdleBound(2*time.Second))
+	require.NoError(t, p.Submit(job("j", "Gear", "Audit", shape(1, 8, fleet.LevelWorker))))
+	at := start
+	for range 7 {
+		requireStart(t, p, "j", at)
+		at = p.now.Add(50 * time.Millisecond)
+		p.Ended(Ended{Job: "j", Result: ResultLost, At: at, Requeue: true})
+	}
+	requireStart(t, p, "j", at)
+	at = p.now.Add(50 * time.Millisecond)
+	require.True(t, p.jobs["j"].notBefore.After(at))
+	p.Ended(Ended{Job: "j", Result: ResultStopped, At: at, Requeue: true})
+	require.Len(t, p.Pass(at).Starts, 1)
+}
