Count no run that is to be stopped as work of its submission

What callers see: a submission runs nothing for up to 5 s beside room for two of its jobs, of which the first 3 s are a start without outcome.

Cause: a job whose stop is asked for while it starts is stopped as soon as it has started. For that moment it counted as work, which began a new idle time.

Fix: a job that is to be stopped does not count as work.

TestJobDoesNotIdleBehindStartToBeStopped failed before: the other job of the submission did not start with the stop.

--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -55,9 +55,10 @@
 	}
 }
 
-// isAtWork reports whether a job runs, on workers that stay and answer.
+// isAtWork reports whether a job runs, on workers that stay and answer, and is not to be stopped.
 func (e *entry) isAtWork() bool {
-	return e.state == StateRunning && !slices.ContainsFunc(e.sites, func(s *place.Site) bool { return s.Worker.Leaving })
+	isLeaving := func(s *place.Site) bool { return s.Worker.Leaving }
+	return e.state == StateRunning && e.stopReason == "" && !slices.ContainsFunc(e.sites, isLeaving)
 }
 
 // noteWork records whether a job ends the idle time of its submission, or may do so soon.
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -366,6 +366,24 @@
 	require.Empty(t, p.Pass(start.Add(3*time.Second)).Starts)
 }
 
+// TestJobDoesNotIdleBehindStartToBeStopped guards against submissions that run nothing because a start without outcome for long
+// succeeds, only to be stopped at once for other work.
+func TestJobDoesNotIdleBehindStartToBeStopped(t *testing.T) {
+	p := fullOfLongRuns(t, workers(1, 8), 4)
+	js := parts(2)
+	require.NoError(t, p.Submit(js[0]))
+	at := start.Add(2 * time.Second)
+	require.Len(t, p.Pass(at).Starts, 1)
+	require.NoError(t, p.Submit(js[1]))
+	p.requestStop(p.jobs[js[0].ID], "more urgent work takes its capacity")
+	at = at.Add(maxStartTime - time.Millisecond)
+	p.Started(js[0].ID, at)
+	d := p.Pass(at)
+	require.Len(t, d.Stops, 1)
+	require.Len(t, d.Starts, 1)
+	require.Equal(t, js[1].ID, d.Starts[0].Job.ID)
+}
+
 // TestStoppedJobHasNoBackoff guards against jobs that wait out the backoff of an earlier attempt after they were stopped.
 func TestStoppedJobHasNoBackoff(t *testing.T) {
 	p := planner(t, workers(1, 4), profiles(audit), WithIdleBound(2*time.Second))
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -188,7 +188,9 @@
 	}
 	e.state = StateRunning
 	e.since = at
-	e.submission.idleSince = at
+	if e.isAtWork() {
+		e.submission.idleSince = at
+	}
 }
 
 // Stopping records that a started job is being stopped and no longer counts as running.
