--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
@@ -13,30 +14,25 @@
 	return func(p *Planner) { p.idleBound = d }
 }
 
-// maxOverdueSearches bounds the distinct shapes of overdue jobs that one pass looks for room for.
-const maxOverdueSearches = 64
+// maxStartTime is how long a start without outcome counts as work of its submission.
+const maxStartTime = time.Second
 
 // submission holds the jobs that were submitted together.
 type submission struct {
 	jobs int
-	// live counts the jobs that run or start.
-	live int
-	// idleSince is when one of its jobs last ran, or when the first was submitted.
+	// idleSince is when one of its jobs was last at work, or when the first was submitted.
 	idleSince time.Time
 }
 
-// submissionKey returns the name of the submission that a job is part of.
+// submissionKey returns the name of the submission that a job is part of. A job that lasts counts by itself, as it is missed
+// whatever else of its submission runs.
 func submissionKey(j fleet.Job) string {
-	if j.Submission != "" {
+	if j.Submission != "" && !j.Lasts {
 		return j.Submission
 	}
 	return j.ID
 }
 
-func (p *Planner) submissionOf(e *entry) *submission {
-	return p.submissions[submissionKey(e.job)]
-}
-
 // addJob adds a job to the table and to its submission.
 func (p *Planner) addJob(e *entry) {
 	p.jobs[e.job.ID] = e
@@ -47,56 +43,46 @@
 			p.submissions[k].idleSince = e.job.Submitted
 		}
 	}
-	p.submissions[k].jobs++
+	e.submission = p.submissions[k]
+	e.submission.jobs++
 }
 
 // deleteJob removes a job from the table and from its submission.
 func (p *Planner) deleteJob(e *entry) {
 	delete(p.jobs, e.job.ID)
-	p.setState(e, "")
-	x := p.submissionOf(e)
-	if x.jobs--; x.jobs == 0 {
+	if e.submission.jobs--; e.submission.jobs == 0 {
 		delete(p.submissions, submissionKey(e.job))
 	}
 }
 
-// isLive reports whether a job runs or starts.
-func (e *entry) isLive() bool {
-	return e.state == StateStarting || e.state == StateRunning
+// isAtWork reports whether a job runs, on workers that stay and answer, and is not to be stopped.
+func (e *entry) isAtWork() bool {
+	isLeaving := func(s *place.Site) bool { return s.Worker.Leaving }
+	return e.state == StateRunning && e.stopReason == "" && !slices.ContainsFunc(e.sites, isLeaving)
 }
 
-// setState changes the state of a job in the table. A job that never ran does not end the idle time of its submission.
-func (p *Planner) setState(e *entry, state string) {
-	x := p.submissionOf(e)
-	if e.isLive() {
-		x.live--
-	}
-	if e.state == StateRunning {
-		x.idleSince = p.now
-	}
-	e.state = state
-	if e.isLive() {
-		x.live++
+// noteWork records whether a job ends the idle time of its submission, or may do so soon.
+func (p *Planner) noteWork(e *entry) {
+	switch {
+	case e.isAtWork():
+		e.submission.idleSince = p.now
+	case e.state == StateStarting && p.now.Sub(e.since) < maxStartTime:
+		p.pass.isStarting[e.submission] = true
 	}
 }
 
 // isOverdue reports whether the submission of a queued job has been idle for the idle bound while there is room for two of the
 // job.
 func (p *Planner) isOverdue(e *entry) bool {
-	x := p.submissionOf(e)
-	if p.idleBound == 0 || x.live > 0 || p.now.Sub(x.idleSince) < p.idleBound {
+	if p.idleBound == 0 || p.pass.isStarting[e.submission] || p.now.Sub(e.submission.idleSince) < p.idleBound {
 		return false
 	}
 	k := e.roomQuery()
-	if isTight, isKnown := p.pass.isTight[k]; isKnown {
-		return !isTight
-	}
-	if len(p.pass.isTight) >= maxOverdueSearches {
+	if p.pass.isTight[k] {
 		return false
 	}
-	isTight := !p.fitsTwice(e)
-	p.pass.isTight[k] = isTight
-	return !isTight
+	p.pass.isTight[k] = !p.fitsTwice(e, p.unused())
+	return !p.pass.isTight[k]
 }
 
 // IdleSince returns since when the submission of a queued job has had nothing running, or zero for a job that the planner does
@@ -106,19 +92,33 @@
 	if !ok {
 		return time.Time{}
 	}
-	return p.submissionOf(e).idleSince
+	return e.submission.idleSince
 }
 
-// fitsTwice reports whether the workers have room for two of a job beside what runs, whatever is kept there for other work and
-// whatever is believed of their health.
-func (p *Planner) fitsTwice(e *entry) bool {
-	tasks := 0
-	for _, r := range p.ledger.Racks() {
-		for _, s := range r.Sites {
-			tasks += p.lastResortView(e)(s).Holds(e.need)
-			if tasks >= 2*e.shape.Tasks {
-				return true
-			}
+// fitsTwice reports whether there is room for two of a job beside what runs, whatever is kept there for other work and whatever is
+// believed of the health of the workers. A limit of tasks per worker has to leave room for one.
+func (p *Planner) fitsTwice(e *entry, us []unusedRoom) bool {
+	once, twice := 0, 0
+	for i := range us {
+		if !e.need.IsWithin(us[i].room) {
+			continue
+		}
+		s := us[i].site
+		n := p.lastResortRoom(e, s).Holds(e.need)
+		if e.shape.Adjacent == fleet.LevelWorker {
+			n -= n % e.shape.Tasks
+		}
+		if n == 0 {
+			continue
+		}
+		left := p.tasksLeft(e, s)
+		if left == 0 {
+			continue
+		}
+		once += min(n, left)
+		twice += n
+		if once >= e.shape.Tasks && twice >= 2*e.shape.Tasks {
+			return true
 		}
 	}
 	return false
@@ -128,32 +128,50 @@
 // work and whatever is believed of their health.
 func (p *Planner) FitsTwice(id string) bool {
 	e, ok := p.jobs[id]
-	return ok && p.fitsTwice(e)
+	return ok && p.fitsTwice(e, p.findUnused())
 }
 
-// lastResortView returns the room that no running job and no awaited stop takes on workers that the job may use.
-func (p *Planner) lastResortView(e *entry) place.View {
-	return func(s *place.Site) place.Resources {
-		if s.Worker.Leaving || s.Stopped || !s.StopFrom.IsZero() || !p.matchesLabel(e, s) {
-			return place.Resources{}
-		}
-		return p.limitPerWorker(e, s, p.unreservedFor(e, s))
+// lastResortRoom returns the room of a site that no running job and no claim of a guarantee takes, if the job may use its worker.
+func (p *Planner) lastResortRoom(e *entry, s *place.Site) place.Resources {
+	if s.Worker.Leaving || s.Stopped || !s.StopFrom.IsZero() || !p.matchesLabel(e, s) {
+		return place.Resources{}
 	}
+	return besideGuarantees(e, s, s.FreeForClaim())
 }
 
-// unreservedFor returns the free room of a site that a job may use beside guarantees.
-func (p *Planner) unreservedFor(e *entry, s *place.Site) place.Resources {
+// besideGuarantees returns the part of the room of a site that a job may use beside guarantees.
+func besideGuarantees(e *entry, s *place.Site, room place.Resources) place.Resources {
 	if e.isPreemptible {
-		return s.Free()
+		return room
+	}
+	return room.Min(s.Uncommitted())
+}
+
+// startOverdue starts an overdue job outside of its guarantee and reports whether there is room for it.
+func (p *Planner) startOverdue(e *entry, d *Decisions) bool {
+	if !p.isOverdue(e) || p.exceedsQuota(e) {
+		return false
+	}
+	sites := p.findLastResort(e)
+	if sites == nil {
+		p.pass.isTight[e.roomQuery()] = true
+		return false
 	}
-	return s.FreeUncommitted()
+	p.withdrawClaim(e)
+	p.startOutside(e, sites, "as its submission has nothing running beside free room", d)
+	return true
 }
 
-// findLastResort looks for room for an overdue job without regard to reservations for blocked gangs and adjacency, and, if there
-// is none on trusted workers, without regard to the health of the workers and the job's own record with them.
+// findLastResort looks for room for an overdue job without regard to reservations for blocked gangs and adjacency. If there is
+// none that nothing waits for, it takes room that other jobs wait for, and at last disregards the health of the workers and the
+// job's own record with them.
 func (p *Planner) findLastResort(e *entry) []*place.Site {
-	open := p.openView(e, p.now, func(s *place.Site) place.Resources { return p.unreservedFor(e, s) })
-	for _, v := range []place.View{open, p.lastResortView(e)} {
+	end := p.now.Add(p.runTime(e))
+	for _, v := range []place.View{
+		p.openView(e, end, func(s *place.Site) place.Resources { return besideGuarantees(e, s, s.Free()) }),
+		p.openView(e, end, func(s *place.Site) place.Resources { return besideGuarantees(e, s, s.FreeForClaim()) }),
+		func(s *place.Site) place.Resources { return p.limitPerWorker(e, s, p.lastResortRoom(e, s)) },
+	} {
 		q := place.Search{Shape: e.shape, Targets: p.scoringTargets(), View: v}
 		if to := p.ledger.Fit(q); to != nil {
 			return to
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
@@ -66,8 +66,12 @@
 	preemptionSearches int
 	// hasMovable is set if some job has been running for long enough to be moved.
 	hasMovable bool
-	// isTight tells for each query of an overdue job whether the room is short for two of it.
+	// isStarting is set for each submission of which a job starts and has not done so for long.
+	isStarting map[*submission]bool
+	// isTight is set for each query of an overdue job for two of which the room was found to be short; it only gets shorter.
 	isTight map[roomQuery]bool
+	// unused is the room in which the pass may start work; nil if it was not looked for yet.
+	unused []unusedRoom
 	// ends caches the expected ends of started gangs.
 	ends map[*entry]time.Time
 	// lastSites holds the site where the last task of a query was placed, which often has room for the next one.
@@ -107,7 +111,7 @@
 	}
 	p.pass = passState{
 		failed: map[roomQuery]time.Duration{}, noPreemption: map[preemptionKey]bool{}, ends: map[*entry]time.Time{},
-		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{},
+		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{}, isStarting: map[*submission]bool{},
 	}
 	p.sumJobs()
 	p.refreshSites()
@@ -117,13 +121,14 @@
 	p.refillStartRate()
 }
 
-// sumJobs sums up the demand of urgent jobs and notes whether any job is movable.
+// sumJobs sums up the demand of urgent jobs, and notes which submissions have work and whether any job is movable.
 func (p *Planner) sumJobs() {
 	p.pass.urgent = map[string]int{}
 	for _, e := range p.jobs {
 		if e.isUrgent() {
 			p.pass.urgent[e.job.Organisation] += e.shape.TotalAccelerators()
 		}
+		p.noteWork(e)
 		p.pass.hasMovable = p.pass.hasMovable || p.isMovable(e)
 	}
 }
@@ -215,7 +220,7 @@
 		d.Refusals = append(d.Refusals, Refusal{Job: e.job.ID, Reason: "its deadline passed before a start", Ran: e.hasRun()})
 		return
 	}
-	if p.now.Before(e.notBefore) {
+	if p.now.Before(p.retryTime(e)) {
 		e.reason = waitReason{code: reasonBackoff}
 		return
 	}
@@ -225,30 +230,17 @@
 	p.dropAwaited(e)
 	p.relaxAvoidance(e)
 	p.relaxAdjacency(e)
-	if q := p.quota(e); q > 0 {
-		used := p.usage[e.job.Organisation].Accelerators + p.usedElsewhere[e.job.Organisation]
-		if used+e.shape.TotalAccelerators() > q {
-			e.reason = waitReason{code: reasonQuota, a: used, b: q}
-			return
-		}
-	}
-	isOverdue := p.isOverdue(e)
-	if !p.leavesHeadroom(e) && !isOverdue {
-		e.reason = waitReason{code: reasonHeadroom, a: p.headroom.free, b: p.headroom.reserved}
+	if p.exceedsQuota(e) {
 		return
 	}
-	if !p.hasStartToken(e) && !isOverdue {
-		e.reason = waitReason{code: reasonStartRate}
+	if p.isHeldBack(e) && !p.isOverdue(e) {
 		return
 	}
-	sites, reason := p.findSites(e)
-	if sites == nil && isOverdue {
-		sites, reason = p.findLastResort(e), "as its submission has nothing running beside free room"
+	if sites, reason := p.findSites(e); sites != nil {
+		p.startOutside(e, sites, reason, d)
+		return
 	}
-	if sites != nil {
-		p.headroom.take(e.shape.TotalAccelerators(), e.isUrgent())
-		p.takeStartToken(e)
-		p.start(e, sites, reason, d)
+	if p.startOverdue(e, d) {
 		return
 	}
 	if p.preempt(e, d) {
@@ -261,12 +253,47 @@
 	return !e.job.Deadline.IsZero() && p.now.After(e.job.Deadline)
 }
 
+// exceedsQuota reports, as the reason for which a job waits, whether it would exceed the quota of its organisation.
+func (p *Planner) exceedsQuota(e *entry) bool {
+	q := p.quota(e)
+	if q <= 0 {
+		return false
+	}
+	used := p.usage[e.job.Organisation].Accelerators + p.usedElsewhere[e.job.Organisation]
+	if used+e.shape.TotalAccelerators() <= q {
+		return false
+	}
+	e.reason = waitReason{code: reasonQuota, a: used, b: q}
+	return true
+}
+
+// isHeldBack reports, as the reason for which a job waits, whether room is kept from it for urgent jobs.
+func (p *Planner) isHeldBack(e *entry) bool {
+	switch {
+	case !p.leavesHeadroom(e):
+		e.reason = waitReason{code: reasonHeadroom, a: p.headroom.free, b: p.headroom.reserved}
+	case !p.hasStartToken(e):
+		e.reason = waitReason{code: reasonStartRate}
+	default:
+		return false
+	}
+	return true
+}
+
+// startOutside starts a gang outside of guarantees.
+func (p *Planner) startOutside(e *entry, sites []*place.Site, reason string, d *Decisions) {
+	p.headroom.take(e.shape.TotalAccelerators(), e.isUrgent())
+	p.takeStartToken(e)
+	p.start(e, sites, reason, d)
+}
+
 // start allocates the resources of a gang and adds its start to the decisions.
 func (p *Planner) start(e *entry, sites []*place.Site, reason string, d *Decisions) {
 	p.dequeue(e)
 	e.job.Attempt++
 	e.starts++
-	p.setState(e, StateStarting)
+	e.state = StateStarting
+	p.pass.isStarting[e.submission] = true
 	e.since = p.now
 	e.sites = sites
 	e.awaited = nil
@@ -305,8 +332,14 @@
 
 // limitPerWorker limits the room of a site to the tasks that the job, together with its group, may have on one worker.
 func (p *Planner) limitPerWorker(e *entry, s *place.Site, r place.Resources) place.Resources {
+	r.Slots = min(r.Slots, p.tasksLeft(e, s))
+	return r
+}
+
+// tasksLeft returns how many tasks the limit of a job and its group leaves on a worker.
+func (p *Planner) tasksLeft(e *entry, s *place.Site) int {
 	if e.job.PerWorker == 0 {
-		return r
+		return math.MaxInt
 	}
 	left := e.job.PerWorker
 	for _, b := range p.gangsOn[s] {
@@ -314,8 +347,7 @@
 			left -= b.roomOn(s).Slots
 		}
 	}
-	r.Slots = max(min(r.Slots, left), 0)
-	return r
+	return max(left, 0)
 }
 
 // isOpen reports whether a site accepts the job now.
@@ -341,6 +373,11 @@
 		e.reason = waitReason{code: reasonRoom}
 		return nil, ""
 	}
+	if !p.mayFit(e) {
+		p.pass.failed[key], p.pass.isTight[key] = run, true
+		e.reason = waitReason{code: reasonRoom}
+		return nil, ""
+	}
 	end := p.now.Add(run)
 	q := place.Search{Shape: e.shape, Targets: p.scoringTargets()}
 	q.View = p.backfillView(e, end, (*place.Site).FreeUncommitted)
@@ -396,7 +433,7 @@
 			continue
 		}
 		if e.state == StateRunning {
-			p.setState(e, StateStopping)
+			e.state = StateStopping
 			e.reason = waitReason{text: e.stopReason}
 			d.Stops = append(d.Stops, Stop{Job: e.job.ID, Grace: e.profile.ReclaimBound, Reason: e.stopReason})
 			continue
@@ -423,9 +460,5 @@
 
 // matchesLabel reports whether a worker has the label that the job requires, if any.
 func (p *Planner) matchesLabel(e *entry, s *place.Site) bool {
-	return e.job.Label == "" || hasLabel(s.Worker, e.job.Label)
-}
-
-func hasLabel(w fleet.Worker, label string) bool {
-	return slices.Contains(strings.Split(w.Labels, ","), label)
+	return e.job.Label == "" || s.HasLabel(e.job.Label)
 }
