Take the success of a run that was counted as lost

Cause: a task ends done on a worker that is cut off. Its lease expires as far as the owner knows, and the owner starts the task again elsewhere. Once the cut has healed the worker reports that the first run is done. The owner took a late success only if the unit was queued and had no newer run; else it acknowledged the end and threw the result away. The steps that follow waited for the second run, which may be stopped for more urgent work again and again. Class: a belief about a worker (its run is lost) that holds accepted work back after the worker itself has shown it wrong.

Fix: a late success ends its unit in every phase. A newer run that is queued or being stored does not start; one that starts or runs is stopped and ends as done; if the end of the newer run is being stored, the success is stored after it. The end is not acknowledged to the worker before that. The same holds for a run whose loss is being stored while its success comes.

Ruled out: records of the first step that the table lacks (each 'run ends' of a done unit of the job was stored, and the owner was the same from 43 s on), the planner (no unit of the second step was submitted), the lost end of a report (no end with an old number was skipped by reading).

--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		newest = max(newest, x.Number)
-		if t, ok := w.tasks[x.Ref]; ok && t.unit.run == x.Ref.Run {
+		if t, ok := w.tasks[x.Ref]; ok && t.isEndedBy(x) {
 			e.log.Debug("task ended", "Unit", t.unit.name, "Run", x.Ref.Run, "Worker", w.name, "How", x.How)
 			e.scope.Tagged(map[string]string{"How": x.How}).Counter("task_ends").Inc(1)
 			w.unstoredEnds[x.Number] = true
@@ -64,20 +64,30 @@
 	})
 }
 
-// handleLateEnd accepts the successful end of a run that was counted as lost, unless the unit has been started again or runs
-// again whatever its result.
+// handleLateEnd accepts the successful end of a run that was counted as lost or stopped, unless the unit runs again whatever its
+// result. A newer run of the unit is stopped.
 func (e *Engine) handleLateEnd(w *worker, x port.RunEnd) {
 	for _, index := range []int{x.Ref.Task, jobs.WholeGang} {
 		u := e.units[jobs.UnitKey{Job: x.Ref.Job, Occurrence: x.Ref.Occurrence, Step: x.Ref.Step, Index: index}.String()]
-		if u == nil || u.phase != phaseQueued || u.run != x.Ref.Run || x.Result != jobs.Done || u.step.Lasts {
+		if u == nil || x.Result != jobs.Done || u.step.Lasts || u.hasLateEnd() {
+			continue
+		}
+		e.log.Info("run counted as lost has completed", "Job", u.job, "Unit", u.name, "Run", x.Ref.Run, "Worker", w.name,
+			"NewestRun", u.run, "Phase", u.phase.String())
+		w.unstoredEnds[x.Number] = true
+		m := &member{
+			worker: w.name, instance: w.instance, task: x.Ref.Task, endNumber: x.Number, presence: taskEnded, result: jobs.Done,
+			isLate: true,
+		}
+		if u.phase != phaseQueued {
+			u.members = append(u.members, m)
+			e.stopRun(u, "an earlier run has completed")
 			continue
 		}
-		e.log.Info("run counted as lost has completed", "Job", u.job, "Unit", u.name, "Run", u.run, "Worker", w.name)
 		e.planner.Cancel([]string{u.name})
 		delete(e.deferred, u.name)
-		u.members = []*member{{worker: w.name, instance: w.instance, task: x.Ref.Task, endNumber: x.Number}}
-		w.unstoredEnds[x.Number] = true
-		e.handleTaskEnd(u, u.members[0], jobs.Done, x.Checkpoint, false)
+		u.members = []*member{m}
+		e.finishRun(u)
 	}
 }
 
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -20,9 +20,11 @@
 
 // sendStarts sends the tasks of a unit to its workers; the start of the unit has been stored.
 func (e *Engine) sendStarts(u *unit) {
-	if u.isOver {
+	if u.isOver || u.hasLateEnd() {
 		for _, m := range u.members {
-			m.presence, m.result = taskEnded, jobs.Stopped
+			if m.presence != taskEnded {
+				m.presence, m.result = taskEnded, jobs.Stopped
+			}
 		}
 		e.finishRun(u)
 		return
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -141,6 +141,11 @@
 		return
 	}
 	e.store([]jobs.Record{r}, func() {
+		if res != jobs.Done && u.hasLateEnd() {
+			e.setPhase(u, phaseStopping)
+			e.finishRun(u)
+			return
+		}
 		e.releaseRun(u, res)
 		if res == jobs.Done {
 			e.syncJob(u.job)
@@ -174,8 +179,13 @@
 func (e *Engine) releaseRun(u *unit, r jobs.Result) {
 	e.acknowledge(u)
 	isRequeued := r != jobs.Done && !u.isOver
+	result := planResult(r)
+	if u.hasLateEnd() {
+		// The run that completed is not the one that the planner knows.
+		result = plan.ResultStopped
+	}
 	x := plan.Ended{
-		Job: u.name, Result: planResult(r), Workers: u.failedWorkers(r), Refused: u.refusingWorkers(), Progress: u.progress,
+		Job: u.name, Result: result, Workers: u.failedWorkers(r), Refused: u.refusingWorkers(), Progress: u.progress,
 		At: e.clock.Now(), Requeue: isRequeued,
 	}
 	e.planner.Ended(x)
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -1,6 +1,7 @@
 package exec
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
@@ -67,6 +68,8 @@
 	isRefused bool
 	// isUndecided is set while a start of the task is in transit or was not answered, so that it may still be executed.
 	isUndecided bool
+	// isLate is set for the end of an earlier run that completed after it had been counted as lost.
+	isLate bool
 	// endNumber is the number of the end in the report of the worker; zero when the worker has not reported it.
 	endNumber int64
 }
@@ -131,6 +134,11 @@
 	return true
 }
 
+// hasLateEnd reports whether an earlier run has completed, so that the unit is done whatever becomes of the newest.
+func (u *unit) hasLateEnd() bool {
+	return slices.ContainsFunc(u.members, func(m *member) bool { return m.isLate })
+}
+
 // result returns the result of the run from the results of its tasks.
 func (u *unit) result() jobs.Result {
 	out := jobs.Stopped
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
 )
 
 const (
@@ -40,6 +41,12 @@
 	member *member
 }
 
+// isEndedBy reports whether an end is that of the task's run; a success is not if the task has been counted as ended otherwise.
+func (t task) isEndedBy(x port.RunEnd) bool {
+	isLate := t.member.presence == taskEnded && t.member.result != jobs.Done && x.Result == jobs.Done
+	return t.unit.run == x.Ref.Run && !isLate
+}
+
 // worker is the state of one worker.
 type worker struct {
 	name     string
