Bound the attempts of jobs whose queue was removed

What callers see: tasks that always fail are run without end while the configuration lacks the queue of their job, beyond the number of failed runs that it allowed.

Cause: the limit is read from the configuration in force; without the queue there is none. A next owner takes over with the newest configuration, so that the owner alone cannot remember the limit.

Fix: a host keeps the queues that a newer configuration lacks as they last were, and the owner reads the limit there. A host that starts while a queue is gone does not know it.

--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -153,7 +153,7 @@
 	if e.config == nil || u.step.Lasts {
 		return false
 	}
-	q := e.config.GetQueue(u.queue)
+	q := e.config.GetAnyQueue(u.queue)
 	return q != nil && q.MaxAttempts > 0 && u.failures >= q.MaxAttempts
 }
 
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -73,6 +73,9 @@
 	if old != nil && old.Version >= c.Version {
 		return
 	}
+	if old != nil {
+		c.KeepRemoved(old)
+	}
 	i.config.Store(c)
 	i.log.Info("configuration in force", "Version", c.Version, "Queues", len(c.Queues), "Keys", len(c.Keys))
 }
--- a/internal/state/queue/queue.go
+++ b/internal/state/queue/queue.go
@@ -37,6 +37,8 @@
 	Version       int64
 	Queues        []Queue
 	Organisations []Organisation
+	// Removed are queues of earlier versions, whose jobs go on.
+	Removed []Queue
 	// Keys maps API keys to names of organisations.
 	Keys map[string]string
 }
@@ -62,10 +64,41 @@
 
 // GetQueue returns the queue with the name, or nil if there is none.
 func (c *Config) GetQueue(name string) *Queue {
-	for i := range c.Queues {
-		if c.Queues[i].Name == name {
-			return &c.Queues[i]
+	return findQueue(c.Queues, name)
+}
+
+// GetAnyQueue returns the queue with the name, as it last was if it has been removed, or nil if none is known.
+func (c *Config) GetAnyQueue(name string) *Queue {
+	if q := c.GetQueue(name); q != nil {
+		return q
+	}
+	return findQueue(c.Removed, name)
+}
+
+func findQueue(qs []Queue, name string) *Queue {
+	for i := range qs {
+		if qs[i].Name == name {
+			return &qs[i]
 		}
 	}
 	return nil
 }
+
+// maxRemoved bounds the removed queues that are kept.
+const maxRemoved = 1000
+
+// KeepRemoved adds the queues of the former version that this one lacks to the removed ones.
+func (c *Config) KeepRemoved(former *Config) {
+	names := map[string]bool{}
+	for _, q := range c.Queues {
+		names[q.Name] = true
+	}
+	for _, qs := range [][]Queue{former.Queues, former.Removed} {
+		for _, q := range qs {
+			if !names[q.Name] && len(c.Removed) < maxRemoved {
+				names[q.Name] = true
+				c.Removed = append(c.Removed, q)
+			}
+		}
+	}
+}
