Pace the starts of an overdue job that its last resort refuses

What operators could see: a start with every pass, some 60 a second, on a worker that refuses each of them, for as long as it is the only one with room for an overdue job.

Cause: a refused start has no backoff, as the job goes elsewhere at once. The last resort of an overdue job is a worker that it avoids, so that the next start goes there again. And a worker that refused a job several times counted several times among the workers that the job avoids, which gives way once they are half of all.

Fix: the refusal of a start as a last resort counts for the backoff, which doubles up to 0.5 s, and each worker is listed once among those that a job avoids.

--- a/internal/state/plan/attempt.go
+++ b/internal/state/plan/attempt.go
@@ -41,15 +41,25 @@
 	case ResultStopped:
 	}
 	if x.Result == ResultLost || x.Result == ResultNoStart {
-		e.refusedBy = append(e.refusedBy, x.Workers...)
+		e.refusedBy = appendNew(e.refusedBy, x.Workers)
 	}
-	e.refusedBy = append(e.refusedBy, x.Refused...)
-	e.avoid = slices.Concat(p.health.FindFailedWorkers(e.job.ID), e.refusedBy)
+	e.refusedBy = appendNew(e.refusedBy, x.Refused)
+	e.avoid = appendNew(slices.Clone(p.health.FindFailedWorkers(e.job.ID)), e.refusedBy)
 	if 2*len(e.avoid) > p.ledger.Len() {
 		e.avoid, e.refusedBy = nil, nil
 	}
 }
 
+// appendNew appends the workers that are not listed yet.
+func appendNew(to, workers []string) []string {
+	for _, w := range workers {
+		if !slices.Contains(to, w) {
+			to = append(to, w)
+		}
+	}
+	return to
+}
+
 // RecordCrash records that a worker crashed and lost its work; instance names the lifetime that ended. All work lost in one
 // crash is one piece of evidence against the worker.
 func (p *Planner) RecordCrash(worker, instance string, at time.Time) {
@@ -77,14 +87,20 @@
 	maxOverdueBackoff = 500 * time.Millisecond
 )
 
-// applyBackoff delays a job after an unsuccessful attempt, and twice as long after each further one in a row.
+// applyBackoff delays a job after an unsuccessful attempt, and twice as long after each further one in a row. A start as a last
+// resort that a worker refused counts as one, as the next would be on the same worker.
 func (p *Planner) applyBackoff(e *entry, x Ended) {
-	if x.Result == ResultStopped || x.Result == ResultDone || p.disabled[Backoff] {
+	isRefused := e.isLastResort && len(x.Refused) > 0
+	isUnsuccessful := x.Result != ResultStopped && x.Result != ResultDone || isRefused
+	if !isUnsuccessful || p.disabled[Backoff] {
 		e.backoff, e.notBefore = 0, time.Time{}
 		return
 	}
 	limit := maxBackoff
-	if e.job.Lasts {
+	switch {
+	case isRefused:
+		limit = maxOverdueBackoff
+	case e.job.Lasts:
 		limit = maxLongRunningBackoff
 	}
 	e.backoff = min(max(2*e.backoff, minBackoff), limit)
--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -159,6 +159,7 @@
 	}
 	p.withdrawClaim(e)
 	p.startOutside(e, sites, "as its submission has nothing running beside free room", d)
+	e.isLastResort = true
 	return true
 }
 
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -400,3 +400,22 @@
 	p.Ended(Ended{Job: "j", Result: ResultStopped, At: at, Requeue: true})
 	require.Len(t, p.Pass(at).Starts, 1)
 }
+
+// TestRefusedLastResortIsNotRepeatedAtOnce guards against starts with every pass on the only worker with room, which refuses them.
+func TestRefusedLastResortIsNotRepeatedAtOnce(t *testing.T) {
+	p := planner(t, workers(1, 4), profiles(audit), WithIdleBound(2*time.Second))
+	for i := range 3 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("long%d", i), "Gear", "Audit", shape(1, 8, fleet.LevelWorker))))
+	}
+	run(p, p.Pass(start), start)
+	require.NoError(t, p.Submit(job("j", "Gear", "Audit", shape(1, 1, fleet.LevelWorker))))
+	n := 0
+	for at := start; at.Before(start.Add(6 * time.Second)); at = at.Add(20 * time.Millisecond) {
+		for _, s := range p.Pass(at).Starts {
+			n++
+			p.Ended(Ended{Job: "j", Result: ResultStopped, Refused: []string{s.Placement[0].Worker}, At: at, Requeue: true})
+		}
+	}
+	require.Greater(t, n, 6, "the worker may take the job again")
+	require.Less(t, n, 14)
+}
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -39,6 +39,8 @@
 	avoid       []string
 	// refusedBy are workers that were lost during an attempt or did not accept a task of it.
 	refusedBy []string
+	// isLastResort is set if the last start was that of an overdue job, which may be on a worker that the job avoids.
+	isLastResort bool
 	// starts counts the starts decided by this planner; starts under a former owner are not included.
 	starts int
 	// backoff doubles with each unsuccessful attempt in a row; the job is not started before notBefore.
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -292,6 +292,7 @@
 	p.dequeue(e)
 	e.job.Attempt++
 	e.starts++
+	e.isLastResort = false
 	e.state = StateStarting
 	p.pass.isStarting[e.submission] = true
 	e.since = p.now
