Check whether a shape fits idle workers without a ledger

A single shape fits idle workers if they have room for its tasks, which one sum by worker or rack tells. Beside guaranteed gangs the ledger is still needed.

The bearing on the incident is only suspected: thousands of submissions of new shapes after a change of a worker kept the owner from passes.

--- a/internal/state/plan/fit.go
+++ b/internal/state/plan/fit.go
@@ -111,21 +111,41 @@
 const maxFitCache = 4096
 
 func (p *Planner) computeFit(q fitQuery) bool {
+	ns := GuaranteeNeeds(p.domain, p.config.Profiles)
+	if !q.besideGuarantees || len(ns) == 0 {
+		return p.fitsIdle(q.shape)
+	}
 	ws := make([]fleet.Worker, 0, len(p.knownWorkers))
 	for _, w := range p.knownWorkers {
 		w.Leaving = false
 		ws = append(ws, w)
 	}
-	one := hold.Need{Gangs: 1, Shape: q.shape, Rank: rankCount}
-	if !q.besideGuarantees {
-		return len(hold.Fits(ws, []hold.Need{one})) == 0
-	}
-	ns := GuaranteeNeeds(p.domain, p.config.Profiles)
-	if len(ns) > 0 && len(hold.Fits(ws, ns)) > 0 {
+	if len(hold.Fits(ws, ns)) > 0 {
 		// The guarantees do not fit even without the shape, so check the shape alone.
 		return p.canFit(fitQuery{shape: q.shape})
 	}
-	return len(hold.Fits(ws, append(ns, one))) == 0
+	return len(hold.Fits(ws, append(ns, hold.Need{Gangs: 1, Shape: q.shape, Rank: rankCount}))) == 0
+}
+
+// fitsIdle reports whether the known workers could hold a shape if all of them were idle.
+func (p *Planner) fitsIdle(s fleet.Shape) bool {
+	n := place.TaskResources(s)
+	tasks := map[string]int{}
+	for _, w := range p.knownWorkers {
+		var k string
+		switch s.Adjacent {
+		case fleet.LevelWorker:
+			k = w.Name
+		case fleet.LevelRack:
+			k = w.Rack
+		default:
+		}
+		tasks[k] += place.WorkerCapacity(w).Holds(n)
+		if tasks[k] >= s.Tasks {
+			return true
+		}
+	}
+	return false
 }
 
 // nearest returns a similar shape that fits: first with looser adjacency, then with fewer tasks, then with smaller
