Keep room that is awaited for short from overdue jobs

Its stops end one after the other, and overdue jobs, of which there are always some, take each worker on which one ended.

Cause: awaited room counted as free for an overdue job at once.

Fix: awaited room counts as free for an overdue job once it has stood free for 0.5 s. The planner keeps for each worker the least unused room of the current period and of the one before, so that it is 1 s at most.

Weighed: to count the time from which the waiting job waits (2 s).

TestUrgentGangGetsRoomBeforeOverdueJobs failed before: in the pass after the last of eight stops 'a14' started in place of the gang.

--- a/internal/state/place/ledger.go
+++ b/internal/state/place/ledger.go
@@ -37,6 +37,9 @@
 	rack *Rack
 	// labels are the labels of the worker.
 	labels []string
+	// leastUnused and formerUnused are the least unused resources of this period and of the one before.
+	leastUnused  Resources
+	formerUnused Resources
 	// Scratch fields of a search: fit is the number of tasks for which the site has room, and taken the number of tasks
 	// of the gang that a candidate placement assigns to the site.
 	fit   int
@@ -53,6 +56,19 @@
 	return s.Capacity.Minus(s.Used)
 }
 
+// ObserveUnused records the resources that are unused now, in the current period or as the first of a new one.
+func (s *Site) ObserveUnused(isNewPeriod bool) {
+	if isNewPeriod {
+		s.formerUnused, s.leastUnused = s.leastUnused, s.Unused()
+	}
+	s.leastUnused = s.leastUnused.Min(s.Unused())
+}
+
+// SteadilyUnused returns the resources that have been unused for a period at least and still are.
+func (s *Site) SteadilyUnused() Resources {
+	return s.formerUnused.Min(s.leastUnused).Min(s.Unused())
+}
+
 // Free returns the resources that are neither allocated to a started gang nor awaited by a queued job.
 func (s *Site) Free() Resources {
 	return s.FreeForClaim().Minus(s.PendingUnguaranteed)
--- a/internal/state/place/resources.go
+++ b/internal/state/place/resources.go
@@ -47,6 +47,14 @@
 	}
 }
 
+// Max returns the maximum of r and o for each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		max(r.Slots, o.Slots), max(r.Accelerators, o.Accelerators),
+		max(r.Processors, o.Processors), max(r.Memory, o.Memory),
+	}
+}
+
 // IsWithin reports whether r exceeds o in no resource.
 func (r Resources) IsWithin(o Resources) bool {
 	return r.Slots <= o.Slots && r.Accelerators <= o.Accelerators &&
--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -17,6 +17,10 @@
 // maxStartTime is how long a start without outcome counts as work of its submission.
 const maxStartTime = time.Second
 
+// steadyPeriod is how long room stands free that other jobs wait for, before an overdue job may have it. The stops for which they
+// wait take less, unless they hang.
+const steadyPeriod = 500 * time.Millisecond
+
 // submission holds the jobs that were submitted together.
 type submission struct {
 	jobs int
@@ -81,7 +85,7 @@
 	if p.pass.isTight[k] {
 		return false
 	}
-	p.pass.isTight[k] = !p.fitsTwice(e, p.unused())
+	p.pass.isTight[k] = !p.fitsTwice(e, p.unused(), freeForOverdue)
 	return !p.pass.isTight[k]
 }
 
@@ -95,16 +99,22 @@
 	return e.submission.idleSince
 }
 
-// fitsTwice reports whether there is room for two of a job beside what runs, whatever is kept there for other work and whatever is
-// believed of the health of the workers. A limit of tasks per worker has to leave room for one.
-func (p *Planner) fitsTwice(e *entry, us []unusedRoom) bool {
+// freeForOverdue returns the room of a site that no running job and no claim of a guarantee takes, if no other job waits for it or
+// it has stood free for steadyPeriod.
+func freeForOverdue(s *place.Site) place.Resources {
+	return s.Free().Max(s.SteadilyUnused().Min(s.FreeForClaim()))
+}
+
+// fitsTwice reports whether there is room for two of a job in the view, whatever is believed of the health of the workers. A limit
+// of tasks per worker has to leave room for one.
+func (p *Planner) fitsTwice(e *entry, us []unusedRoom, v place.View) bool {
 	once, twice := 0, 0
 	for i := range us {
 		if !e.need.IsWithin(us[i].room) {
 			continue
 		}
 		s := us[i].site
-		n := p.lastResortRoom(e, s).Holds(e.need)
+		n := p.lastResortRoom(e, s, v).Holds(e.need)
 		if e.shape.Adjacent == fleet.LevelWorker {
 			n -= n % e.shape.Tasks
 		}
@@ -128,15 +138,15 @@
 // work and whatever is believed of their health.
 func (p *Planner) FitsTwice(id string) bool {
 	e, ok := p.jobs[id]
-	return ok && p.fitsTwice(e, p.findUnused())
+	return ok && p.fitsTwice(e, p.findUnused(), (*place.Site).FreeForClaim)
 }
 
-// lastResortRoom returns the room of a site that no running job and no claim of a guarantee takes, if the job may use its worker.
-func (p *Planner) lastResortRoom(e *entry, s *place.Site) place.Resources {
+// lastResortRoom returns the room of a site in the view, beside guarantees, if the job may use its worker.
+func (p *Planner) lastResortRoom(e *entry, s *place.Site, v place.View) place.Resources {
 	if s.Worker.Leaving || s.Stopped || !s.StopFrom.IsZero() || !p.matchesLabel(e, s) {
 		return place.Resources{}
 	}
-	return besideGuarantees(e, s, s.FreeForClaim())
+	return besideGuarantees(e, s, v(s))
 }
 
 // besideGuarantees returns the part of the room of a site that a job may use beside guarantees.
@@ -164,14 +174,16 @@
 }
 
 // findLastResort looks for room for an overdue job without regard to reservations for blocked gangs and adjacency. If there is
-// none that nothing waits for, it takes room that other jobs wait for, and at last disregards the health of the workers and the
-// job's own record with them.
+// none that nothing waits for, it takes room that stands free while other jobs wait for more, and at last disregards the health of the
+// workers and the job's own record with them.
 func (p *Planner) findLastResort(e *entry) []*place.Site {
 	end := p.now.Add(p.runTime(e))
 	for _, v := range []place.View{
 		p.openView(e, end, func(s *place.Site) place.Resources { return besideGuarantees(e, s, s.Free()) }),
-		p.openView(e, end, func(s *place.Site) place.Resources { return besideGuarantees(e, s, s.FreeForClaim()) }),
-		func(s *place.Site) place.Resources { return p.limitPerWorker(e, s, p.lastResortRoom(e, s)) },
+		p.openView(e, end, func(s *place.Site) place.Resources { return besideGuarantees(e, s, freeForOverdue(s)) }),
+		func(s *place.Site) place.Resources {
+			return p.limitPerWorker(e, s, p.lastResortRoom(e, s, freeForOverdue))
+		},
 	} {
 		q := place.Search{Shape: e.shape, Targets: p.scoringTargets(), View: v}
 		if to := p.ledger.Fit(q); to != nil {
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -419,3 +419,26 @@
 	require.Greater(t, n, 6, "the worker may take the job again")
 	require.Less(t, n, 14)
 }
+
+// TestUrgentGangGetsRoomBeforeOverdueJobs guards against urgent gangs that never start, because overdue jobs take the workers on
+// which their stops have ended while other stops are under way.
+func TestUrgentGangGetsRoomBeforeOverdueJobs(t *testing.T) {
+	p := planner(t, workers(1, 8), profiles(audit, urgent), WithIdleBound(2*time.Second))
+	whole := shape(1, 8, fleet.LevelWorker)
+	for i := range 40 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("a%02d", i), "Gear", "Audit", whole)))
+	}
+	run(p, p.Pass(start), start)
+	at := start.Add(10 * time.Second)
+	require.Empty(t, p.Pass(at).Starts)
+	require.NoError(t, p.Submit(job("gang", "CW", "Urgent", shape(8, 8, fleet.LevelDomain))))
+	d := p.Pass(at)
+	require.Len(t, d.Stops, 8)
+	for _, s := range d.Stops {
+		at = at.Add(100 * time.Millisecond)
+		p.Ended(Ended{Job: s.Job, Result: ResultStopped, At: at, Requeue: true})
+		d = p.Pass(at)
+	}
+	require.Len(t, d.Starts, 1)
+	require.Equal(t, "gang", d.Starts[0].Job.ID)
+}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -154,6 +154,10 @@
 func (p *Planner) refreshSites() {
 	p.capacity = place.Resources{}
 	stops := p.domainStops()
+	isNewPeriod := p.now.Sub(p.steadySince) >= steadyPeriod
+	if isNewPeriod {
+		p.steadySince = p.now
+	}
 	for _, r := range p.ledger.Racks() {
 		for _, s := range r.Sites {
 			closed, from := s.Worker.Leaving, time.Time{}
@@ -170,6 +174,7 @@
 				}
 			}
 			s.Stopped = closed
+			s.ObserveUnused(isNewPeriod)
 			closed = p.updateTrust(s) || closed
 			p.dirty = p.dirty || closed != s.Closed || from.IsZero() != s.StopFrom.IsZero()
 			s.Closed, s.StopFrom, s.BackfillUntil = closed, from, time.Time{}
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -66,8 +66,10 @@
 	dirty     bool
 	now       time.Time
 	firstPass time.Time
-	targets   []place.Target
-	pass      passState
+	// steadySince is when the period began in which the unused room of the sites is observed.
+	steadySince time.Time
+	targets     []place.Target
+	pass        passState
 	// disabled holds the mechanisms that are switched off.
 	disabled map[Mechanism]bool
 	// ignoreGuarantees lets unstoppable jobs use reserved capacity; tests set it to show that they detect the
