Keep the idle time of a submission that is submitted again

What callers see: a job has nothing running beside room for two of it, for as long as it is taken from a full queue and submitted again from time to time.

Cause: the planner forgets a submission with its last job, so that its idle time begins anew when the job comes back. A full line of the queue gives places to other jobs, and the queue of all lines sheds its newest jobs, which come back after 150 ms.

Fix: a submission without jobs is kept for 1 s.

TestJobDoesNotIdleAsItIsSubmittedAgain failed before: the job had not started after 3 s. TestSubmissionsAreForgotten is new.

--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -21,11 +21,23 @@
 // wait take less, unless they hang.
 const steadyPeriod = 500 * time.Millisecond
 
+// submissionKeep is how long a submission without jobs is kept, as jobs that leave a full queue are submitted again.
+const submissionKeep = time.Second
+
 // submission holds the jobs that were submitted together.
 type submission struct {
+	key  string
 	jobs int
 	// idleSince is when one of its jobs was last at work, or when the first was submitted.
 	idleSince time.Time
+	// emptySince is when its last job was deleted.
+	emptySince time.Time
+}
+
+// emptied is a submission that lost its last job.
+type emptied struct {
+	submission *submission
+	at         time.Time
 }
 
 // submissionKey returns the name of the submission that a job is part of. A job that lasts counts by itself, as it is missed
@@ -42,7 +54,7 @@
 	p.jobs[e.job.ID] = e
 	k := submissionKey(e.job)
 	if p.submissions[k] == nil {
-		p.submissions[k] = &submission{idleSince: p.now}
+		p.submissions[k] = &submission{key: k, idleSince: p.now}
 		if p.now.IsZero() {
 			p.submissions[k].idleSince = e.job.Submitted
 		}
@@ -54,9 +66,23 @@
 // deleteJob removes a job from the table and from its submission.
 func (p *Planner) deleteJob(e *entry) {
 	delete(p.jobs, e.job.ID)
-	if e.submission.jobs--; e.submission.jobs == 0 {
-		delete(p.submissions, submissionKey(e.job))
+	x := e.submission
+	if x.jobs--; x.jobs == 0 {
+		x.emptySince = p.now
+		p.emptied = append(p.emptied, emptied{submission: x, at: p.now})
+	}
+}
+
+// dropSubmissions deletes the submissions that have had no job for submissionKeep.
+func (p *Planner) dropSubmissions() {
+	n := 0
+	for ; n < len(p.emptied) && p.now.Sub(p.emptied[n].at) >= submissionKeep; n++ {
+		x := p.emptied[n]
+		if x.submission.jobs == 0 && x.submission.emptySince.Equal(x.at) {
+			delete(p.submissions, x.submission.key)
+		}
 	}
+	p.emptied = slices.Delete(p.emptied, 0, n)
 }
 
 // isAtWork reports whether a job runs, on workers that stay and answer, and is not to be stopped.
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -310,6 +310,39 @@
 	requireStart(t, p, "small", start.Add(2*time.Millisecond))
 }
 
+// TestJobDoesNotIdleAsItIsSubmittedAgain guards against jobs that run nothing because each time that they leave a full queue begins
+// their idle time anew.
+func TestJobDoesNotIdleAsItIsSubmittedAgain(t *testing.T) {
+	p := fullOfLongRuns(t, workers(1, 8), 4)
+	j := volatile("j", "Audit", shape(1, 8, fleet.LevelWorker))
+	for at := start; at.Before(start.Add(idleBound)); at = at.Add(50 * time.Millisecond) {
+		p.Cancel([]string{j.ID})
+		require.NoError(t, p.Submit(j))
+		if len(p.Pass(at).Starts) > 0 {
+			return
+		}
+	}
+	t.Fatal("the job has not started")
+}
+
+// TestSubmissionsAreForgotten verifies that the planner keeps no submission without jobs for long.
+func TestSubmissionsAreForgotten(t *testing.T) {
+	p := fullOfLongRuns(t, workers(1, 8), 4)
+	kept := len(p.submissions)
+	for i := range 100 {
+		j := volatile(fmt.Sprintf("j%d", i%10), "Audit", shape(1, 8, fleet.LevelWorker))
+		require.NoError(t, p.Submit(j))
+		p.Pass(start.Add(time.Duration(i) * 50 * time.Millisecond))
+		p.Cancel([]string{j.ID})
+		p.Ended(Ended{Job: j.ID, Result: ResultDone, At: p.now})
+	}
+	require.Greater(t, len(p.submissions), kept-4)
+	require.LessOrEqual(t, len(p.emptied), 2+int(submissionKeep/(50*time.Millisecond)))
+	p.Pass(p.now.Add(submissionKeep))
+	require.Len(t, p.submissions, kept-4)
+	require.Empty(t, p.emptied)
+}
+
 // TestSpreadJobDoesNotIdleBesideOneWorker guards against jobs with a limit of tasks per worker that run nothing because only one of
 // two tasks that have room could have it at a time.
 func TestSpreadJobDoesNotIdleBesideOneWorker(t *testing.T) {
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -113,6 +113,7 @@
 		failed: map[roomQuery]time.Duration{}, noPreemption: map[preemptionKey]bool{}, ends: map[*entry]time.Time{},
 		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{}, isStarting: map[*submission]bool{},
 	}
+	p.dropSubmissions()
 	p.sumJobs()
 	p.refreshSites()
 	p.repair()
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -24,6 +24,8 @@
 	reservations *hold.Reservations
 	jobs         map[string]*entry
 	submissions  map[string]*submission
+	// emptied lists the submissions that lost their last job, oldest first; some have jobs again.
+	emptied []emptied
 	// gangsOn lists the started gangs of each site.
 	gangsOn map[*place.Site][]*entry
 	// isPartial is set until all workers are known; until then no shape is rejected as impossible.
