--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -113,6 +113,7 @@
 		failed: map[roomQuery]time.Duration{}, noPreemption: map[preemptionKey]bool{}, ends: map[*entry]time.Time{},
 		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{}, isStarting: map[*submission]bool{},
 	}
+	p.dropSubmissions()
 	p.sumJobs()
 	p.refreshSites()
 	p.repair()
@@ -154,6 +155,10 @@
 func (p *Planner) refreshSites() {
 	p.capacity = place.Resources{}
 	stops := p.domainStops()
+	isNewPeriod := p.now.Sub(p.steadySince) >= steadyPeriod
+	if isNewPeriod {
+		p.steadySince = p.now
+	}
 	for _, r := range p.ledger.Racks() {
 		for _, s := range r.Sites {
 			closed, from := s.Worker.Leaving, time.Time{}
@@ -170,6 +175,7 @@
 				}
 			}
 			s.Stopped = closed
+			s.ObserveUnused(isNewPeriod)
 			closed = p.updateTrust(s) || closed
 			p.dirty = p.dirty || closed != s.Closed || from.IsZero() != s.StopFrom.IsZero()
 			s.Closed, s.StopFrom, s.BackfillUntil = closed, from, time.Time{}
@@ -292,6 +298,7 @@
 	p.dequeue(e)
 	e.job.Attempt++
 	e.starts++
+	e.isLastResort = false
 	e.state = StateStarting
 	p.pass.isStarting[e.submission] = true
 	e.since = p.now
