Report each waiting task that lasts as idle

What operators could not see: tasks that last and have no run, while another task of their job runs. The report of idle jobs and its gauges count a job with anything running as busy, but such a task is missed by itself.

Fix: the report counts tasks that last one by one. No decision is changed.

TestIdleJobsAreReported failed before in its new case with 0 idle in place of 4.

--- a/internal/coordination/exec/idle.go
+++ b/internal/coordination/exec/idle.go
@@ -58,21 +58,26 @@
 	e.logUnknownJobs()
 }
 
-// findIdleUnits returns for each job that has had nothing running for minIdleTime the unit that has been in its phase
+// findIdleUnits returns for each job or task that lasts with nothing running for minIdleTime the unit that has been in its phase
 // longest, oldest first.
 func (e *Engine) findIdleUnits(now time.Time) []*unit {
-	byJob := map[string]*unit{}
+	longest := map[string]*unit{}
 	busy := map[string]bool{}
 	for _, u := range e.units {
+		id := u.job
+		if u.step.Lasts {
+			// A task that lasts is missed whatever else of its job runs.
+			id = u.name
+		}
 		switch {
 		case u.phase == phaseRunning || u.isOver || now.Sub(e.idleSince(u)) < minIdleTime:
-			busy[u.job] = true
-		case byJob[u.job] == nil || u.phaseSince.Before(byJob[u.job].phaseSince):
-			byJob[u.job] = u
+			busy[id] = true
+		case longest[id] == nil || u.phaseSince.Before(longest[id].phaseSince):
+			longest[id] = u
 		}
 	}
 	var out []*unit
-	for id, u := range byJob {
+	for id, u := range longest {
 		if !busy[id] {
 			out = append(out, u)
 		}
--- a/internal/coordination/exec/idle_test.go
+++ b/internal/coordination/exec/idle_test.go
@@ -31,6 +31,8 @@
 	labelled, later := taskStep(1), taskStep(1)
 	labelled.Label = "none"
 	later.After = []int{0}
+	lasting := taskStep(20)
+	lasting.Lasts = true
 	large := taskStep(1)
 	large.Accelerators = 16
 	cases := map[string]struct {
@@ -41,6 +43,7 @@
 	}{
 		"running":                 {steps: []jobs.Step{taskStep(2)}},
 		"running beside waiting":  {steps: []jobs.Step{taskStep(40)}},
+		"lasting beside waiting":  {steps: []jobs.Step{lasting}, idle: 4},
 		"waiting for a label":     {steps: []jobs.Step{labelled}, idle: 1},
 		"waiting as impossible":   {steps: []jobs.Step{large}, idle: 1},
 		"waiting, later step too": {steps: []jobs.Step{labelled, later}, idle: 1},
