Play random failure domains for jobs that idle beside room

TestNoJobIdlesBesideRoom plays failure domains of 1 to 30 workers for 20 s at the pace of the owner: random gangs, adjacency, labels, limits per worker, tasks that last, urgencies, guarantees and bursts of urgent work; jobs that fail; starts that are refused or hang; stops that hang; workers that do not answer, refuse, fail, drain, leave and come back, and crashes that quarantine sound ones. Its account of the room is its own: capacity less what was started and has not ended. It fails when a queued submission, or a lasting task by itself, has had nothing placed for 3 s beside room for two.

--- /dev/null
+++ b/internal/state/plan/idlerandom_test.go
@@ -0,0 +1,30 @@
+package plan
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	idleSeeds = flag.Int("idle.seeds", 12, "number of random failure domains that TestNoJobIdlesBesideRoom plays")
+	idleFirst = flag.Uint64("idle.first", 0, "first seed of TestNoJobIdlesBesideRoom")
+)
+
+// idlePlay is how long a random failure domain is played.
+const idlePlay = 20 * time.Second
+
+// TestNoJobIdlesBesideRoom guards against accepted jobs that have nothing placed for seconds beside room for two of them, in random
+// failure domains with random work, slow stops and workers that fail, refuse, leave or do not answer.
+func TestNoJobIdlesBesideRoom(t *testing.T) {
+	for i := range *idleSeeds {
+		seed := *idleFirst + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			require.Empty(t, newIdleSim(seed).play(idlePlay))
+		})
+	}
+}
