--- a/internal/coordination/exec/engine_test.go
+++ b/internal/coordination/exec/engine_test.go
@@ -45,6 +45,7 @@
 	follower *feed.Follower
 	engine   *Engine
 	workers  []fleet.Worker
+	bounds   Bounds
 	// change may replace the dependencies of each engine before it starts.
 	change func(*Deps)
 	// options are those of each engine.
@@ -59,11 +60,17 @@
 
 // runInRig runs f in a synctest bubble with an engine of term 1 and workers with 8 accelerators each.
 func runInRig(t *testing.T, workers int, plan standin.RunPlan, f func(r *rig)) {
+	t.Helper()
+	runInBoundedRig(t, testBounds, workers, plan, f)
+}
+
+// runInBoundedRig is runInRig with other bounds.
+func runInBoundedRig(t *testing.T, b Bounds, workers int, plan standin.RunPlan, f func(r *rig)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := clock.System()
-		limits := standin.RunLimits{MaxHold: testBounds.MaxHold, StopTimeout: testBounds.StopTimeout, GangTimeout: testBounds.GangTimeout}
-		r := &rig{t: t, store: standin.NewStore(c, 2*time.Millisecond), runners: standin.NewRunners(c, limits, plan), table: jobs.NewTable()}
+		limits := standin.RunLimits{MaxHold: b.MaxHold, StopTimeout: b.StopTimeout, GangTimeout: b.GangTimeout}
+		r := &rig{t: t, store: standin.NewStore(c, 2*time.Millisecond), runners: standin.NewRunners(c, limits, plan), table: jobs.NewTable(), bounds: b}
 		r.view = r.refuseGone(r.runners.View("a"))
 		for i := range workers {
 			w := testWorker(i)
@@ -138,7 +145,7 @@
 	if r.change != nil {
 		r.change(&d)
 	}
-	r.engine = New(d, testBounds, term, append([]Option{WithLog(slog.New(slog.NewTextHandler(r.t.Output(), nil)))}, r.options...)...)
+	r.engine = New(d, r.bounds, term, append([]Option{WithLog(slog.New(slog.NewTextHandler(r.t.Output(), nil)))}, r.options...)...)
 	ctx, cancel := context.WithCancel(r.t.Context())
 	done := make(chan struct{})
 	go func() {
