Count lasting tasks and repeated runs in the search for stalled jobs

The monitor of the simulated sites took any task of a job that ran as work of it, so that it did not see what an outside observer sees in two cases:

- A task that lasts is missed by itself, from 6 s after its last run, whatever else of its job runs.
- A run of a task that a worker lists as done already is no work: the next step could run.
An end that was lost with its worker does not count as done there, since nobody can know of it.
The stand-in keeps these apart.

The mixed load gets jobs that last (4% of all) and more with two steps, and faults last up to 12 s, so that leases expire under workers that come back.

--- a/internal/host/stalled_test.go
+++ b/internal/host/stalled_test.go
@@ -29,19 +29,29 @@
 	org      string
 	steps    []jobs.Step
 	accepted time.Time
-	// since is when the job was first seen with nothing running beside room for it; zero while it is not.
-	since time.Time
-	task  string
-	// lastOn holds the workers that the job was last seen on.
-	lastOn []string
+	// idle tells since when the job has had nothing running.
+	idle idleTime
+	// lasting holds the same of each of its tasks that last, which are missed by themselves.
+	lasting map[port.RunRef]*idleTime
 	// isOver is set once the job has ended or is being cancelled.
 	isOver bool
 }
 
+// idleTime is a time in which a job, or a task that lasts, has nothing running beside room for it.
+type idleTime struct {
+	// since is when it was first seen so; zero while it is not.
+	since time.Time
+	task  string
+	// lastOn holds the workers that it was last seen on, and lastSeen when.
+	lastOn   []string
+	lastSeen time.Time
+}
+
 // stall is a time in which a job had nothing running beside room for it.
 type stall struct {
 	job      *knownJob
 	task     string
+	lastOn   []string
 	from, to time.Time
 	// isCalm is set when no fault was in force in the last maxStall of it and in calmBefore before that.
 	isCalm bool
@@ -49,7 +59,7 @@
 
 func (x stall) String() string {
 	return fmt.Sprintf("%s of %s in %s: %s from %s for %s, last on %v", x.job.id, x.job.org, x.job.queue, x.task,
-		x.from.Format("04:05.000"), x.to.Sub(x.from), x.job.lastOn)
+		x.from.Format("04:05.000"), x.to.Sub(x.from), x.lastOn)
 }
 
 // stallMonitor looks for jobs that have nothing running while one of their tasks could run and there is room for it twice
@@ -81,7 +91,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, j := range m.jobs {
-		m.endStall(j, time.Now())
+		m.endStalls(j, time.Now())
 	}
 	return slices.DeleteFunc(slices.Clone(m.stalls), func(x stall) bool { return x.to.Sub(x.from) < atLeast })
 }
@@ -100,7 +110,7 @@
 func (m *stallMonitor) accept(id, queue, org string, steps []jobs.Step) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.jobs = append(m.jobs, &knownJob{id: id, queue: queue, org: org, steps: steps, accepted: time.Now()})
+	m.jobs = append(m.jobs, &knownJob{id: id, queue: queue, org: org, steps: steps, accepted: time.Now(), lasting: map[port.RunRef]*idleTime{}})
 }
 
 // cancel notes that a job is being cancelled.
@@ -110,7 +120,7 @@
 	for _, j := range m.jobs {
 		if j.id == id {
 			j.isOver = true
-			m.endStall(j, time.Now())
+			m.endStalls(j, time.Now())
 		}
 	}
 }
@@ -144,7 +154,7 @@
 
 // sample looks at all open jobs once.
 func (m *stallMonitor) sample() {
-	assigned, done := m.s.runners.FindAssigned(), m.s.runners.FindDone()
+	assigned, done, listed := m.s.runners.FindAssigned(), m.s.runners.FindDone(), m.s.runners.FindListedDone()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
@@ -152,14 +162,20 @@
 		m.lastFault = now
 	}
 	running := map[string][]string{}
+	on := map[port.RunRef]string{}
 	room := map[string]room{}
 	for w, ts := range assigned {
 		x := newRoom(m.findWorker(w))
 		for _, t := range ts {
-			running[t.Job] = append(running[t.Job], w)
-			if steps := m.steps[t.Job]; steps != nil {
+			t.Run = 0
+			on[t] = w
+			steps := m.steps[t.Job]
+			if steps != nil {
 				x.take(steps[t.Step], t)
 			}
+			if steps == nil || !isTaskDone(t, steps[t.Step], listed) {
+				running[t.Job] = append(running[t.Job], w)
+			}
 		}
 		if m.roster.isUsable(w) {
 			room[w] = x
@@ -170,46 +186,67 @@
 			continue
 		}
 		if j.isOver = m.hasEnded(j.id); j.isOver {
-			m.endStall(j, now)
+			m.endStalls(j, now)
 			continue
 		}
+		m.sampleLasting(j, on, done, room)
 		step := j.findRunnable(done)
-		if on := running[j.id]; len(on) > 0 {
-			j.lastOn = on
-		}
-		if step < 0 || len(running[j.id]) > 0 || !fitsTwice(j, step, room) {
-			m.endStall(j, now)
-			continue
-		}
-		if j.since.IsZero() {
-			j.since = now
-		}
-		j.task = fmt.Sprintf("step %d (%d x %d accelerators, gang %v, label %q, per worker %d)", step, j.steps[step].Tasks,
-			j.steps[step].Accelerators, j.steps[step].Gang, j.steps[step].Label, j.steps[step].PerWorker)
-		m.checkCalm(j, now)
+		isIdle := step >= 0 && len(running[j.id]) == 0 && fitsTwice(j, step, room)
+		m.note(j, &j.idle, running[j.id], isIdle, func() string { return j.describe(step) })
 	}
 }
 
+// note takes up whether a job, or a task of it that lasts, is idle beside room.
+func (m *stallMonitor) note(j *knownJob, x *idleTime, on []string, isIdle bool, describe func() string) {
+	now := time.Now()
+	if len(on) > 0 {
+		x.lastOn, x.lastSeen = on, now
+	}
+	if !isIdle {
+		m.endStall(j, x, now)
+		return
+	}
+	if x.since.IsZero() {
+		x.since = now
+	}
+	x.task = describe()
+	m.checkCalm(j, x, now)
+}
+
+// describe returns what a step needs.
+func (j *knownJob) describe(step int) string {
+	x := j.steps[step]
+	return fmt.Sprintf("step %d (%d x %d accelerators, gang %v, label %q, per worker %d)", step, x.Tasks, x.Accelerators, x.Gang, x.Label, x.PerWorker)
+}
+
 // checkCalm records a calm stall as soon as it has lasted for maxStall.
-func (m *stallMonitor) checkCalm(j *knownJob, now time.Time) {
-	if now.Sub(j.since) < maxStall || now.Sub(m.lastFault) < maxStall+calmBefore {
+func (m *stallMonitor) checkCalm(j *knownJob, i *idleTime, now time.Time) {
+	if now.Sub(i.since) < maxStall || now.Sub(m.lastFault) < maxStall+calmBefore {
 		return
 	}
 	for _, x := range m.stalls {
-		if x.job == j && x.isCalm && x.from.Equal(j.since) {
+		if x.job == j && x.task == i.task && x.isCalm && x.from.Equal(i.since) {
 			return
 		}
 	}
-	m.s.log.Error("job is stalled", "Job", j.id, "Queue", j.queue, "Task", j.task, "Since", j.since)
-	m.stalls = append(m.stalls, stall{job: j, task: j.task, from: j.since, to: now, isCalm: true})
+	m.s.log.Error("job is stalled", "Job", j.id, "Queue", j.queue, "Task", i.task, "Since", i.since)
+	m.stalls = append(m.stalls, stall{job: j, task: i.task, lastOn: i.lastOn, from: i.since, to: now, isCalm: true})
+}
+
+// endStall notes that a job, or a task of it that lasts, is not stalled at a time.
+func (m *stallMonitor) endStall(j *knownJob, x *idleTime, at time.Time) {
+	if !x.since.IsZero() {
+		m.stalls = append(m.stalls, stall{job: j, task: x.task, lastOn: x.lastOn, from: x.since, to: at})
+	}
+	x.since = time.Time{}
 }
 
-// endStall notes that a job is not stalled at a time.
-func (m *stallMonitor) endStall(j *knownJob, at time.Time) {
-	if !j.since.IsZero() {
-		m.stalls = append(m.stalls, stall{job: j, task: j.task, from: j.since, to: at})
+// endStalls notes that neither a job nor a task of it that lasts is stalled at a time.
+func (m *stallMonitor) endStalls(j *knownJob, at time.Time) {
+	m.endStall(j, &j.idle, at)
+	for _, x := range j.lasting {
+		m.endStall(j, x, at)
 	}
-	j.since = time.Time{}
 }
 
 // hasEnded reports whether any live host shows a job as ended.
@@ -233,18 +270,38 @@
 	return fleet.Worker{}
 }
 
-// findRunnable returns a step with a task that could run, or -1.
-func (j *knownJob) findRunnable(done map[port.RunRef]bool) int {
-	isDone := func(s int) bool {
-		for k := range j.steps[s].Tasks {
-			if is := done[port.RunRef{Job: j.id, Step: s, Task: k}]; is == j.steps[s].Gang {
-				return is
-			}
+// isTaskDone reports whether a task is done; the end of one task of a gang is that of all.
+func isTaskDone(t port.RunRef, x jobs.Step, done map[port.RunRef]bool) bool {
+	if !x.Gang {
+		return done[t]
+	}
+	for t.Task = range x.Tasks {
+		if done[t] {
+			return true
+		}
+	}
+	return false
+}
+
+// isStepDone reports whether all tasks of a step are done.
+func (j *knownJob) isStepDone(step int, done map[port.RunRef]bool) bool {
+	for k := range j.steps[step].Tasks {
+		if !isTaskDone(port.RunRef{Job: j.id, Step: step, Task: k}, j.steps[step], done) {
+			return false
 		}
-		return !j.steps[s].Gang
 	}
+	return true
+}
+
+// isDue reports whether all steps before a step are done.
+func (j *knownJob) isDue(step int, done map[port.RunRef]bool) bool {
+	return !slices.ContainsFunc(j.steps[step].After, func(a int) bool { return !j.isStepDone(a, done) })
+}
+
+// findRunnable returns a step with a task that could run, or -1; steps that last are left out.
+func (j *knownJob) findRunnable(done map[port.RunRef]bool) int {
 	for s, x := range j.steps {
-		if !isDone(s) && !slices.ContainsFunc(x.After, func(a int) bool { return !isDone(a) }) {
+		if !x.Lasts && !j.isStepDone(s, done) && j.isDue(s, done) {
 			return s
 		}
 	}
--- a/internal/host/stalledload_test.go
+++ b/internal/host/stalledload_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/clock"
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/standin"
 	"github.com/auburncleat/auburncleat/internal/state/config"
@@ -31,6 +32,9 @@
 	configNoQueue
 )
 
+// maxCancels bounds the requests to cancel a job.
+const maxCancels = 5
+
 // moreAttempts is the largest number of failed runs of a task that any variant allows.
 const moreAttempts = 6
 
@@ -107,6 +111,9 @@
 	if l.failures.IntN(40) == 0 || l.poison[id] {
 		out.Work, out.Result = out.Work/4, jobs.FailedRun
 	}
+	if x := l.steps[id]; x != nil && x[r.Step].Lasts {
+		out.Lasts, out.Result = true, jobs.FailedRun
+	}
 	return out
 }
 
@@ -140,6 +147,9 @@
 	h := s.hosts[s.pickHost(l.rand)]
 	cancelAfter := time.Duration(l.rand.IntN(6000)) * time.Millisecond
 	isCancelled := l.rand.Float64() < l.cancels
+	if steps[len(steps)-1].Lasts {
+		isCancelled, cancelAfter = true, 5*cancelAfter
+	}
 	l.m.submit(id, steps)
 	go func() {
 		if s.submitOnce(org, h, id, q, steps...) != nil {
@@ -147,9 +157,15 @@
 		}
 		l.m.accept(id, q, org, steps)
 		if isCancelled {
-			time.Sleep(cancelAfter)
+			if clock.System().Sleep(s.t.Context(), cancelAfter) != nil {
+				return
+			}
 			l.m.cancel(id)
-			_ = h.intake.Cancel(s.t.Context(), id, 3*time.Second)
+			for range maxCancels {
+				if h.intake.Cancel(s.t.Context(), id, 3*time.Second) == nil {
+					return
+				}
+			}
 		}
 	}()
 }
@@ -176,11 +192,15 @@
 		if r.Float64() < 0.3 {
 			x.Label, x.Tasks = "k1", min(x.Tasks, most/2)
 		}
-		return "normal", []jobs.Step{x}, d
+		return "normal", l.drawSteps(0.25, x), d
 	case k < 0.786+2.38:
 		d := length(2.5, 0.5)
 		x = jobs.Step{Tasks: width(3.4, min(21, most)), Accelerators: sizes[r.IntN(5)], Processors: 15, Memory: 44 * fleet.Gigabyte, Gang: true, Adjacent: r.Float64() < 0.8, Estimate: estimate(d)}
-		return "urgent", []jobs.Step{x}, d
+		return "urgent", l.drawSteps(0.15, x), d
+	case k < 0.786+2.38+0.16:
+		d := length(8, 0.5)
+		x = jobs.Step{Tasks: width(3, most), Accelerators: 1, Processors: 11, Memory: 59 * fleet.Gigabyte, Lasts: true, MayMiss: 1, Estimate: estimate(d)}
+		return "quiet", []jobs.Step{x}, d
 	default:
 		d := length(6.1, 0.3)
 		x = jobs.Step{Tasks: width(16, 4*most), Accelerators: 1, Processors: 11, Memory: 59 * fleet.Gigabyte, Estimate: estimate(d), Checkpoints: r.Float64() < 0.45}
@@ -190,15 +210,19 @@
 		if r.Float64() < 0.12 {
 			x.PerWorker = 1 + r.IntN(2)
 		}
-		steps := []jobs.Step{x}
-		if r.Float64() < 0.3 {
-			y := x
-			y.After = []int{0}
-			y.Tasks = width(8, most)
-			steps = append(steps, y)
-		}
-		return "quiet", steps, d
+		return "quiet", l.drawSteps(0.5, x), d
+	}
+}
+
+// drawSteps returns a step and, with a given probability, one of half as many tasks after it.
+func (l *mixedLoad) drawSteps(p float64, x jobs.Step) []jobs.Step {
+	if l.rand.Float64() >= p {
+		return []jobs.Step{x}
 	}
+	y := x
+	y.After = []int{0}
+	y.Tasks = max(1, x.Tasks/2)
+	return []jobs.Step{x, y}
 }
 
 // largeLimits are the limits of the workers of a large site.
--- a/internal/host/stallhunt_test.go
+++ b/internal/host/stallhunt_test.go
@@ -28,7 +28,7 @@
 	// maxFaults bounds the faults of a wave, each of which begins within faultSpread and lasts for maxFaultTime at most.
 	maxFaults    = 4
 	faultSpread  = 4 * time.Second
-	maxFaultTime = 7 * time.Second
+	maxFaultTime = 12 * time.Second
 	// minCalm is the shortest time without faults between two waves.
 	minCalm = 9 * time.Second
 )
@@ -70,7 +70,7 @@
 				}
 				for _, y := range x.m.findStalls(maxStall) {
 					if y.isCalm {
-						t.Errorf("leases of %s, load %.2f: %s, of these %v have ended", limits.MaxHold, share, y, h.findRemoved(y.job.lastOn))
+						t.Errorf("leases of %s, load %.2f: %s, of these %v have ended", limits.MaxHold, share, y, h.findRemoved(y.lastOn))
 					}
 				}
 				require.Empty(t, x.runners.Faults())
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -29,6 +29,8 @@
 	Result jobs.Result
 	// Gang is the number of tasks that must have started before any of them works; zero for independent tasks.
 	Gang int
+	// Lasts is set for a task that is to run again whatever its result.
+	Lasts bool
 }
 
 // RunPlan decides the outcome of each run of a task.
@@ -52,6 +54,8 @@
 	// startedJobs holds the jobs of which any task was started, and doneTasks the tasks that were done in any run.
 	startedJobs map[string]bool
 	doneTasks   map[port.RunRef]bool
+	// lostTasks holds the tasks that were done on a worker that ended before a host acknowledged it.
+	lostTasks map[port.RunRef]bool
 	// allFailedRuns counts all failed runs of each task, and of each gang under the task index jobs.WholeGang.
 	allFailedRuns map[port.RunRef]int
 	gangs         map[port.RunRef]*gangRun
@@ -109,7 +113,7 @@
 func NewRunners(c clock.Clock, b RunLimits, p RunPlan) *Runners {
 	return &Runners{
 		clock: c, limits: b, plan: p, byAddr: map[netip.AddrPort]*runWorker{}, acknowledged: map[port.RunRef]bool{}, failedRuns: map[port.RunRef]int{}, gangs: map[port.RunRef]*gangRun{},
-		startedJobs: map[string]bool{}, doneTasks: map[port.RunRef]bool{}, allFailedRuns: map[port.RunRef]int{},
+		startedJobs: map[string]bool{}, doneTasks: map[port.RunRef]bool{}, lostTasks: map[port.RunRef]bool{}, allFailedRuns: map[port.RunRef]int{},
 		isCut: func(string, string) bool { return false },
 	}
 }
@@ -152,6 +156,9 @@
 		if x.Result == jobs.FailedRun && x.Number > old.lapsedNumber {
 			r.failedRuns[taskOf(x.Ref)]--
 		}
+		if x.Result == jobs.Done {
+			r.lostTasks[taskOf(x.Ref)] = true
+		}
 	}
 	for _, x := range old.tasks {
 		if x.gang != nil && x.gang.brokenAt.IsZero() {
@@ -402,8 +409,9 @@
 // acknowledge drops the ends up to the number seen.
 func (r *Runners) acknowledge(w *runWorker, seen int64) {
 	for len(w.ended) > 0 && w.ended[0].Number <= seen {
-		if w.ended[0].Result == jobs.Done && w.ended[0].Number > w.lapsedNumber {
-			r.acknowledged[taskOf(w.ended[0].Ref)] = true
+		t := taskOf(w.ended[0].Ref)
+		if w.ended[0].Result == jobs.Done && w.ended[0].Number > w.lapsedNumber && r.doneTasks[t] {
+			r.acknowledged[t] = true
 		}
 		w.ended = w.ended[1:]
 	}
@@ -448,7 +456,7 @@
 	if x.gang != nil && x.gang.brokenAt.IsZero() && result != jobs.Done {
 		x.gang.brokenAt = r.endedAt(w, x, reason)
 	}
-	if result == jobs.FailedRun {
+	if result == jobs.FailedRun && !x.outcome.Lasts {
 		r.failedRuns[t]++
 		k := t
 		if x.gang != nil {
@@ -456,8 +464,9 @@
 		}
 		r.allFailedRuns[k]++
 	}
-	if result == jobs.Done {
+	if result == jobs.Done && !x.outcome.Lasts {
 		r.doneTasks[t] = true
+		delete(r.lostTasks, t)
 	}
 	w.ended = append(w.ended, port.RunEnd{Number: w.lastNumber, Ref: x.ref, Result: result, How: reason})
 	w.closedRun[t] = max(w.closedRun[t], x.ref.Run)
--- a/internal/standin/runnerstats.go
+++ b/internal/standin/runnerstats.go
@@ -77,3 +77,15 @@
 	defer r.mu.Unlock()
 	return maps.Clone(r.doneTasks)
 }
+
+// FindListedDone returns the tasks that were done in any run, without the number of the run, but for those of which the only end was
+// lost with its worker.
+func (r *Runners) FindListedDone() map[port.RunRef]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := maps.Clone(r.doneTasks)
+	for t := range r.lostTasks {
+		delete(out, t)
+	}
+	return out
+}
