Look for stalled jobs in the fault soak

Accepted jobs stood still beside free room on machines of the users, and the soak, which brings faults about against real processes, never asked for that. A monitor now compares the acceptance at the client with the runs at the workers: a job is a violation that has nothing running for 3 s though a task could run and workers that are up and listed have room for it twice over, while these 3 s and the 4 s before them are free of faults; so is each task that lasts by itself, from 6 s after its last run. Reloads and changes of the configuration are no faults. Before it is reported a host without faults says that the job has not ended.

A worker that does not publish its entry for three intervals now loses it, as on the platform; the entry stayed before. Commands and appends that are carried out late count as a fault until the last of them can have been carried out.

--- a/tests/soak_fault_test.go
+++ b/tests/soak_fault_test.go
@@ -40,6 +40,9 @@
 	}
 	w := s.workers[f.worker]
 	s.t.Logf("%6s %-22s %s %s for %s", f.startAt.Round(time.Millisecond), f.kind, h.name, w.worker.Name, f.duration.Round(time.Millisecond))
+	if isImpairment(f.kind) {
+		defer s.stalls.beginFault()()
+	}
 	switch f.kind {
 	case "kill", "pause", "terminate", "reload", "bad settings", "reload twice":
 		h.beginFault()
@@ -57,9 +60,12 @@
 		s.runners.Add(w.worker)
 		w.relay.closeLinks()
 	case "worker delays commands":
-		s.runners.SetCommandDelay(w.worker.Addr, time.Duration(f.magnitude)*soakMaxCommandDelay/1000+time.Millisecond)
+		delay := time.Duration(f.magnitude)*soakMaxCommandDelay/1000 + time.Millisecond
+		s.runners.SetCommandDelay(w.worker.Addr, delay)
 		s.sleep(f.duration)
 		s.runners.SetCommandDelay(w.worker.Addr, 0)
+		// The last commands are still to be carried out.
+		defer s.sleep(delay)
 	case "worker unlisted":
 		w.isListed.Store(false)
 		s.sleep(f.duration)
@@ -78,6 +84,16 @@
 	}
 }
 
+// isImpairment reports whether jobs may stand still during a fault and for a while after it.
+func isImpairment(kind string) bool {
+	switch kind {
+	case "reload", "bad settings", "reload twice", "revoke":
+		return false
+	default:
+		return true
+	}
+}
+
 func (s *soakSite) injectProcessFault(f soakFault, h *soakHost) {
 	p := s.process(h.name)
 	switch f.kind {
@@ -164,10 +180,13 @@
 		h.endFault()
 	case "store loses answers":
 		h.beginFault()
-		s.store.SetLossy(h.name, true, time.Duration(f.magnitude)*2*time.Millisecond)
+		delay := time.Duration(f.magnitude) * 2 * time.Millisecond
+		s.store.SetLossy(h.name, true, delay)
 		s.sleep(f.duration)
 		s.store.SetLossy(h.name, false, 0)
 		h.endFault()
+		// The last appends are still to take effect.
+		s.sleep(delay)
 	case "store down":
 		s.beginStoreFault()
 		for _, x := range s.hosts {
--- a/tests/soak_plan_test.go
+++ b/tests/soak_plan_test.go
@@ -38,6 +38,12 @@
 	Gang       bool  `json:"gang,omitempty"`
 	Local      bool  `json:"locality_sensitive,omitempty"`
 	StartAfter []int `json:"start_after,omitempty"`
+	Memory     int   `json:"mem_mb,omitempty"`
+	// Label is a label that the worker must have, and PerWorker the most tasks of the step on one worker.
+	Label     string `json:"requirements,omitempty"`
+	PerWorker int    `json:"anti_affinity,omitempty"`
+	// Lasts is set if the tasks run until the job is cancelled.
+	Lasts bool `json:"long_running,omitempty"`
 }
 
 func (j *soakJob) tasks() int {
--- a/tests/soak_site_test.go
+++ b/tests/soak_site_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -40,6 +41,12 @@
 	soakStoreDelay      = 2 * time.Millisecond
 	soakWorkersPerRack  = 4
 	soakDomains         = 3
+	// A worker that has not published its entry for soakMaxHeartbeats intervals loses it.
+	soakMaxHeartbeats = 3
+	soakWorkerGPUs    = 8
+	soakWorkerCPU     = 64
+	// soakWorkerMemory is in megabytes.
+	soakWorkerMemory = 128 << 10
 )
 
 var (
@@ -58,6 +65,7 @@
 	hosts   []*soakHost
 	workers []*soakWorker
 	version atomic.Int64
+	stalls  *stallMonitor
 	// stateMu guards the fields below; keys holds the valid API key of each organisation.
 	stateMu    sync.Mutex
 	keys       map[string]string
@@ -84,8 +92,18 @@
 type soakWorker struct {
 	worker fleet.Worker
 	relay  *relay
+	labels []string
 	// isListed is false while the worker does not publish its entry.
 	isListed atomic.Bool
+	// hasEntry is set while the store has the entry of the worker.
+	hasEntry atomic.Bool
+	// missed counts the heartbeats since the worker last published its entry.
+	missed int
+}
+
+// isUsable reports whether the worker is listed.
+func (w *soakWorker) isUsable() bool {
+	return w.isListed.Load() && w.hasEntry.Load()
 }
 
 func (s *soakSite) addr(c, d, port int) netip.AddrPort {
@@ -103,6 +121,7 @@
 	s.runners = standin.NewRunners(c, standin.RunLimits{
 		Attempts: soakAttempts, MaxHold: soakMaxHold, StopTimeout: soakStopTimeout, GangTimeout: soakGangTimeout,
 	}, p.drawOutcome)
+	s.stalls = &stallMonitor{s: s, lastFault: time.Now()}
 	for i := range p.workers {
 		s.addWorker(i)
 	}
@@ -118,8 +137,9 @@
 	at := s.addr(100, i+1, workerPort)
 	w := &soakWorker{worker: fleet.Worker{
 		Name: fmt.Sprintf("w%d", i), Domain: soakDomain(i), Rack: fmt.Sprintf("r1-%d", i/soakWorkersPerRack), Addr: at,
-		Accelerators: 8, Processors: 64, Memory: 128 * fleet.Gigabyte,
+		Accelerators: soakWorkerGPUs, Processors: soakWorkerCPU, Memory: soakWorkerMemory * fleet.Megabyte,
 	}}
+	w.labels = []string{"a", w.worker.Rack}
 	w.isListed.Store(true)
 	s.runners.Add(w.worker)
 	s.serve(at, s.runners.Handler(at))
@@ -140,30 +160,41 @@
 	s.t.Cleanup(func() { _ = x.Close() })
 }
 
-// publishWorkers appends the entries of all listed workers at the heartbeat interval.
+// publishWorkers appends the entries of all listed workers at the heartbeat interval, and removes those of workers that have
+// missed soakMaxHeartbeats.
 func (s *soakSite) publishWorkers() {
 	for n := 1; s.t.Context().Err() == nil; n++ {
 		var es []port.Entry
 		for _, w := range s.workers {
-			if !w.isListed.Load() {
+			if w.isListed.Load() {
+				w.missed = 0
+				w.hasEntry.Store(true)
+				es = append(es, port.Entry{Key: w.worker.Name, Value: s.entry(w, n)})
 				continue
 			}
-			b, err := json.Marshal(map[string]any{
-				"service": "svc", "address": w.relay.listener.Addr().String(), "zone": w.worker.Domain, "version": "1", "slots": 8,
-				"state": "ready", "cold_remaining_ms": 0, "sequence": n, "labels": []string{"a", w.worker.Rack},
-				"capacity": map[string]any{"cpu": 64, "mem_mb": 128 << 10, "gpus": 8},
-			})
-			if err != nil {
-				s.violate("entry of %s: %v", w.worker.Name, err)
-				continue
+			w.missed++
+			if w.missed >= soakMaxHeartbeats && w.hasEntry.Swap(false) {
+				es = append(es, port.Entry{Key: w.worker.Name})
 			}
-			es = append(es, port.Entry{Key: w.worker.Name, Value: b})
 		}
 		s.appendAsPlatform(workersTopic, es...)
-		_ = clock.System().Sleep(s.t.Context(), soakHeartbeat)
+		s.sleep(soakHeartbeat)
 	}
 }
 
+// entry returns the entry that a worker publishes.
+func (s *soakSite) entry(w *soakWorker, sequence int) []byte {
+	b, err := json.Marshal(map[string]any{
+		"service": "svc", "address": w.relay.listener.Addr().String(), "zone": w.worker.Domain, "version": "1", "slots": 8,
+		"state": "ready", "cold_remaining_ms": 0, "sequence": sequence, "labels": w.labels,
+		"capacity": map[string]any{"cpu": soakWorkerCPU, "mem_mb": soakWorkerMemory, "gpus": soakWorkerGPUs},
+	})
+	if err != nil {
+		s.violate("entry of %s: %v", w.worker.Name, err)
+	}
+	return b
+}
+
 // appendAsPlatform appends entries as the platform, whose calls no fault affects.
 func (s *soakSite) appendAsPlatform(t port.Topic, es ...port.Entry) {
 	if _, err := s.store.View("platform").Append(s.t.Context(), port.Append{Topic: t, Entries: es}); err != nil && s.t.Context().Err() == nil {
@@ -240,6 +271,13 @@
 	s.violations = append(s.violations, fmt.Sprintf(format, args...))
 }
 
+// findViolations returns the violations so far.
+func (s *soakSite) findViolations() []string {
+	s.stateMu.Lock()
+	defer s.stateMu.Unlock()
+	return slices.Clone(s.violations)
+}
+
 // owner returns the host that last claimed the ownership, or the first host if there is none.
 func (s *soakSite) owner() *soakHost {
 	e, err := s.store.View("platform").Read(s.t.Context(), ownerTopic, 0, 0)
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -86,6 +86,7 @@
 	for _, h := range s.hosts {
 		s.eventually(readyTimeout, "readiness of "+h.name, func() bool { return s.isReady(h) })
 	}
+	go s.stalls.watch()
 	begin := time.Now()
 	var busy sync.Map
 	var faults, clients sync.WaitGroup
@@ -108,7 +109,7 @@
 	clients.Wait()
 	s.checkOutcomes(results)
 	s.checkLogs(len(results))
-	require.Empty(t, s.violations, "seed %d", p.seed)
+	require.Empty(t, s.findViolations(), "seed %d", p.seed)
 }
 
 // soakResult is the state of a job as its client knows it.
@@ -136,6 +137,7 @@
 		switch a.status {
 		case http.StatusOK:
 			x.acceptedAt = time.Now()
+			s.stalls.accept(j)
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized, http.StatusNotFound:
 			x.refused++
 			s.sleep(min(a.retryAfter, time.Second))
@@ -160,6 +162,7 @@
 
 // cancel sends a cancellation to one host after another until one confirms it.
 func (s *soakSite) cancel(x *soakResult) {
+	s.stalls.end(x.job)
 	for i := range soakMaxTries {
 		x.isCancelled = true
 		a := s.call(s.hosts[x.job.hosts[i]], soakRequest{method: http.MethodDelete, queue: x.job.queue, id: x.job.id, key: s.key(x.job.org)})
@@ -182,6 +185,7 @@
 		}
 		s.checkState(x, h, state)
 		if isFinal(state) {
+			s.stalls.end(x.job)
 			return
 		}
 		s.sleep(soakPollInterval)
@@ -390,7 +394,7 @@
 
 // keepLogsOnFailure keeps the logs if the seed failed and -soak-keep is set.
 func (s *soakSite) keepLogsOnFailure() {
-	if (s.t.Failed() || len(s.violations) > 0) && *soakKeep != "" {
+	if (s.t.Failed() || len(s.findViolations()) > 0) && *soakKeep != "" {
 		s.keepLogs()
 	}
 }
