--- a/tests/soak_stall_test.go
+++ b/tests/soak_stall_test.go
@@ -132,6 +132,10 @@
 			running[t.Job][t] = w.worker.Name
 			r.take(m.s.plan.byID[t.Job], t)
 		}
+		if !r.fits() && !w.isOverfull {
+			w.isOverfull = true
+			m.s.violate("%s runs more than it holds: %v", w.worker.Name, ts)
+		}
 		if isUp && w.isUsable() {
 			rooms = append(rooms, r)
 		}
@@ -282,6 +286,11 @@
 	r.ofStep[port.RunRef{Job: t.Job, Step: t.Step}]++
 }
 
+// fits reports whether no more runs on the worker than it holds.
+func (r *room) fits() bool {
+	return r.gpus >= 0 && r.cpu >= 0 && r.memory >= 0
+}
+
 // holds returns how many tasks of a step fit, up to limit.
 func (r *room) holds(j *soakJob, step, limit int) int {
 	x := j.steps[step]
