Start an adjacent gang in several racks once no rack holds it

What callers see: an accepted gang is queued without end though nothing else runs and the workers of several racks hold it once.

Cause: the engine asks once, when it makes the unit, whether a rack holds a gang whose tasks should be adjacent, and regards neither label nor the limit per worker. The shape then stays adjacent whatever becomes of the workers. The idle bound does not help, as there is room for the gang once and not twice. Class: a belief about the workers that nothing ends.

Fix: once a job has idled for the idle bound, the planner asks with each pass whether some rack of workers in use would hold it, with its label and its limit per worker, and lets it use several racks if none does. Planners without an idle bound keep adjacency as a hard rule.

--- a/internal/state/plan/guaranteed.go
+++ b/internal/state/plan/guaranteed.go
@@ -1,9 +1,13 @@
 package plan
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/place"
 )
 
 // WithClaimBound sets how long a job within its organisation's guaranteed accelerators may wait for its start.
@@ -14,16 +18,40 @@
 // relaxAfterShare is the fraction of the claim bound after which a guaranteed job is spread over several racks.
 const relaxAfterShare = 0.4
 
-// relaxAdjacency lets a guaranteed job use several racks if waiting for a single one could exceed the claim bound.
+// relaxAdjacency lets a job use several racks: a guaranteed one if waiting for a single one could exceed the claim bound, and any
+// one that has idled for the idle bound if no rack holds it.
 func (p *Planner) relaxAdjacency(e *entry) {
-	if p.claimBound == 0 || e.shape.Adjacent != fleet.LevelRack || !p.isGuaranteed(e) {
+	if e.shape.Adjacent != fleet.LevelRack {
 		return
 	}
-	if float64(p.now.Sub(e.job.Submitted)) > relaxAfterShare*float64(p.claimBound) {
+	isLate := p.claimBound > 0 && float64(p.now.Sub(e.job.Submitted)) > relaxAfterShare*float64(p.claimBound)
+	if isLate && p.isGuaranteed(e) || p.hasIdled(e) && !p.fitsRack(e) {
 		e.shape.Adjacent = fleet.LevelDomain
 	}
 }
 
+// fitsRack reports whether some rack would hold a job if nothing else ran there.
+func (p *Planner) fitsRack(e *entry) bool {
+	k := e.roomQuery()
+	if fits, isKnown := p.pass.fitsRack[k]; isKnown {
+		return fits
+	}
+	p.pass.fitsRack[k] = slices.ContainsFunc(p.ledger.Racks(), func(r *place.Rack) bool {
+		tasks := 0
+		for _, s := range r.Sites {
+			if s.Closed || !p.matchesLabel(e, s) {
+				continue
+			}
+			tasks += min(s.Capacity.Holds(e.need), cmp.Or(e.job.PerWorker, math.MaxInt))
+			if tasks >= e.shape.Tasks {
+				return true
+			}
+		}
+		return false
+	})
+	return p.pass.fitsRack[k]
+}
+
 // SetGuaranteed replaces the number of accelerators guaranteed to the urgent jobs of each organisation, whatever their
 // shape.
 func (p *Planner) SetGuaranteed(byOrg map[string]int) {
--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -101,10 +101,15 @@
 	}
 }
 
+// hasIdled reports whether the submission of a queued job has been idle for the idle bound.
+func (p *Planner) hasIdled(e *entry) bool {
+	return p.idleBound > 0 && !p.pass.isStarting[e.submission] && p.now.Sub(e.submission.idleSince) >= p.idleBound
+}
+
 // isOverdue reports whether the submission of a queued job has been idle for the idle bound while there is room for two of the
 // job.
 func (p *Planner) isOverdue(e *entry) bool {
-	if p.idleBound == 0 || p.pass.isStarting[e.submission] || p.now.Sub(e.submission.idleSince) < p.idleBound {
+	if !p.hasIdled(e) {
 		return false
 	}
 	k := e.roomQuery()
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -78,6 +78,27 @@
 	requireStart(t, p, "gang", start.Add(time.Millisecond))
 }
 
+// TestGangStartsInSeveralRacksOnceNoneHoldsIt guards against gangs that wait without end for a rack with enough workers for them, after
+// one of its workers has gone; there is room for the gang once.
+func TestGangStartsInSeveralRacksOnceNoneHoldsIt(t *testing.T) {
+	ws := workers(2, 2)
+	for i := range ws {
+		ws[i].Labels = "fast"
+	}
+	p := planner(t, ws, profiles(audit), WithIdleBound(2*time.Second), WithPartialFleet())
+	p.DropWorker(ws[0].Name)
+	p.DropWorker(ws[2].Name)
+	j := job("gang", "Gear", "Audit", shape(2, 8, fleet.LevelRack))
+	j.Label = "fast"
+	require.NoError(t, p.Submit(j))
+	for now := start; now.Before(start.Add(idleBound)); now = now.Add(50 * time.Millisecond) {
+		if len(p.Pass(now).Starts) > 0 {
+			return
+		}
+	}
+	t.Fatalf("the gang is still queued after %v: %s", idleBound, p.WaitCause("gang"))
+}
+
 // TestJobDoesNotIdleBesideQuarantinedWorkers guards against jobs that run nothing because the only workers with room are in
 // quarantine.
 func TestJobDoesNotIdleBesideQuarantinedWorkers(t *testing.T) {
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -70,6 +70,8 @@
 	isStarting map[*submission]bool
 	// isTight is set for each query of an overdue job for two of which the room was found to be short; it only gets shorter.
 	isTight map[roomQuery]bool
+	// fitsRack tells for each query of an idle job whether some rack would hold it if nothing else ran there.
+	fitsRack map[roomQuery]bool
 	// unused is the room in which the pass may start work; nil if it was not looked for yet.
 	unused []unusedRoom
 	// ends caches the expected ends of started gangs.
@@ -111,7 +113,7 @@
 	}
 	p.pass = passState{
 		failed: map[roomQuery]time.Duration{}, noPreemption: map[preemptionKey]bool{}, ends: map[*entry]time.Time{},
-		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{}, isStarting: map[*submission]bool{},
+		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{}, fitsRack: map[roomQuery]bool{}, isStarting: map[*submission]bool{},
 	}
 	p.dropSubmissions()
 	p.sumJobs()
