Give the room of ended tasks of a stopped gang back at once

What callers see: many jobs of one organisation and queue have nothing running for seconds beside free workers after one worker of a wide gang was lost, and move together: until the lease of the lost task is over, so longer with longer leases.

Fix: the planner gets the place of each task back with its end (Vacate): an end that the worker has listed, a start that was refused or never sent, or a task that is known not to be on its worker. What is being stopped counts until then. The places in the reservation of a guarantee stay reserved and are lent; memory beyond the declared one, the use of the organisation, the limit of tasks per worker and what preemption counts as free follow. Room of an urgent gang that is being stopped counts as room that urgent work lacks, so that the headroom keeps it from work that loses its progress, until that is overdue. Records and acknowledgements are those of the whole run, as before, so that the next owner reads each end again.

Ruled out: trouble under the next owner, which adopts the whole gang and the work in its room: it starts nothing there, and that work runs on (TestNextOwnerKeepsWorkInVacatedRoom). Not mended: the ends of a broken gang, and of what ends after them on its workers, are acknowledged only once the whole run has ended.

TestRoomOfBrokenGangIsUsed failed before: six of eight jobs were idle for 4.8 s with the worker lost, and 6.4 s with the owner lost too. TestRoomOfEndedTasksIsUsed failed before without a start in place of four. TestRoomOfRefusedTasksIsUsed and TestRoomOfTaskThatIsStoppedIsKept failed each without one of the calls, with units of the waiting job queued. Each part of Vacate was taken out in turn: a test of vacate_test.go failed each time.

--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -160,6 +160,7 @@
 	e.scope.Counter("starts_refused").Inc(1)
 	if !u.hasEnded() {
 		e.stopRun(u, "a task did not start: "+reason)
+		e.vacateEnded(u)
 		return
 	}
 	e.finishRun(u)
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -30,7 +30,19 @@
 	}
 	if u.hasEnded() {
 		e.finishRun(u)
+		return
+	}
+	e.vacateEnded(u)
+}
+
+// vacateEnded gives the room of the ended tasks of a run that is being stopped back to the planner; the other tasks may take long.
+func (e *Engine) vacateEnded(u *unit) {
+	for i, m := range u.members {
+		if m.presence == taskEnded {
+			e.planner.Vacate(u.name, i)
+		}
 	}
+	e.requestPass()
 }
 
 // sendStop repeats the stop of one task until the worker has confirmed it or the task has ended.
@@ -90,6 +102,7 @@
 		return
 	}
 	e.stopRun(u, "another task of the gang ended")
+	e.vacateEnded(u)
 }
 
 // saveCheckpoint records the newest checkpoint of a unit, and its progress when percent is positive.
--- a/internal/state/hold/reservations.go
+++ b/internal/state/hold/reservations.go
@@ -122,6 +122,15 @@
 	}
 }
 
+// ReleaseAt marks one place of a job on a site as idle.
+func (r *Reservations) ReleaseAt(g *Gang, job string, s *place.Site) {
+	i := slices.IndexFunc(g.Places, func(p Place) bool { return p.Site == s && p.Job == job })
+	if i >= 0 {
+		g.Places[i].Job = ""
+		g.taken--
+	}
+}
+
 // Reserve reserves the sites, one per task, for a gang without a reservation.
 func (r *Reservations) Reserve(g *Gang, sites []*place.Site) {
 	g.Places = make([]Place, len(sites))
--- a/internal/state/plan/headroom.go
+++ b/internal/state/plan/headroom.go
@@ -53,7 +53,7 @@
 		n := e.shape.TotalAccelerators()
 		need += n
 		if !e.isQueued() {
-			has += n
+			has += n - len(e.vacated)*e.need.Accelerators
 		}
 	}
 	free := 0
--- a/internal/state/plan/job.go
+++ b/internal/state/plan/job.go
@@ -19,7 +19,9 @@
 	// shape is the job's shape with the estimated memory; need is the room for one of its tasks.
 	shape fleet.Shape
 	need  place.Resources
-	sites []*place.Site
+	// sites has the site of each task of a started gang; vacated holds the tasks that have ended and take no room any more.
+	sites   []*place.Site
+	vacated map[int]bool
 	// gang is the guaranteed gang in which the job runs or whose borrowers are being stopped for it.
 	gang *hold.Gang
 	// awaited are the sites from which borrowers are being stopped for the job.
@@ -250,7 +252,7 @@
 		e.gang.Claim = ""
 	}
 	e.gang = nil
-	e.sites = nil
+	e.sites, e.vacated = nil, nil
 	e.awaited = nil
 	e.plannedRack = nil
 	p.dirty = p.dirty || p.reservations.HasUnplaced()
@@ -292,38 +294,49 @@
 
 // allocate adds a gang to the resource accounting of its sites.
 func (p *Planner) allocate(e *entry) {
-	for i, s := range e.sites {
+	held := e.heldSites()
+	for i, s := range held {
 		s.Used = s.Used.Plus(e.need)
 		if !e.isPreemptible && e.gang == nil {
 			s.Committed = s.Committed.Plus(e.need)
 		}
-		if !slices.Contains(e.sites[:i], s) {
+		if !slices.Contains(held[:i], s) {
 			p.gangsOn[s] = append(p.gangsOn[s], e)
 		}
 	}
-	p.usage[e.job.Organisation] = p.usage[e.job.Organisation].Plus(e.need.Times(len(e.sites)))
+	p.usage[e.job.Organisation] = p.usage[e.job.Organisation].Plus(e.need.Times(len(held)))
 }
 
 // deallocate removes a gang from the resource accounting of its sites.
 func (p *Planner) deallocate(e *entry) {
-	for _, s := range e.sites {
-		s.Used = s.Used.Minus(e.need)
-		if !e.isPreemptible && e.gang == nil {
-			s.Committed = s.Committed.Minus(e.need)
-		}
-		es := p.gangsOn[s]
-		if i := slices.Index(es, e); i >= 0 {
-			es[i] = es[len(es)-1]
-			p.gangsOn[s] = es[:len(es)-1]
-		}
-		if len(p.gangsOn[s]) == 0 {
-			delete(p.gangsOn, s)
-		}
+	for _, s := range e.heldSites() {
+		p.deallocateTask(e, s)
+		p.unlistGang(e, s)
 	}
-	u := p.usage[e.job.Organisation].Minus(e.need.Times(len(e.sites)))
+}
+
+// deallocateTask removes one task of a gang from the resource accounting of its site.
+func (p *Planner) deallocateTask(e *entry, s *place.Site) {
+	s.Used = s.Used.Minus(e.need)
+	if !e.isPreemptible && e.gang == nil {
+		s.Committed = s.Committed.Minus(e.need)
+	}
+	u := p.usage[e.job.Organisation].Minus(e.need)
 	if u == (place.Resources{}) {
 		delete(p.usage, e.job.Organisation)
 		return
 	}
 	p.usage[e.job.Organisation] = u
 }
+
+// unlistGang removes a gang from the gangs of a site.
+func (p *Planner) unlistGang(e *entry, s *place.Site) {
+	es := p.gangsOn[s]
+	if i := slices.Index(es, e); i >= 0 {
+		es[i] = es[len(es)-1]
+		p.gangsOn[s] = es[:len(es)-1]
+	}
+	if len(p.gangsOn[s]) == 0 {
+		delete(p.gangsOn, s)
+	}
+}
--- a/internal/state/plan/memory.go
+++ b/internal/state/plan/memory.go
@@ -46,7 +46,7 @@
 func (p *Planner) RecordUsage(u Usage) {
 	e, ok := p.jobs[u.Job]
 	s := p.ledger.Get(u.Worker)
-	if !ok || s == nil || u.Task < 0 || u.Task >= len(e.sites) || e.sites[u.Task] != s {
+	if !ok || s == nil || u.Task < 0 || u.Task >= len(e.sites) || e.sites[u.Task] != s || e.vacated[u.Task] {
 		return
 	}
 	e.peakMemory = max(e.peakMemory, u.Memory)
@@ -107,6 +107,12 @@
 	e.throttled = nil
 }
 
+// releaseExtraMemoryOf releases the memory booked for one task beyond what it declared.
+func (p *Planner) releaseExtraMemoryOf(e *entry, ref taskRef) {
+	p.bookExtraMemory(e, ref, 0)
+	delete(e.throttled, ref)
+}
+
 // raiseMemory increases the planned memory of a job that exceeded it, up to that of the largest worker.
 func (p *Planner) raiseMemory(e *entry) {
 	if e.neededMemory <= e.shape.Memory {
--- a/internal/state/plan/preempt.go
+++ b/internal/state/plan/preempt.go
@@ -324,7 +324,7 @@
 // roomOn returns the room that the gang uses on a site.
 func (e *entry) roomOn(s *place.Site) place.Resources {
 	n := 0
-	for _, x := range e.sites {
+	for _, x := range e.heldSites() {
 		if x == s {
 			n++
 		}
--- a/internal/state/plan/status.go
+++ b/internal/state/plan/status.go
@@ -106,7 +106,7 @@
 	}
 	s := Status{Job: e.job, State: e.state, Expected: e.expected}
 	s.Reason, s.WaitsFor = e.explain()
-	for _, x := range e.sites {
+	for _, x := range e.heldSites() {
 		s.Workers = append(s.Workers, x.Worker.Name)
 	}
 	return s, nil
