Tell for idle jobs of every phase since when there has been room

The line 'jobs are idle' said whether there is room for two of a job for queued units alone, so that jobs that stand in Stopping, Storing or on a worker that does not answer never showed beside room; it looked at 64 jobs, and told for how long a job has been idle, not for how long there has been room. A job whose starts come to nothing again and again never got to 2 s in one phase, and a task that lasts was hidden by others of its job.

The owner now keeps idle jobs from look to look, 1 s apart: since when nothing has been at work, and since when each look found room. A run on a worker that does not answer is no work, and a unit that lasts counts by itself. Room is looked for once a kind of work, 32 kinds a look, those idle longest first; the gauge jobs_idle_unchecked counts what was left out, also deferred units, which the planner does not have. New are the gauge jobs_stalled and the counter job_stalls of jobs idle beside room for 3 s, and a line 'job is stalled' with the id as one begins. OPERATIONS.md leads from the id of a job that was accepted and of which nothing runs to the cause. No decision is changed.

TestStalledJobIsReportedInEveryPhase fails with room looked for in queued units alone ('0s' is not greater than or equal to '3s' in its three other cases). The expectations of TestIdleJobsAreReported stand as they were, with the new gauges beside them; the job that waits as impossible is deferred and so counts as unchecked.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -94,7 +94,10 @@
 	lastSummary time.Time
 	// lastPurge is when records of ended jobs were last checked for expiry.
 	lastPurge time.Time
-	wake      chan struct{}
+	// idle holds the jobs that had nothing at work at the last look, and nextIdleCheck is when the next one is due.
+	idle          map[string]*idleJob
+	nextIdleCheck time.Time
+	wake          chan struct{}
 }
 
 // Option configures an Engine.
@@ -261,6 +264,7 @@
 		}
 		if e.ready {
 			e.runPass(now)
+			e.checkIdleJobs(now)
 			e.logSummary(now)
 		}
 		e.mu.Unlock()
