--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -29,7 +29,7 @@
 	Result jobs.Result
 	// Gang is the number of tasks that must have started before any of them works; zero for independent tasks.
 	Gang int
-	// Lasts is set for a task that is to run again whatever its result.
+	// Lasts is set if the task runs until it is stopped, and again however a run ends.
 	Lasts bool
 }
 
--- a/internal/state/plan/idle_test.go
+++ b/internal/state/plan/idle_test.go
@@ -78,6 +78,27 @@
 	requireStart(t, p, "gang", start.Add(time.Millisecond))
 }
 
+// TestGangStartsInSeveralRacksOnceNoneHoldsIt guards against gangs that wait without end for a rack with enough workers for them, after
+// one of its workers has gone; there is room for the gang once.
+func TestGangStartsInSeveralRacksOnceNoneHoldsIt(t *testing.T) {
+	ws := workers(2, 2)
+	for i := range ws {
+		ws[i].Labels = "fast"
+	}
+	p := planner(t, ws, profiles(audit), WithIdleBound(2*time.Second), WithPartialFleet())
+	p.DropWorker(ws[0].Name)
+	p.DropWorker(ws[2].Name)
+	j := job("gang", "Gear", "Audit", shape(2, 8, fleet.LevelRack))
+	j.Label = "fast"
+	require.NoError(t, p.Submit(j))
+	for now := start; now.Before(start.Add(idleBound)); now = now.Add(50 * time.Millisecond) {
+		if len(p.Pass(now).Starts) > 0 {
+			return
+		}
+	}
+	t.Fatalf("the gang is still queued after %v: %s", idleBound, p.WaitCause("gang"))
+}
+
 // TestJobDoesNotIdleBesideQuarantinedWorkers guards against jobs that run nothing because the only workers with room are in
 // quarantine.
 func TestJobDoesNotIdleBesideQuarantinedWorkers(t *testing.T) {
@@ -310,6 +331,39 @@
 	requireStart(t, p, "small", start.Add(2*time.Millisecond))
 }
 
+// TestJobDoesNotIdleAsItIsSubmittedAgain guards against jobs that run nothing because each time that they leave a full queue begins
+// their idle time anew.
+func TestJobDoesNotIdleAsItIsSubmittedAgain(t *testing.T) {
+	p := fullOfLongRuns(t, workers(1, 8), 4)
+	j := volatile("j", "Audit", shape(1, 8, fleet.LevelWorker))
+	for at := start; at.Before(start.Add(idleBound)); at = at.Add(50 * time.Millisecond) {
+		p.Cancel([]string{j.ID})
+		require.NoError(t, p.Submit(j))
+		if len(p.Pass(at).Starts) > 0 {
+			return
+		}
+	}
+	t.Fatal("the job has not started")
+}
+
+// TestSubmissionsAreForgotten verifies that the planner keeps no submission without jobs for long.
+func TestSubmissionsAreForgotten(t *testing.T) {
+	p := fullOfLongRuns(t, workers(1, 8), 4)
+	kept := len(p.submissions)
+	for i := range 100 {
+		j := volatile(fmt.Sprintf("j%d", i%10), "Audit", shape(1, 8, fleet.LevelWorker))
+		require.NoError(t, p.Submit(j))
+		p.Pass(start.Add(time.Duration(i) * 50 * time.Millisecond))
+		p.Cancel([]string{j.ID})
+		p.Ended(Ended{Job: j.ID, Result: ResultDone, At: p.now})
+	}
+	require.Greater(t, len(p.submissions), kept-4)
+	require.LessOrEqual(t, len(p.emptied), 2+int(submissionKeep/(50*time.Millisecond)))
+	p.Pass(p.now.Add(submissionKeep))
+	require.Len(t, p.submissions, kept-4)
+	require.Empty(t, p.emptied)
+}
+
 // TestSpreadJobDoesNotIdleBesideOneWorker guards against jobs with a limit of tasks per worker that run nothing because only one of
 // two tasks that have room could have it at a time.
 func TestSpreadJobDoesNotIdleBesideOneWorker(t *testing.T) {
@@ -400,3 +454,45 @@
 	p.Ended(Ended{Job: "j", Result: ResultStopped, At: at, Requeue: true})
 	require.Len(t, p.Pass(at).Starts, 1)
 }
+
+// TestRefusedLastResortIsNotRepeatedAtOnce guards against starts with every pass on the only worker with room, which refuses them.
+func TestRefusedLastResortIsNotRepeatedAtOnce(t *testing.T) {
+	p := planner(t, workers(1, 4), profiles(audit), WithIdleBound(2*time.Second))
+	for i := range 3 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("long%d", i), "Gear", "Audit", shape(1, 8, fleet.LevelWorker))))
+	}
+	run(p, p.Pass(start), start)
+	require.NoError(t, p.Submit(job("j", "Gear", "Audit", shape(1, 1, fleet.LevelWorker))))
+	n := 0
+	for at := start; at.Before(start.Add(6 * time.Second)); at = at.Add(20 * time.Millisecond) {
+		for _, s := range p.Pass(at).Starts {
+			n++
+			p.Ended(Ended{Job: "j", Result: ResultStopped, Refused: []string{s.Placement[0].Worker}, At: at, Requeue: true})
+		}
+	}
+	require.Greater(t, n, 6, "the worker may take the job again")
+	require.Less(t, n, 14)
+}
+
+// TestUrgentGangGetsRoomBeforeOverdueJobs guards against urgent gangs that never start, because overdue jobs take the workers on
+// which their stops have ended while other stops are under way.
+func TestUrgentGangGetsRoomBeforeOverdueJobs(t *testing.T) {
+	p := planner(t, workers(1, 8), profiles(audit, urgent), WithIdleBound(2*time.Second))
+	whole := shape(1, 8, fleet.LevelWorker)
+	for i := range 40 {
+		require.NoError(t, p.Submit(job(fmt.Sprintf("a%02d", i), "Gear", "Audit", whole)))
+	}
+	run(p, p.Pass(start), start)
+	at := start.Add(10 * time.Second)
+	require.Empty(t, p.Pass(at).Starts)
+	require.NoError(t, p.Submit(job("gang", "CW", "Urgent", shape(8, 8, fleet.LevelDomain))))
+	d := p.Pass(at)
+	require.Len(t, d.Stops, 8)
+	for _, s := range d.Stops {
+		at = at.Add(100 * time.Millisecond)
+		p.Ended(Ended{Job: s.Job, Result: ResultStopped, At: at, Requeue: true})
+		d = p.Pass(at)
+	}
+	require.Len(t, d.Starts, 1)
+	require.Equal(t, "gang", d.Starts[0].Job.ID)
+}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -70,6 +70,8 @@
 	isStarting map[*submission]bool
 	// isTight is set for each query of an overdue job for two of which the room was found to be short; it only gets shorter.
 	isTight map[roomQuery]bool
+	// fitsRack tells for each query of an idle job whether some rack would hold it if nothing else ran there.
+	fitsRack map[roomQuery]bool
 	// unused is the room in which the pass may start work; nil if it was not looked for yet.
 	unused []unusedRoom
 	// ends caches the expected ends of started gangs.
@@ -111,8 +113,9 @@
 	}
 	p.pass = passState{
 		failed: map[roomQuery]time.Duration{}, noPreemption: map[preemptionKey]bool{}, ends: map[*entry]time.Time{},
-		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{}, isStarting: map[*submission]bool{},
+		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{}, fitsRack: map[roomQuery]bool{}, isStarting: map[*submission]bool{},
 	}
+	p.dropSubmissions()
 	p.sumJobs()
 	p.refreshSites()
 	p.repair()
@@ -154,6 +157,10 @@
 func (p *Planner) refreshSites() {
 	p.capacity = place.Resources{}
 	stops := p.domainStops()
+	isNewPeriod := p.now.Sub(p.steadySince) >= steadyPeriod
+	if isNewPeriod {
+		p.steadySince = p.now
+	}
 	for _, r := range p.ledger.Racks() {
 		for _, s := range r.Sites {
 			closed, from := s.Worker.Leaving, time.Time{}
@@ -170,6 +177,7 @@
 				}
 			}
 			s.Stopped = closed
+			s.ObserveUnused(isNewPeriod)
 			closed = p.updateTrust(s) || closed
 			p.dirty = p.dirty || closed != s.Closed || from.IsZero() != s.StopFrom.IsZero()
 			s.Closed, s.StopFrom, s.BackfillUntil = closed, from, time.Time{}
@@ -292,6 +300,7 @@
 	p.dequeue(e)
 	e.job.Attempt++
 	e.starts++
+	e.isLastResort = false
 	e.state = StateStarting
 	p.pass.isStarting[e.submission] = true
 	e.since = p.now
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -24,6 +24,8 @@
 	reservations *hold.Reservations
 	jobs         map[string]*entry
 	submissions  map[string]*submission
+	// emptied lists the submissions that lost their last job, oldest first; some have jobs again.
+	emptied []emptied
 	// gangsOn lists the started gangs of each site.
 	gangsOn map[*place.Site][]*entry
 	// isPartial is set until all workers are known; until then no shape is rejected as impossible.
@@ -66,8 +68,10 @@
 	dirty     bool
 	now       time.Time
 	firstPass time.Time
-	targets   []place.Target
-	pass      passState
+	// steadySince is when the period began in which the unused room of the sites is observed.
+	steadySince time.Time
+	targets     []place.Target
+	pass        passState
 	// disabled holds the mechanisms that are switched off.
 	disabled map[Mechanism]bool
 	// ignoreGuarantees lets unstoppable jobs use reserved capacity; tests set it to show that they detect the
