--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
 )
 
 const (
@@ -14,6 +15,8 @@
 	pollRetryInterval = 200 * time.Millisecond
 	// responseTimeout is how long, beyond pollWait, a worker may leave a poll unanswered before it gets no new work.
 	responseTimeout = 900 * time.Millisecond
+	// maxReportAge is how old the last report of a worker may be for a start.
+	maxReportAge = pollWait + responseTimeout
 	// storeTimeout is how long the next poll waits for the ends of the last report to be stored.
 	storeTimeout = 500 * time.Millisecond
 	// unackedPollInterval is the pause between polls of a worker with ends that cannot be acknowledged yet.
@@ -24,10 +27,10 @@
 	MaxLease = 6 * time.Second
 	// clockSlack is added to the bound of a lease for slow worker clocks and for calls in transit.
 	clockSlack = 300 * time.Millisecond
-	// adoptedLeaseGrace is how long a former owner may still have extended leases after this owner took over.
-	adoptedLeaseGrace = leaseExtensionGrace
-	// leaseExtensionGrace is how long an owner extends leases without a confirmed renewal of its term.
-	leaseExtensionGrace = 4 * time.Second
+	// formerLeaseGrace is how long an owner of an earlier version may still have extended leases after this owner took over.
+	formerLeaseGrace = 4 * time.Second
+	// maxRenewalAge is how long an owner starts work and extends leases without a confirmed renewal of its term.
+	maxRenewalAge = 4 * time.Second
 	// clockDriftFactor is the largest ratio of real time to the time shown by the clock of a worker.
 	clockDriftFactor = 1.025
 )
@@ -38,6 +41,12 @@
 	member *member
 }
 
+// isEndedBy reports whether an end is that of the task's run; a success is not if the task has been counted as ended otherwise.
+func (t task) isEndedBy(x port.RunEnd) bool {
+	isLate := t.member.presence == taskEnded && t.member.result != jobs.Done && x.Result == jobs.Done
+	return t.unit.run == x.Ref.Run && !isLate
+}
+
 // worker is the state of one worker.
 type worker struct {
 	name     string
@@ -55,12 +64,12 @@
 	orphans       map[port.RunRef]bool
 	lastClock     time.Duration
 	lastClockTime time.Time
-	// leaseEnd is the time by which all tasks on the worker have certainly ended if the worker no longer answers.
-	leaseEnd   time.Time
-	lastReport time.Time
-	lastPoll   time.Time
-	// askedAt is when the first poll since the last report was sent; zero if there was none.
-	askedAt time.Time
+	// leaseEnd is the time by which all leases that this owner granted have certainly expired, and formerLeaseEnd the same for
+	// former owners.
+	leaseEnd       time.Time
+	formerLeaseEnd time.Time
+	lastReport     time.Time
+	lastPoll       time.Time
 	// lastHandledEnd is the number of the newest processed end. lastStoredEnd is the number of the newest end for which
 	// all records submitted while it was processed are stored.
 	lastHandledEnd int64
@@ -84,10 +93,6 @@
 }
 
 func (w *worker) addTask(u *unit, m *member) {
-	if len(w.tasks) == 0 {
-		// No lease has to end, so an old poll without an answer does not shorten the new one.
-		w.askedAt = time.Time{}
-	}
 	w.tasks[u.ref(m)] = task{u, m}
 	w.wakePoller()
 }
@@ -112,28 +117,33 @@
 	return w.lastClock + time.Duration(float64(now.Sub(w.lastClockTime))/clockDriftFactor)
 }
 
-// grantLease returns the end of a lease that is granted now, by the worker's clock. While a poll is unanswered the lease counts
-// from that poll, so that starts on a worker that has ended do not extend the lease of what ran there.
+// grantLease returns the end of a lease that is granted now, by the worker's clock, or zero if there is none to grant. The lease
+// counts from the newest confirmed renewal of the term, so that the next owner need not wait longer, and from the last report
+// of the worker, so that orders to a worker that has ended do not extend the lease of what ran there.
 func (e *Engine) grantLease(w *worker, now time.Time) time.Duration {
-	from := now
-	if !w.askedAt.IsZero() {
-		from = w.askedAt
+	lease := min(e.bounds.MaxHold, MaxLease-max(now.Sub(w.lastReport), e.renewalAge()))
+	if lease <= 0 {
+		return 0
 	}
-	lease := min(e.bounds.MaxHold, MaxLease)
-	w.leaseEnd = later(w.leaseEnd, from.Add(leaseBound(lease)))
-	return w.clockTime(from) + lease
+	w.leaseEnd = later(w.leaseEnd, now.Add(leaseBound(lease)))
+	return w.clockTime(now) + lease
 }
 
-// findFormerLease returns the bound of the leases of former owners; those of an earlier version grant leases of any length.
-func (e *Engine) findFormerLease() time.Duration {
-	if e.longLeaseAt == nil {
-		return e.bounds.MaxHold
+// boundFormerLeases sets the bounds of the leases of former owners. Owners of an earlier version grant leases of any length and
+// extend them for formerLeaseGrace after their last renewal; all leases of others end MaxLease after it.
+func (e *Engine) boundFormerLeases() {
+	now := e.clock.Now()
+	e.formerLease = e.bounds.MaxHold
+	e.formerLeaseEnd = now.Add(leaseBound(e.formerLease) + formerLeaseGrace)
+	if e.longLeaseAt == nil || e.formerHeardAt == nil {
+		return
 	}
 	at := e.longLeaseAt()
-	if at.IsZero() || e.clock.Since(at) > leaseBound(e.bounds.MaxHold)+adoptedLeaseGrace {
-		return min(e.bounds.MaxHold, MaxLease)
+	if !at.IsZero() && now.Sub(at) <= leaseBound(e.bounds.MaxHold)+formerLeaseGrace {
+		return
 	}
-	return e.bounds.MaxHold
+	e.formerLease = min(e.bounds.MaxHold, MaxLease)
+	e.formerLeaseEnd = e.formerHeardAt().Add(leaseBound(MaxLease))
 }
 
 // leaseBound returns the time after which a lease has certainly expired, counted from its grant.
@@ -145,7 +155,10 @@
 func (e *Engine) getWorker(name string) *worker {
 	w := e.workers[name]
 	if w == nil {
-		w = &worker{name: name, tasks: map[port.RunRef]task{}, unstoredEnds: map[int64]bool{}, wake: make(chan struct{}, 1)}
+		w = &worker{
+			name: name, tasks: map[port.RunRef]task{}, unstoredEnds: map[int64]bool{}, wake: make(chan struct{}, 1),
+			formerLeaseEnd: e.formerLeaseEnd,
+		}
 		w.runner.Worker.Name = name
 		e.workers[name] = w
 	}
@@ -210,8 +223,7 @@
 		return
 	}
 	x := w.runner.Worker
-	x.Leaving = !w.isListed || w.runner.IsDraining || w.isSuspect || len(w.orphans) > 0 || !w.hasReported ||
-		e.clock.Now().Before(w.avoidUntil)
+	x.Leaving = !w.takesWork(e.clock.Now())
 	if !w.isListed && len(w.tasks) == 0 {
 		if w.isInPlanner {
 			e.planner.DropWorker(w.name)
@@ -223,9 +235,21 @@
 	e.planner.PutWorker(x)
 }
 
+// takesWork reports whether new work may be started on a worker.
+func (w *worker) takesWork(now time.Time) bool {
+	return w.isListed && w.hasReported && !w.runner.IsDraining && !w.isSuspect && len(w.orphans) == 0 && !now.Before(w.avoidUntil)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
 	return b
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
