Let overdue jobs use workers on which tasks stalled

What callers see: jobs wait for 5 s and more beside free workers, without any fault that they would know of, after tasks made no progress there.

Cause: a worker on which a task stalled gets no new work for 5 s. The planner took it as leaving, so that its room counted neither for the bound of idle jobs nor for the log of jobs beside free room.

Fix: such a worker is avoided, and not leaving: work goes elsewhere as before, and an overdue job takes it if there is no other room, as it takes one in quarantine. Other jobs that run there count as work, which they are.

--- a/internal/coordination/exec/progress.go
+++ b/internal/coordination/exec/progress.go
@@ -10,7 +10,7 @@
 	// completePercent is the progress of a task that has completed its work but has not ended; such a task never counts
 	// as stalled.
 	completePercent = 100
-	// avoidDuration is how long a worker gets no new work after a task stalled on it.
+	// avoidDuration is how long work goes to other workers, if these have room, after a task stalled on a worker.
 	avoidDuration = 5 * time.Second
 )
 
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -33,7 +33,7 @@
 		switch {
 		case m.instance != w.instance:
 			e.failStart(u, m, jobs.Lost, "worker was restarted")
-		case !w.takesWork(e.clock.Now()):
+		case !w.takesWork():
 			e.failStart(u, m, jobs.Stopped, "worker takes no work any more")
 		default:
 			go e.sendStart(u, m, u.run, w)
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -74,7 +74,7 @@
 	isInPlanner  bool
 	// lastAckedEnd is the number of the newest end acknowledged to the worker; the worker need not report it again.
 	lastAckedEnd int64
-	// avoidUntil is the time until which the worker gets no new work because a task stalled on it.
+	// avoidUntil is the time until which work goes to other workers, if these have room, because a task stalled on the worker.
 	avoidUntil time.Time
 }
 
@@ -216,7 +216,8 @@
 		return
 	}
 	x := w.runner.Worker
-	x.Leaving = !w.takesWork(e.clock.Now())
+	now := e.clock.Now()
+	x.Leaving, x.Avoided = !w.takesWork(), now.Before(w.avoidUntil)
 	if !w.isListed && len(w.tasks) == 0 {
 		if w.isInPlanner {
 			e.planner.DropWorker(w.name)
@@ -229,8 +230,8 @@
 }
 
 // takesWork reports whether new work may be started on a worker.
-func (w *worker) takesWork(now time.Time) bool {
-	return w.isListed && w.hasReported && !w.runner.IsDraining && !w.isSuspect && len(w.orphans) == 0 && !now.Before(w.avoidUntil)
+func (w *worker) takesWork() bool {
+	return w.isListed && w.hasReported && !w.runner.IsDraining && !w.isSuspect && len(w.orphans) == 0
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/state/fleet/worker.go
+++ b/internal/state/fleet/worker.go
@@ -17,4 +17,6 @@
 	Labels string
 	// Leaving is set once the platform or an operator has announced that the worker will leave.
 	Leaving bool
+	// Avoided is set while work should go to other workers, if these have room.
+	Avoided bool
 }
--- a/internal/state/plan/attempt.go
+++ b/internal/state/plan/attempt.go
@@ -167,14 +167,14 @@
 	return e.profile.RunTime
 }
 
-// updateTrust updates the probation state of a site and reports whether its worker is quarantined.
+// updateTrust updates the probation state of a site and reports whether its worker is quarantined or avoided.
 func (p *Planner) updateTrust(s *place.Site) bool {
 	st, _ := p.healthState(s.Worker.Name)
 	joined := !p.disabled[Health] && p.health.IsRamping(s.Worker.Name)
 	probe := st == health.Probation && !joined
 	p.dirty = p.dirty || probe != s.OnProbation || joined != s.Ramping
 	s.OnProbation, s.Ramping = probe, joined
-	return st == health.Quarantined
+	return st == health.Quarantined || s.Worker.Avoided
 }
 
 // settledAge is the time after the first pass from which an unknown worker counts as newly joined.
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -224,7 +224,7 @@
 	if isNew && p.isSettled() {
 		p.health.Ramp(health.WorkerRef{Worker: w.Name, Rack: w.Rack}, p.now, p.ledger.Len())
 	}
-	p.ledger.Get(w.Name).Closed = w.Leaving
+	p.ledger.Get(w.Name).Closed = w.Leaving || w.Avoided
 	p.invalidate()
 }
 
