--- a/internal/coordination/exec/stalled_test.go
+++ b/internal/coordination/exec/stalled_test.go
@@ -91,7 +91,7 @@
 	runInRig(t, 1, runsTaking(time.Hour), func(r *rig) {
 		r.advance(time.Second)
 		all := taskStep(1)
-		all.Accelerators = 8
+		all.Accelerators, all.Estimate = 8, time.Hour
 		r.submit("00000000000000bb", all)
 		r.requireRunning("00000000000000bb", 1, time.Second)
 		r.submit(testID, taskStep(1))
