Place a gang on two ended workers anew at once

What callers see: a gang of which two workers have ended has nothing running until the end of a lease that no worker holds.

Cause: a task counts as possibly there from its first attempt to start, also if every attempt certainly did not reach the worker. The first task that is given up stops the run, and with it the attempts of the others, which are then waited for by the lease.

Fix: between attempts a task counts as sent only if one of them may be executed. If the attempt that was under way when the run was stopped turns out as unsent, the task ends with it.

--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -72,9 +72,11 @@
 		e.mu.Unlock()
 		workerClock, err := e.deps.Runners.Start(e.ctx, addr, s)
 		e.mu.Lock()
-		done := e.handleStartReply(u, m, run, w, workerClock, err, deadline, isUndecided)
+		wasUndecided := isUndecided
 		isUndecided = isUndecided || isUndecidedStart(err)
-		m.isUndecided = isUndecided
+		m.isUndecided, m.isSent = isUndecided, isUndecided || err == nil
+		done := e.handleStartReply(u, m, run, w, workerClock, err, deadline, wasUndecided)
+		e.endUnsentStart(u, m, run)
 		e.mu.Unlock()
 		if done {
 			return
@@ -85,6 +87,13 @@
 	}
 }
 
+// endUnsentStart ends a task whose run was stopped while an attempt of its start was under way, if no attempt can be executed any more.
+func (e *Engine) endUnsentStart(u *unit, m *member, run int) {
+	if u.run == run && u.phase == phaseStopping && !m.isSent && m.presence == taskUnknown {
+		e.handleTaskEnd(u, m, jobs.Stopped, "", false)
+	}
+}
+
 // startPause returns how long a start has to wait at least, as it would extend the lease of a worker that may have ended, or in a
 // term that may be over.
 func (e *Engine) startPause(w *worker, now time.Time) time.Duration {
