End attempts to connect before the call that makes them

What callers see: a start on a worker that cannot be connected to waits for a lease that no worker holds, as for a start that may have been executed.

Cause: an attempt to connect and the call that makes it had the same time limit, 2 s, and the second attempt of a hedged call begins later, so that the call ended first, as one without an answer.

Fix: attempts to connect end after 1.5 s; the second one begins after 0.4 s.

--- a/internal/transport/rest/client.go
+++ b/internal/transport/rest/client.go
@@ -18,7 +18,9 @@
 )
 
 const (
-	defaultTimeout       = 2 * time.Second
+	defaultTimeout = 2 * time.Second
+	// dialTimeout is so short that both attempts of a hedged call have failed before the call ends, if no connection can be opened.
+	dialTimeout          = 1500 * time.Millisecond
 	defaultHedgeDelay    = 400 * time.Millisecond
 	defaultMaxReplyBytes = 16 << 20
 	idleTimeout          = 90 * time.Second
@@ -132,7 +134,7 @@
 		timeout:       defaultTimeout,
 		hedgeDelay:    defaultHedgeDelay,
 		maxReplyBytes: defaultMaxReplyBytes,
-		dial:          (&net.Dialer{Timeout: defaultTimeout}).DialContext,
+		dial:          (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 	for _, o := range opts {
 		o(c)
