--- a/internal/host/stallfaults_test.go
+++ b/internal/host/stallfaults_test.go
@@ -152,7 +152,7 @@
 	}},
 }
 
-// impairStore sets an impairment of the calls of some hosts to the store, and returns a function that ends it.
+// impairStore makes the calls of some hosts to the store fail, and returns a function that ends that.
 func (h *hunt) impairStore(set func(h *hunt, host string, is bool), hosts ...string) func() {
 	each(hosts, func(v string) { set(h, v, true) })
 	return func() {
--- a/tests/soak_fault_test.go
+++ b/tests/soak_fault_test.go
@@ -37,7 +37,7 @@
 	}
 	w := s.workers[f.worker]
 	s.t.Logf("%6s %-22s %s %s for %s", f.startAt.Round(time.Millisecond), f.kind, h.name, w.worker.Name, f.duration.Round(time.Millisecond))
-	if isImpairment(f.kind) {
+	if isDisruptive(f.kind) {
 		defer s.stalls.beginFault()()
 	}
 	switch f.kind {
@@ -90,8 +90,8 @@
 	}
 }
 
-// isImpairment reports whether jobs may stand still during a fault and for a while after it.
-func isImpairment(kind string) bool {
+// isDisruptive reports whether jobs may stand still during a fault and for a while after it.
+func isDisruptive(kind string) bool {
 	switch kind {
 	case "reload", "bad settings", "reload twice", "revoke", "shares change", "limits change", "queue goes", "configuration series":
 		return false
