--- a/review/_standin/kind.go
+++ b/review/_standin/kind.go
@@ -11,8 +11,8 @@
 const (
 	kindWork = 1500 * time.Millisecond
 	// kindAway is how long a worker is away between two lifetimes.
-	kindAway   = 100 * time.Millisecond
-	kindRounds = 24
+	kindAway   = 450 * time.Millisecond
+	kindRounds = 20
 )
 
 // runKind has workers crash and start again at once, as another kind than before, while tasks run that require a kind.
@@ -24,7 +24,7 @@
 	defer s.stop()
 	kinds := map[string]kind{}
 	var workers []*worker
-	for i := range 6 {
+	for i := range 9 {
 		k := kind{service: "huvo11a", cpu: 128000, memMB: 524288, gpus: 8, label: []string{"a", "b"}[i%2], rack: fmt.Sprintf("r1-%d", i%3)}
 		w, err := s.fleet.add(fmt.Sprintf("i-7f3a91c%d", i), fmt.Sprintf("zone-%d", i%3+1), k)
 		if err != nil {
@@ -49,7 +49,7 @@
 			case <-time.After(250 * time.Millisecond):
 			}
 			label := []string{"a", "b"}[i%2]
-			steps := []map[string]any{{"count": 20, "cpu": 8000, "mem_mb": 4096, "estimated_ms": 1500, "requirements": label}}
+			steps := []map[string]any{{"count": 30, "cpu": 8000, "mem_mb": 4096, "estimated_ms": 1500, "requirements": label}}
 			s.submit(fmt.Sprintf("/pule252/5c0e7a21d94b%s%03x", label, i), map[string]any{"spec": label, "steps": steps})
 		}
 	})
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -75,14 +76,25 @@
 	dir   string
 }
 
+// Ports are taken from below the range from which the system picks those of outgoing connections, as a process that starts again
+// has to find its own free.
+const (
+	firstPort = 15000
+	portCount = 15000
+)
+
 // freeAddr returns a loopback address whose port is free.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		var l net.Listener
+		l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if err == nil {
+			defer func() { _ = l.Close() }()
+			return l.Addr().String(), nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // newSite prepares a deployment with the given number of daemons.
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -108,15 +108,17 @@
 
 // start begins a lifetime: the worker registers itself and then serves.
 func (w *worker) start(k kind) error {
-	addr := w.addr
-	if addr == "" {
-		addr = "127.0.0.1:0"
+	if w.addr == "" {
+		addr, err := freeAddr()
+		if err != nil {
+			return err
+		}
+		w.addr = addr
 	}
-	l, err := net.Listen("tcp", addr)
+	l, err := net.Listen("tcp", w.addr)
 	if err != nil {
 		return err
 	}
-	w.addr = l.Addr().String()
 	now := time.Now()
 	x := &life{
 		worker: w, kind: k, listener: l, bornAt: now, born: now.UnixMilli(), running: map[string]*run{},
