--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -14,6 +16,9 @@
 	exitNotRun = 2
 )
 
+// maxTime is how long a script may take.
+const maxTime = 115 * time.Second
+
 // script plays a case and returns the breaks of its rule; with isTrouble unset it leaves the disruption out.
 type script func(rec *record, isTrouble bool) (breaks []string, err error)
 
@@ -30,10 +35,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	time.AfterFunc(115*time.Second, func() {
-		rec.sayf("not run: the script took too long")
+	giveUp := func(why string) {
+		killProcesses()
+		rec.sayf("not run: %s", why)
 		os.Exit(exitNotRun)
-	})
+	}
+	time.AfterFunc(maxTime, func() { giveUp("the script took too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() { giveUp((<-signals).String()) }()
 	isTrouble := os.Getenv("TROUBLE") != "0"
 	rec.sayf("case %s, disruption %v", os.Args[1], isTrouble)
 	breaks, err := scripts[os.Args[1]](rec, isTrouble)
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -67,6 +67,21 @@
 	lives                       int
 }
 
+// processes are all processes that were started.
+var processes struct {
+	sync.Mutex
+	all []*os.Process
+}
+
+// killProcesses ends all processes that were started; those that have ended are left alone.
+func killProcesses() {
+	processes.Lock()
+	defer processes.Unlock()
+	for _, p := range processes.all {
+		_ = p.Kill()
+	}
+}
+
 // site is a small deployment: a store, workers and daemons.
 type site struct {
 	rec   *record
@@ -153,6 +168,9 @@
 		return err
 	}
 	h.process = c
+	processes.Lock()
+	processes.all = append(processes.all, c.Process)
+	processes.Unlock()
 	h.site.rec.logf("daemon %s starts as process %d", h.name, c.Process.Pid)
 	go func() {
 		err := c.Wait()
@@ -204,13 +222,7 @@
 
 // stop kills all daemons.
 func (s *site) stop() {
-	for _, h := range s.hosts {
-		h.mu.Lock()
-		if h.process != nil {
-			_ = h.process.Process.Kill()
-		}
-		h.mu.Unlock()
-	}
+	killProcesses()
 	time.Sleep(200 * time.Millisecond)
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(s.dir)
