exec: let a worker's entry and its reports be of one lifetime

Cause: entry and reports were joined by the name of the worker alone. A report of a new lifetime made the worker take work at once, by the labels and the capacity of the former lifetime, since entries are read every 250 ms at most. An owner that takes over with an old entry did the same.

Change: the entry carries its lifetime (born). A worker takes new work only while the lifetime of its entry is the one that reports, and a start that is not answered yet is not repeated before. A newer entry asks for a report at once, also of an idle worker. A run that has reached the new lifetime all the same is stopped if the worker's new entry rules it out. An entry without a lifetime counts as before. That is enough as a worker writes its entry before it takes calls, and both name the lifetime they are of.

The stand-in reports starts on workers without the label that a task requires.

--- a/internal/coordination/exec/engine_test.go
+++ b/internal/coordination/exec/engine_test.go
@@ -45,7 +45,9 @@
 	follower *feed.Follower
 	engine   *Engine
 	workers  []fleet.Worker
-	bounds   Bounds
+	// entry returns the entry by which a worker is listed to a new engine; nil means one that names no lifetime.
+	entry  func(w fleet.Worker) port.Runner
+	bounds Bounds
 	// change may replace the dependencies of each engine before it starts.
 	change func(*Deps)
 	// options are those of each engine.
@@ -162,6 +164,10 @@
 func (r *rig) followRunners(ctx context.Context, put func(port.Runner), drop func(string)) error {
 	r.put, r.drop = put, drop
 	for _, w := range r.workers {
+		if r.entry != nil {
+			put(r.entry(w))
+			continue
+		}
 		put(port.Runner{Worker: w})
 	}
 	<-ctx.Done()
--- /dev/null
+++ b/internal/coordination/exec/lifetime.go
@@ -0,0 +1,46 @@
+package exec
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/place"
+)
+
+// isDescribed reports whether the entry of the worker is that of the lifetime that reports, as far as is known. Otherwise the worker
+// may have other labels or less capacity than its entry says.
+func (w *worker) isDescribed() bool {
+	return w.runner.Instance == "" || w.instance == "" || w.runner.Instance == w.instance
+}
+
+// handleListing processes a new entry of a worker; one of another lifetime than that of the last report calls for a new report.
+func (e *Engine) handleListing(w *worker) {
+	if !w.isDescribed() {
+		e.log.Info("worker is listed with another lifetime", "Worker", w.name, "Listed", w.runner.Instance, "Reported", w.instance)
+		w.isOutdated = true
+		w.wakePoller()
+	}
+	e.stopMisplaced(w)
+}
+
+// stopMisplaced stops the runs that a worker of another kind got by the entry of its former lifetime, once the entry of the lifetime that
+// reports is known.
+func (e *Engine) stopMisplaced(w *worker) {
+	if !w.isDescribed() || w.runner.Instance == w.placedInstance {
+		return
+	}
+	w.placedInstance = w.runner.Instance
+	for _, t := range w.tasks {
+		if !canRun(w.runner.Worker, t.unit) {
+			e.stopRun(t.unit, "its worker has come back as another kind")
+		}
+	}
+}
+
+// canRun reports whether a worker on which nothing else runs can run a task of a unit.
+func canRun(x fleet.Worker, u *unit) bool {
+	s := fleet.Shape{Tasks: 1, Accelerators: u.step.Accelerators, Processors: u.step.Processors, Memory: u.step.Memory}
+	hasLabel := u.step.Label == "" || slices.Contains(strings.Split(x.Labels, ","), u.step.Label)
+	return hasLabel && place.WorkerCapacity(x).Holds(place.TaskResources(s)) > 0
+}
--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -13,7 +13,7 @@
 func (e *Engine) pollWorker(ctx context.Context, w *worker) {
 	for ctx.Err() == nil {
 		e.mu.Lock()
-		isIdle := w.isAnswering() && len(w.tasks) == 0 && len(w.orphans) == 0 && w.lastAckedEnd == w.lastHandledEnd
+		isIdle := w.isAnswering() && !w.isOutdated && len(w.tasks) == 0 && len(w.orphans) == 0 && w.lastAckedEnd == w.lastHandledEnd
 		if !w.isListed && len(w.tasks) == 0 {
 			w.cancel()
 			w.cancel = nil
@@ -72,7 +72,8 @@
 	if !w.isFailing && now.Sub(w.lastReport) <= maxAckAge && w.ackableEnd() > w.lastAckedEnd {
 		h.AckedEnd, h.Once, h.Within = w.ackableEnd(), true, responseTimeout
 	}
-	mayWait := w.isAnswering() && !w.mayHaveEnded(now.Add(pollWait)) && len(w.orphans) == 0 && !w.hasBarredTask()
+	mayWait := w.isAnswering() && !w.mayHaveEnded(now.Add(pollWait)) && len(w.orphans) == 0 && !w.hasBarredTask() && !w.isOutdated
+	w.isOutdated = false
 	if !mayWait {
 		h.Wait = 0
 	}
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -46,6 +46,7 @@
 	}
 	w.lastHandledEnd = newest
 	e.reconcile(w, polledAt, r)
+	e.stopMisplaced(w)
 	e.updatePlannerWorker(w)
 	if isFirst {
 		e.lastFirstReport = now
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -55,7 +55,7 @@
 		}
 		now := e.clock.Now()
 		if pause := e.startPause(w, now); pause > 0 {
-			isLate := w.mayHaveEnded(now) && !now.Before(deadline)
+			isLate := (w.mayHaveEnded(now) || !w.isDescribed()) && !now.Before(deadline)
 			done := isLate && e.handleStartReply(u, m, run, w, 0, port.ErrUnsent, deadline, isUndecided)
 			e.mu.Unlock()
 			if done || e.clock.Sleep(e.ctx, pause) != nil {
@@ -94,13 +94,13 @@
 	}
 }
 
-// startPause returns how long a start has to wait at least, as it would extend the lease of a worker that may have ended, or in a
-// term that may be over.
+// startPause returns how long a start has to wait at least, as it would extend the lease of a worker that may have ended, reach one that
+// may be of another kind, or in a term that may be over.
 func (e *Engine) startPause(w *worker, now time.Time) time.Duration {
 	switch {
 	case !e.mayHold() || w.isFailing:
 		return commandRetryInterval
-	case w.mayHaveEnded(now):
+	case w.mayHaveEnded(now) || !w.isDescribed():
 		return reportCheckInterval
 	default:
 		return 0
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -52,7 +52,11 @@
 	name     string
 	runner   port.Runner
 	instance string
-	tasks    map[port.RunRef]task
+	// placedInstance is the lifetime by whose entry the tasks of the worker were last checked.
+	placedInstance string
+	tasks          map[port.RunRef]task
+	// isOutdated is set when the worker is listed with another lifetime than the last reported one, until it is asked for a report.
+	isOutdated bool
 	// isListed is set while the platform lists the worker, and hasReported once it has reported to this owner.
 	isListed    bool
 	hasReported bool
@@ -172,7 +176,7 @@
 	e.isWorkerListLoaded = true
 	w := e.getWorker(r.Worker.Name)
 	isNew := !w.isListed
-	if !isNew && w.runner.Worker == r.Worker && w.runner.IsDraining == r.IsDraining {
+	if !isNew && w.runner == r {
 		return
 	}
 	if r.IsDraining && !w.runner.IsDraining {
@@ -181,6 +185,7 @@
 	isNewlyDraining := r.IsDraining && !w.runner.IsDraining
 	w.runner = r
 	w.isListed = true
+	e.handleListing(w)
 	e.updatePlannerWorker(w)
 	if isNewlyDraining {
 		e.stopForDrain(w)
@@ -238,7 +243,7 @@
 
 // takesWork reports whether new work may be started on a worker.
 func (w *worker) takesWork() bool {
-	return w.isListed && w.hasReported && !w.runner.IsDraining && !w.isSuspect && len(w.orphans) == 0
+	return w.isListed && w.hasReported && w.isDescribed() && !w.runner.IsDraining && !w.isSuspect && len(w.orphans) == 0
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/coordination/port/runner.go
+++ b/internal/coordination/port/runner.go
@@ -36,6 +36,8 @@
 	Worker fleet.Worker
 	// IsDraining is set while the worker is leaving.
 	IsDraining bool
+	// Instance is the lifetime of the worker that the other fields describe, as in RunReport; empty if it is not known.
+	Instance string
 }
 
 // RunStart is a request to start a task; its lease ends at Until on the worker's clock.
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -31,6 +31,8 @@
 	Gang int
 	// Lasts is set if the task runs until it is stopped, and again however a run ends.
 	Lasts bool
+	// Label is the label that the task requires of its worker, if any.
+	Label string
 }
 
 // RunPlan decides the outcome of each run of a task.
@@ -167,18 +169,6 @@
 	}
 }
 
-// FindWorker returns the name of the worker on which a task runs, or an empty string.
-func (r *Runners) FindWorker(t port.RunRef) string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, w := range r.byAddr {
-		if r.advance(w); w.tasks[taskOf(t)] != nil {
-			return w.worker.Name
-		}
-	}
-	return ""
-}
-
 // Faults returns the protocol violations recorded so far.
 func (r *Runners) Faults() []string {
 	r.mu.Lock()
@@ -305,6 +295,7 @@
 	w.leaseEnd = laterTime(w.leaseEnd, earlierTime(until, now.Add(r.limits.MaxHold)))
 	r.checkStart(w, s.Ref)
 	w.tasks[t] = r.newTask(w, s, now)
+	r.checkLabel(w.tasks[t])
 	if w.isStalled {
 		w.tasks[t].doneAt = time.Time{}
 	}
--- a/internal/standin/runnerstats.go
+++ b/internal/standin/runnerstats.go
@@ -1,7 +1,11 @@
 package standin
 
 import (
+	"fmt"
 	"maps"
+	"net/netip"
+	"slices"
+	"strings"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 )
@@ -89,3 +93,32 @@
 	}
 	return out
 }
+
+// FindWorker returns the name of the worker on which a task runs, or an empty string.
+func (r *Runners) FindWorker(t port.RunRef) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range r.byAddr {
+		if r.advance(w); w.tasks[taskOf(t)] != nil {
+			return w.worker.Name
+		}
+	}
+	return ""
+}
+
+// List returns the entry by which the platform lists the present lifetime of a worker.
+func (r *Runners) List(addr netip.AddrPort) port.Runner {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.byAddr[addr]
+	return port.Runner{Worker: w.worker, Instance: w.instance}
+}
+
+// checkLabel records a violation if a worker lacks the label that a task requires.
+func (r *Runners) checkLabel(x *runTask) {
+	l := x.outcome.Label
+	if l == "" || slices.Contains(strings.Split(x.worker.worker.Labels, ","), l) {
+		return
+	}
+	r.violations = append(r.violations, fmt.Sprintf("%v started on %s, which has no label %s", x.ref, x.worker.worker.Name, l))
+}
