Bound the failed runs of jobs whose queue was removed before a restart

Callers saw a job that never ended, and workers the same failing task over and over: a queue allows four failed runs, the operator removes it, all hosts are replaced, and the task of an open job is started 24 times in a minute.

Cause: the limit was read from the queue when a run ended, and a queue that is not known counted as one without a limit. The record of a job held the name of its queue alone, and removed queues were kept in the memory of each host, which a restart empties. The class, on related paths: each owner planned the jobs of a removed queue without urgency, objective and preemptibility, as the planner was given the queues in force alone; and a limit that was lowered before the queue was removed would have been lost with terms of the acceptance alone.

The record of a job now holds the terms of its queue at acceptance, that of a run the limit in force when it was written. An owner takes the newest that it knows, and plans the queues whose jobs go on.

Ruled out: lost records of failures (the count rose by one a run), and the reload of the table (it held the unit with its failures).

--- a/internal/coordination/exec/defer.go
+++ b/internal/coordination/exec/defer.go
@@ -17,10 +17,7 @@
 // lineOf returns the line of a unit.
 func (e *Engine) lineOf(u *unit) line {
 	l := line{org: u.org}
-	if e.config == nil {
-		return l
-	}
-	if q := e.config.GetQueue(u.queue); q != nil {
+	if q := e.getQueue(u.queue); q != nil {
 		l.rank = q.Urgency.Rank()
 	}
 	return l
--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -73,6 +73,8 @@
 	ctx     context.Context
 	planner *plan.Planner
 	config  *queue.Config
+	// retired holds the queues of open jobs that no configuration holds which this host has seen, by name.
+	retired map[string]queue.Queue
 	workers map[string]*worker
 	units   map[string]*unit
 	// deferred holds units that the planner has not accepted; they are resubmitted by runChecks.
@@ -133,7 +135,7 @@
 	e := &Engine{
 		deps: deps, bounds: b, term: term, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
 		workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{},
-		endingJobs: map[string]bool{}, nextDue: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		endingJobs: map[string]bool{}, nextDue: map[string]time.Time{}, retired: map[string]queue.Queue{}, wake: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(e)
--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -42,6 +42,7 @@
 		isCancelling = j.IsCancelling
 		isDone = j.IsDone()
 		if !isCancelling {
+			e.retainQueue(j)
 			newUnits = e.findNewUnits(j)
 		}
 	})
@@ -121,7 +122,7 @@
 	if x.Result == jobs.Done {
 		return nil
 	}
-	u.run, u.failures, u.checkpoint, u.progress = x.Run, x.Failures, x.Checkpoint, x.Progress
+	u.run, u.failures, u.checkpoint, u.progress, u.maxAttempts = x.Run, x.Failures, x.Checkpoint, x.Progress, x.MaxAttempts
 	if x.Result != jobs.Running {
 		return u
 	}
@@ -146,10 +147,8 @@
 // plannerJob converts a unit to a job of the planner.
 func (e *Engine) plannerJob(u *unit) fleet.Job {
 	var q queue.Queue
-	if e.config != nil {
-		if x := e.config.GetQueue(u.queue); x != nil {
-			q = *x
-		}
+	if x := e.getQueue(u.queue); x != nil {
+		q = *x
 	}
 	return fleet.Job{
 		ID: u.name, Submission: u.job, Organisation: u.org, Profile: u.queue, Shape: e.shape(u), RunTime: u.step.Estimate,
--- a/internal/coordination/exec/pass.go
+++ b/internal/coordination/exec/pass.go
@@ -1,6 +1,7 @@
 package exec
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/feed"
@@ -18,20 +19,55 @@
 		return
 	}
 	e.config = c
-	e.planner.Configure(plannerConfig(c, e.bounds))
+	e.configurePlanner()
 	e.planner.SetGuaranteed(guaranteedAccelerators(c))
 	e.log.Info("planner uses configuration", "Version", c.Version, "Queues", len(c.Queues))
 }
 
-// plannerConfig converts queues to profiles of the planner.
-func plannerConfig(c *queue.Config, b Bounds) config.Config {
+// configurePlanner passes the queues that are in force, or whose jobs go on, to the planner as profiles.
+func (e *Engine) configurePlanner() {
 	out := config.Config{Profiles: map[string]config.Profile{}, Organisations: map[string]config.Organisation{}}
-	for _, q := range c.Queues {
-		out.Profiles[q.Name] = config.Profile{
-			Name: q.Name, Urgency: q.Urgency, WaitBound: waitBound(q), Stoppable: true, ReclaimBound: b.StopTimeout,
+	for _, q := range e.retired {
+		out.Profiles[q.Name] = plannerProfile(q, e.bounds)
+	}
+	if e.config != nil {
+		for _, q := range slices.Concat(e.config.Removed, e.config.Queues) {
+			out.Profiles[q.Name] = plannerProfile(q, e.bounds)
 		}
 	}
-	return out
+	e.planner.Configure(out)
+}
+
+func plannerProfile(q queue.Queue, b Bounds) config.Profile {
+	return config.Profile{
+		Name: q.Name, Urgency: q.Urgency, WaitBound: waitBound(q), Stoppable: true, ReclaimBound: b.StopTimeout,
+	}
+}
+
+// getQueue returns the queue with the name, by the terms that it last had if it has been removed, or nil if these are not known.
+func (e *Engine) getQueue(name string) *queue.Queue {
+	if e.config != nil {
+		if q := e.config.GetAnyQueue(name); q != nil {
+			return q
+		}
+	}
+	if q, ok := e.retired[name]; ok {
+		return &q
+	}
+	return nil
+}
+
+// retainQueue keeps the terms of the queue of a job when no configuration that this host has seen holds the queue.
+func (e *Engine) retainQueue(j *jobs.Job) {
+	if j.Terms == nil || e.getQueue(j.Queue) != nil {
+		return
+	}
+	t := j.Terms
+	e.retired[j.Queue] = queue.Queue{
+		Name: j.Queue, Service: t.Service, Urgency: t.Urgency, MaxAttempts: t.MaxAttempts, Stretch: t.Stretch, Objective: t.Objective,
+	}
+	e.log.Info("job of a removed queue keeps its terms", "Job", j.ID, "Queue", j.Queue, "MaxAttempts", t.MaxAttempts)
+	e.configurePlanner()
 }
 
 // waitBound returns the wait bound of a queue; the planner orders waiting work by its wait relative to this bound.
@@ -110,7 +146,7 @@
 	}
 	e.log.Info("unit starts", "Job", u.job, "Unit", u.name, "Run", u.run, "Workers", len(u.members),
 		"First", u.members[0].worker, "Reason", s.Reason, "Checkpoint", u.checkpoint != "")
-	r, err := jobs.UnitRecord(u.record(jobs.Running))
+	r, err := jobs.UnitRecord(e.record(u, jobs.Running))
 	if err != nil {
 		e.log.Error("cannot encode a start", "Unit", u.name, "Cause", err.Error())
 		return
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -136,7 +136,7 @@
 	}
 	e.log.Info("run ends", "Job", u.job, "Unit", u.name, "Run", u.run, "Result", resultName(res), "Failures", u.failures,
 		"Ran", e.clock.Since(u.since).Round(time.Millisecond).String())
-	r, err := jobs.UnitRecord(u.record(res))
+	r, err := jobs.UnitRecord(e.record(u, res))
 	if err != nil {
 		e.log.Error("cannot encode the end of a run", "Unit", u.name, "Cause", err.Error())
 		return
@@ -168,11 +168,22 @@
 
 // hasExhaustedAttempts reports whether the unit has failed as often as its queue allows.
 func (e *Engine) hasExhaustedAttempts(u *unit) bool {
-	if e.config == nil || u.step.Lasts {
-		return false
+	limit := e.maxAttempts(u)
+	return !u.step.Lasts && limit > 0 && u.failures >= limit
+}
+
+// maxAttempts returns how many runs of a unit may fail, or zero if nothing limits them. The limit of a removed queue that this host
+// has not seen is the one that was recorded with the newest run, since the terms of the job may be older.
+func (e *Engine) maxAttempts(u *unit) int {
+	if e.config != nil {
+		if q := e.config.GetAnyQueue(u.queue); q != nil {
+			return q.MaxAttempts
+		}
+	}
+	if u.maxAttempts > 0 {
+		return u.maxAttempts
 	}
-	q := e.config.GetAnyQueue(u.queue)
-	return q != nil && q.MaxAttempts > 0 && u.failures >= q.MaxAttempts
+	return e.retired[u.queue].MaxAttempts
 }
 
 // isLastUnit reports whether all other units of the job are done.
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -76,20 +76,22 @@
 
 // unit is the state of a unit that is not done.
 type unit struct {
-	key        jobs.UnitKey
-	name       string
-	job        string
-	org        string
-	queue      string
-	spec       string
-	step       jobs.Step
-	phase      phase
-	run        int
-	failures   int
-	checkpoint string
-	progress   time.Duration
-	members    []*member
-	since      time.Time
+	key      jobs.UnitKey
+	name     string
+	job      string
+	org      string
+	queue    string
+	spec     string
+	step     jobs.Step
+	phase    phase
+	run      int
+	failures int
+	// maxAttempts is the limit of failed runs that the newest record of the unit holds; zero if none.
+	maxAttempts int
+	checkpoint  string
+	progress    time.Duration
+	members     []*member
+	since       time.Time
 	// phaseSince is when the unit entered its phase.
 	phaseSince time.Time
 	// isOver is set when the job has ended or is being cancelled; the unit is not run again.
@@ -113,10 +115,11 @@
 	return port.RunRef{Job: u.job, Occurrence: u.key.Occurrence, Step: u.key.Step, Task: m.task, Run: u.run}
 }
 
-// record returns the record of the unit for the store.
-func (u *unit) record(r jobs.Result) *jobs.Unit {
+// record returns the record of a unit for the store.
+func (e *Engine) record(u *unit, r jobs.Result) *jobs.Unit {
+	u.maxAttempts = e.maxAttempts(u)
 	x := &jobs.Unit{
-		Key: u.key, Run: u.run, Failures: u.failures, Result: r, Checkpoint: u.checkpoint, Progress: u.progress,
+		Key: u.key, Run: u.run, Failures: u.failures, Result: r, Checkpoint: u.checkpoint, Progress: u.progress, MaxAttempts: u.maxAttempts,
 	}
 	for _, m := range u.members {
 		x.Members = append(x.Members, jobs.Member{Worker: m.worker, Instance: m.instance})
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -129,7 +129,7 @@
 	if n, limit := i.table.CountOpen(), i.limits.Load().MaxOpenJobs; limit > 0 && n >= limit {
 		return ErrBusy{Why: fmt.Sprintf("%d jobs are open, the limit is %d", n, limit), RetryAfter: retryAfter, IsFull: true}
 	}
-	j.Queue, j.Organisation, j.Accepted = c.Queue.Name, c.Organisation, i.clock.Now()
+	j.Queue, j.Organisation, j.Accepted, j.Terms = c.Queue.Name, c.Organisation, i.clock.Now(), c.Queue.Terms()
 	r, err := jobs.JobRecord(j)
 	if err != nil {
 		return err
--- a/internal/state/config/profile.go
+++ b/internal/state/config/profile.go
@@ -28,6 +28,18 @@
 	}
 }
 
+// UrgencyOf returns the urgency that has a rank.
+func UrgencyOf(rank int) Urgency {
+	switch rank {
+	case 0:
+		return Urgent
+	case 1:
+		return Normal
+	default:
+		return Quiet
+	}
+}
+
 // Guarantee reserves a number of gangs of one shape for an organisation in a failure domain.
 type Guarantee struct {
 	Organisation string
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -5,6 +5,7 @@
 	"regexp"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 )
 
@@ -55,6 +56,18 @@
 	Every time.Duration
 }
 
+// Terms are the terms of a queue for its jobs.
+type Terms struct {
+	// Service names the workers that run the tasks.
+	Service string
+	Urgency config.Urgency
+	// MaxAttempts is the maximum number of failed runs of a task; zero means no maximum.
+	MaxAttempts int
+	// A job should end within Stretch times the run time of its longest chain of steps, plus Objective.
+	Stretch   float64
+	Objective time.Duration
+}
+
 // Units returns how many units the step has.
 func (s *Step) Units() int {
 	if s.Gang {
@@ -79,7 +92,10 @@
 	Spec  string
 	Steps []Step
 	// Times is nil for a job that runs once, as soon as possible.
-	Times    *Times
+	Times *Times
+	// Terms are those of the queue when it accepted the job; they hold once the queue has been removed. They are nil for a
+	// job that was accepted by an earlier version.
+	Terms    *Terms
 	Accepted time.Time
 	State    State
 	Ended    time.Time
--- a/internal/state/jobs/record.go
+++ b/internal/state/jobs/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"google.golang.org/protobuf/proto"
 )
@@ -40,9 +41,30 @@
 	if t := j.Times; t != nil {
 		m.Times = &wire.BatchTimes{Count: int32(t.Count), FirstUnixNanos: t.First.UnixNano(), EveryNanos: int64(t.Every)}
 	}
+	m.Terms = encodeTerms(j.Terms)
 	return m
 }
 
+func encodeTerms(t *Terms) *wire.BatchTerms {
+	if t == nil {
+		return nil
+	}
+	return &wire.BatchTerms{
+		Service: t.Service, Urgency: int32(t.Urgency.Rank()), MaxAttempts: int32(t.MaxAttempts), Stretch: t.Stretch,
+		ObjectiveNanos: int64(t.Objective),
+	}
+}
+
+func decodeTerms(m *wire.BatchTerms) *Terms {
+	if m == nil {
+		return nil
+	}
+	return &Terms{
+		Service: m.GetService(), Urgency: config.UrgencyOf(int(m.GetUrgency())), MaxAttempts: int(m.GetMaxAttempts()),
+		Stretch: m.GetStretch(), Objective: time.Duration(m.GetObjectiveNanos()),
+	}
+}
+
 // EndRecord returns the record of an ended job, with its identity, state, reason and times but without its steps.
 func EndRecord(j *Job) (Record, error) {
 	return encodeJob(endPrefix+j.ID, &wire.BatchJob{
@@ -104,6 +126,7 @@
 			Count: int(t.GetCount()), First: time.Unix(0, t.GetFirstUnixNanos()), Every: time.Duration(t.GetEveryNanos()),
 		}
 	}
+	j.Terms = decodeTerms(m.GetTerms())
 	if j.State != Open {
 		j.Ended = time.Unix(0, m.GetEndedUnixNanos())
 	}
@@ -144,7 +167,7 @@
 	m := &wire.BatchUnit{
 		Job: u.Key.Job, Step: int32(u.Key.Step), Index: int32(u.Key.Index), Run: int32(u.Run),
 		Failures: int32(u.Failures), Result: wire.BatchResult(u.Result), Checkpoint: u.Checkpoint,
-		ProgressNanos: int64(u.Progress), Occurrence: int32(u.Key.Occurrence),
+		ProgressNanos: int64(u.Progress), Occurrence: int32(u.Key.Occurrence), MaxAttempts: int32(u.MaxAttempts),
 	}
 	if u.Result == Running {
 		for _, x := range u.Members {
@@ -173,7 +196,7 @@
 			Job: m.GetJob(), Occurrence: int(m.GetOccurrence()), Step: int(m.GetStep()), Index: int(m.GetIndex()),
 		},
 		Run: int(m.GetRun()), Failures: int(m.GetFailures()), Result: Result(m.GetResult()),
-		Checkpoint: m.GetCheckpoint(), Progress: time.Duration(m.GetProgressNanos()),
+		Checkpoint: m.GetCheckpoint(), Progress: time.Duration(m.GetProgressNanos()), MaxAttempts: int(m.GetMaxAttempts()),
 	}
 	for _, x := range m.GetMembers() {
 		u.Members = append(u.Members, Member{Worker: x.GetWorker(), Instance: x.GetInstance()})
--- a/internal/state/jobs/unit.go
+++ b/internal/state/jobs/unit.go
@@ -74,6 +74,8 @@
 	Checkpoint string
 	// Progress is the run time saved by the checkpoint.
 	Progress time.Duration
+	// MaxAttempts is the maximum number of failed runs that was in force when the run was recorded; zero if unknown.
+	MaxAttempts int
 
 	offset int64
 }
--- a/internal/state/queue/queue.go
+++ b/internal/state/queue/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/config"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
 )
 
 // Queue accepts jobs at a host name and a path prefix.
@@ -25,6 +26,11 @@
 	RequiresTicket bool
 }
 
+// Terms returns the terms of the queue for a job that it accepts now.
+func (q *Queue) Terms() *jobs.Terms {
+	return &jobs.Terms{Service: q.Service, Urgency: q.Urgency, MaxAttempts: q.MaxAttempts, Stretch: q.Stretch, Objective: q.Objective}
+}
+
 // Organisation owns jobs and has a guarantee.
 type Organisation struct {
 	Name string
