Let the settings switch optional mechanisms of the planner on

What is new in the planner may only act where the settings of a deployment ask for it. [Plan] Enable names mechanisms that are off by default; [Plan] Disable still switches any mechanism off.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -65,6 +65,8 @@
 	formerLeaseEnd time.Time
 	// disabled are the mechanisms of the planner that are switched off.
 	disabled []plan.Mechanism
+	// enabled are the optional mechanisms of the planner that are switched on.
+	enabled []plan.Mechanism
 	// plannerOptions are further options of the planner.
 	plannerOptions []plan.Option
 
@@ -127,6 +129,9 @@
 // WithDisabled switches mechanisms of the planner off.
 func WithDisabled(ms ...plan.Mechanism) Option { return func(e *Engine) { e.disabled = ms } }
 
+// WithEnabled switches optional mechanisms of the planner on.
+func WithEnabled(ms ...plan.Mechanism) Option { return func(e *Engine) { e.enabled = ms } }
+
 // ownerProducer is the producer ID of the owner's appends; its epoch is the term.
 const ownerProducer = "owner"
 
@@ -143,7 +148,7 @@
 	e.planner = plan.New("", append([]plan.Option{
 		plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim), plan.WithLossBounds(urgentWasteRatio, otherWasteRatio),
 		plan.WithHeadroom(headroomWindow, headroomShare), plan.WithStartRate(startRate, startBurst), plan.WithIdleBound(maxIdleTime),
-		plan.WithPartialFleet(), plan.Without(e.disabled...),
+		plan.WithPartialFleet(), plan.With(e.enabled...), plan.Without(e.disabled...),
 	}, e.plannerOptions...)...)
 	e.writer = feed.NewWriter(deps.Store, deps.Jobs, ownerProducer, term, e.clock, e.log)
 	return e
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -167,7 +167,7 @@
 	if b != old.Bounds {
 		needStart = append(needStart, "Bounds")
 	}
-	if !slices.Equal(s.Plan.Disable, old.Plan.Disable) {
+	if !slices.Equal(s.Plan.Disable, old.Plan.Disable) || !slices.Equal(s.Plan.Enable, old.Plan.Enable) {
 		needStart = append(needStart, "Plan")
 	}
 	if s.Limits.Processors != old.Limits.Processors {
@@ -239,7 +239,8 @@
 	},
 		o.Term, exec.WithClock(h.clock), exec.WithLog(h.log), exec.WithScope(h.scope.SubScope("owner")),
 		exec.WithLastRenewal(h.elect.LastRenewal), exec.WithLongLeaseAt(h.elect.LongLeaseAt),
-		exec.WithFormerHeardAt(h.elect.FormerHeardAt), exec.WithDisabled(h.settings.Plan.Disable...))
+		exec.WithFormerHeardAt(h.elect.FormerHeardAt), exec.WithEnabled(h.settings.Plan.Enable...),
+		exec.WithDisabled(h.settings.Plan.Disable...))
 	h.engine.Store(x)
 	defer h.engine.Store(nil)
 	if err := x.Run(ctx); err != nil && ctx.Err() == nil {
--- a/internal/setup/site.go
+++ b/internal/setup/site.go
@@ -23,8 +23,11 @@
 	Log    Log
 }
 
-// SitePlan holds the mechanisms of the planner that are switched off, for measurements of what they are worth.
+// SitePlan selects the mechanisms of the planner.
 type SitePlan struct {
+	// Enable lists the optional mechanisms that are switched on.
+	Enable []plan.Mechanism
+	// Disable lists the mechanisms that are switched off, for measurements of what they are worth.
 	Disable []plan.Mechanism
 }
 
@@ -117,17 +120,25 @@
 }
 
 func loadSitePlan(s *section) SitePlan {
-	var out SitePlan
-	for name := range strings.SplitSeq(s.optional("Disable", ""), ",") {
+	return SitePlan{
+		Enable:  loadMechanisms(s, "Enable", plan.OptionalMechanisms),
+		Disable: loadMechanisms(s, "Disable", slices.Concat(plan.Mechanisms, plan.OptionalMechanisms)),
+	}
+}
+
+// loadMechanisms reads a list of mechanisms, separated by commas.
+func loadMechanisms(s *section, key string, known []plan.Mechanism) []plan.Mechanism {
+	var out []plan.Mechanism
+	for name := range strings.SplitSeq(s.optional(key, ""), ",") {
 		m := plan.Mechanism(strings.TrimSpace(name))
 		if m == "" {
 			continue
 		}
-		if !slices.Contains(plan.Mechanisms, m) {
-			s.addFault("Disable", "names %q, which is no mechanism; there are %v", m, plan.Mechanisms)
+		if !slices.Contains(known, m) {
+			s.addFault(key, "names %q, which is no such mechanism; there are %v", m, known)
 			continue
 		}
-		out.Disable = append(out.Disable, m)
+		out = append(out, m)
 	}
 	return out
 }
--- a/internal/setup/site_test.go
+++ b/internal/setup/site_test.go
@@ -82,3 +82,15 @@
 	require.NoError(t, err)
 	require.Empty(t, s.Plan.Disable)
 }
+
+// TestOptionalMechanismsAreOffByDefault checks that just the optional mechanisms can be switched on, and none is by default.
+func TestOptionalMechanismsAreOffByDefault(t *testing.T) {
+	s, err := loadSite(t, validSiteSettings+"[Plan]\nEnable = Speeds\n")
+	require.NoError(t, err)
+	require.Equal(t, []plan.Mechanism{plan.Speeds}, s.Plan.Enable)
+	_, err = loadSite(t, validSiteSettings+"[Plan]\nEnable = Headroom\n")
+	require.ErrorContains(t, err, `"Headroom"`)
+	s, err = loadSite(t, validSiteSettings)
+	require.NoError(t, err)
+	require.Empty(t, s.Plan.Enable)
+}
--- a/internal/state/plan/mechanism.go
+++ b/internal/state/plan/mechanism.go
@@ -27,6 +27,10 @@
 	Health Mechanism = "Health"
 	// Backoff delays jobs after unsuccessful runs.
 	Backoff Mechanism = "Backoff"
+	// Speeds takes into account that workers run the same task at different speeds; it is optional.
+	Speeds Mechanism = "Speeds"
+	// DelayCost decides who waits for want of room by what a delay costs callers; it is optional.
+	DelayCost Mechanism = "DelayCost"
 )
 
 // Mechanisms lists all mechanisms that Without accepts.
@@ -34,6 +38,18 @@
 	Headroom, StartRate, LossBounds, StopCosts, Reservations, Timeliness, Fragmentation, RunTimes, Health, Backoff,
 }
 
+// OptionalMechanisms lists the mechanisms that are off unless With switches them on.
+var OptionalMechanisms = []Mechanism{Speeds, DelayCost}
+
+// With switches optional mechanisms on.
+func With(ms ...Mechanism) Option {
+	return func(p *Planner) {
+		for _, m := range ms {
+			delete(p.disabled, m)
+		}
+	}
+}
+
 // Without switches mechanisms off; it is to be the last option.
 func Without(ms ...Mechanism) Option {
 	return func(p *Planner) {
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -126,6 +126,9 @@
 		health:              health.New(),
 		estimator:           learn.New(),
 	}
+	for _, m := range OptionalMechanisms {
+		p.disabled[m] = true
+	}
 	for _, o := range opts {
 		o(p)
 	}
