Start nothing in a failure domain that the operator evacuates

Cause: operators can request, in the topic of their configuration, that nothing more is sent to the workers of a failure domain.

Change: every host folds the requests from the topic of the configuration by their offsets; a request that is missing from the newest records after a gap has been withdrawn. On the first read they come before the configuration. The owner starts nothing before it knows them. The planner closes the workers of evacuated failure domains, and a start that is stored but not sent, or was sent and not answered, is withheld when the request has come in between. What runs there goes on.

--- a/cmd/auburncleatd/site.go
+++ b/cmd/auburncleatd/site.go
@@ -90,11 +90,12 @@
 func siteAdapters(s *setup.Site, l *slog.Logger, c tally.Scope) host.Deps {
 	store := platform.NewStore(rest.New(), s.Store.Addr)
 	return host.Deps{
-		Store:         store,
-		Runners:       platform.NewRunners(rest.New(rest.WithMaxConnections(connectionsPerWorker))),
-		FollowRunners: platform.NewRunnerWatcher(store, clock.System(), l),
-		ConfigTopic:   platform.ConfigTopic,
-		DecodeConfig:  platform.DecodeConfig,
+		Store:            store,
+		Runners:          platform.NewRunners(rest.New(rest.WithMaxConnections(connectionsPerWorker))),
+		FollowRunners:    platform.NewRunnerWatcher(store, clock.System(), l),
+		ConfigTopic:      platform.ConfigTopic,
+		DecodeConfig:     platform.DecodeConfig,
+		DecodeEvacuation: platform.DecodeEvacuation,
 		NewCallerHandler: func(serve func(context.Context, intake.Request) (intake.Reply, error), l *slog.Logger) http.Handler {
 			return platform.NewCallerHandler(serve, l)
 		},
--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -41,6 +41,8 @@
 	Follower *feed.Follower
 	// Config returns the configuration in force, or nil.
 	Config func() *queue.Config
+	// Evacuations returns the evacuations in force, or nil while they are not known. A nil function stands for none.
+	Evacuations func() *queue.Evacuations
 	// FollowRunners calls put for each worker that the platform lists, and drop for each that it no longer lists, until
 	// ctx ends.
 	FollowRunners func(ctx context.Context, put func(r port.Runner), drop func(name string)) error
@@ -77,8 +79,10 @@
 	config  *queue.Config
 	// retired holds the queues of open jobs that no configuration holds which this host has seen, by name.
 	retired map[string]queue.Queue
-	workers map[string]*worker
-	units   map[string]*unit
+	// evacuations are those that the planner knows.
+	evacuations *queue.Evacuations
+	workers     map[string]*worker
+	units       map[string]*unit
 	// deferred holds units that the planner has not accepted; they are resubmitted by runChecks.
 	deferred map[string]*unit
 	// endingJobs are jobs whose end is being written to the store.
@@ -145,6 +149,10 @@
 	for _, o := range opts {
 		o(e)
 	}
+	if e.deps.Evacuations == nil {
+		none := &queue.Evacuations{}
+		e.deps.Evacuations = func() *queue.Evacuations { return none }
+	}
 	e.planner = plan.New("", append([]plan.Option{
 		plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim), plan.WithLossBounds(urgentWasteRatio, otherWasteRatio),
 		plan.WithHeadroom(headroomWindow, headroomShare), plan.WithStartRate(startRate, startBurst), plan.WithIdleBound(maxIdleTime),
@@ -262,7 +270,7 @@
 			e.runChecks(now)
 			e.purgeEndedJobs(now)
 		}
-		if !e.ready && (now.After(takeoverDeadline) || e.hasWorkerReports(now)) && len(e.workers) > 0 {
+		if !e.ready && (now.After(takeoverDeadline) || e.hasWorkerReports(now)) && len(e.workers) > 0 && e.deps.Evacuations() != nil {
 			e.ready = true
 			e.log.Info("take-over complete", "Term", e.term, "Workers", len(e.workers), "Units", len(e.units))
 		}
@@ -270,6 +278,7 @@
 			e.planner.SetFleetComplete()
 		}
 		if e.ready {
+			e.syncEvacuations(now)
 			e.runPass(now)
 			e.checkIdleJobs(now)
 			e.logSummary(now)
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -37,6 +37,8 @@
 			e.failStart(u, m, jobs.Lost, "worker was restarted")
 		case !w.takesWork():
 			e.failStart(u, m, jobs.Stopped, "worker takes no work any more")
+		case e.isEvacuated(w):
+			e.withholdStart(u, m, false)
 		default:
 			go e.sendStart(u, m, u.run, w)
 		}
@@ -53,6 +55,11 @@
 			e.mu.Unlock()
 			return
 		}
+		if e.isEvacuated(w) {
+			e.withholdStart(u, m, isUndecided)
+			e.mu.Unlock()
+			return
+		}
 		now := e.clock.Now()
 		if pause := e.startPause(w, now); pause > 0 {
 			isLate := (w.mayHaveEnded(now) || !w.isDescribed()) && !now.Before(deadline)
--- a/internal/coordination/exec/summary.go
+++ b/internal/coordination/exec/summary.go
@@ -40,7 +40,7 @@
 		"ProcessorsUsed", percent(used.Processors, total.Processors), "MemoryUsed", percent(int(used.Memory), int(total.Memory)),
 		"Held", e.planner.CountReservedWorkers(), "PassTook", e.lastPassTime.Round(time.Millisecond).String(),
 		"Ready", workers[plan.WorkerReady], "Leaving", workers[plan.WorkerLeaving],
-		"Quarantined", workers[plan.WorkerQuarantined], "Probation", workers[plan.WorkerProbation],
+		"Evacuated", workers[plan.WorkerEvacuated], "Quarantined", workers[plan.WorkerQuarantined], "Probation", workers[plan.WorkerProbation],
 	}
 	if oldest != nil {
 		s, err := e.planner.Status(oldest.name)
@@ -54,6 +54,7 @@
 	e.scope.Gauge("units_queued").Update(float64(phases[phaseQueued]))
 	e.scope.Gauge("units_running").Update(float64(phases[phaseRunning]))
 	e.scope.Gauge("accelerators_used").Update(float64(used.Accelerators))
+	e.reportEvacuations()
 }
 
 // FindWorkers lists the workers known to the planner.
--- a/internal/host/deployment_test.go
+++ b/internal/host/deployment_test.go
@@ -48,6 +48,9 @@
 
 // decodeTestConfig returns the configuration for the version in an entry. Versions other than the first have no keys.
 func decodeTestConfig(e port.Entry) (*queue.Config, error) {
+	if e.Key != "config" {
+		return nil, nil
+	}
 	v, err := strconv.ParseInt(string(e.Value), 10, 64)
 	if err != nil || v == testConfig.Version {
 		return testConfig, err
@@ -192,7 +195,7 @@
 			<-ctx.Done()
 			return nil
 		},
-		DecodeConfig: s.decode,
+		DecodeConfig: s.decode, DecodeEvacuation: decodeTestEvacuation,
 		NewCallerHandler: func(func(context.Context, intake.Request) (intake.Reply, error), *slog.Logger) http.Handler {
 			return http.NotFoundHandler()
 		},
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -39,6 +39,9 @@
 	// not the configuration.
 	ConfigTopic  port.Topic
 	DecodeConfig func(e port.Entry) (*queue.Config, error)
+	// DecodeEvacuation decodes an entry of the same topic that evacuates a failure domain or withdraws that. It returns nil for other
+	// entries; it is nil itself where operators cannot evacuate.
+	DecodeEvacuation func(e port.Entry) (*queue.EvacuationChange, error)
 	// NewCallerHandler returns the HTTP handler for callers, which executes their requests through serve.
 	NewCallerHandler func(serve func(context.Context, intake.Request) (intake.Reply, error), l *slog.Logger) http.Handler
 	// Peers calls other hosts, and ServePeers serves their calls on a listener until ctx ends.
@@ -91,6 +94,9 @@
 	relay        *relay.Relay
 	droppedLines func() int64
 	events       *events.Ring
+	// evacuationLog belongs to the reader of the operator's topic, which publishes what is in force as evacuations.
+	evacuationLog queue.EvacuationLog
+	evacuations   atomic.Pointer[queue.Evacuations]
 	// engine runs the jobs while this host owns them, and is nil otherwise.
 	engine   atomic.Pointer[exec.Engine]
 	leaving  atomic.Bool
@@ -134,7 +140,7 @@
 	instance := newInstanceID()
 	h.jobs = feed.NewFollower(deps.Store, jobsTopic, feed.Handler{Reload: h.reloadJobs, Apply: h.applyJob}, h.clock, h.log,
 		feed.WithReadInterval(standbyReadInterval))
-	h.config = feed.NewFollower(deps.Store, deps.ConfigTopic, feed.Handler{Apply: h.applyConfig}, h.clock, h.log)
+	h.config = feed.NewFollower(deps.Store, deps.ConfigTopic, feed.Handler{Reload: h.reloadConfig, Apply: h.applyConfig}, h.clock, h.log)
 	h.writer = feed.NewWriter(deps.Store, jobsTopic, s.Host.Name+"-"+instance, 1, h.clock, h.log)
 	h.elect = elect.New(deps.Store, s.Host.Name, instance, s.Listen.Peer, h.clock, h.log,
 		elect.WithProcessorShare(s.Limits.Processors), elect.WithProbe(h.probeOwner), elect.WithMaxLease(exec.MaxLease))
@@ -214,17 +220,6 @@
 	}
 }
 
-func (h *Host) applyConfig(e port.Entry) {
-	c, err := h.deps.DecodeConfig(e)
-	if err != nil {
-		h.log.Error("cannot decode configuration", "Offset", e.Offset, "Cause", err.Error())
-		return
-	}
-	if c != nil {
-		h.intake.SetConfig(c)
-	}
-}
-
 // runEngine runs the jobs while this host owns them.
 func (h *Host) runEngine(ctx context.Context, o elect.Owner) {
 	h.jobs.SetReadInterval(ownerReadInterval)
@@ -233,7 +228,7 @@
 	b := h.settings.Bounds
 	x := exec.New(exec.Deps{
 		Store: h.deps.Store, Runners: h.deps.Runners, Jobs: jobsTopic, Table: h.table, Follower: h.jobs,
-		Config: h.intake.Config, FollowRunners: h.deps.FollowRunners,
+		Config: h.intake.Config, Evacuations: h.evacuations.Load, FollowRunners: h.deps.FollowRunners,
 	}, exec.Bounds{
 		MaxHold: b.MaxHold, StopTimeout: b.StopTimeout, Claim: b.Claim, GangTimeout: b.GangTimeout, KeepEnded: b.KeepEnded,
 	},
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -163,7 +163,7 @@
 	}
 	for _, r := range p.ledger.Racks() {
 		for _, s := range r.Sites {
-			closed, from := s.Worker.Leaving, time.Time{}
+			closed, from := s.Worker.Leaving || p.isEvacuated(s), time.Time{}
 			for _, x := range stops {
 				if !stopCovers(x, s.Worker) || !p.now.Before(x.Until) {
 					continue
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -65,7 +65,9 @@
 	health       *health.Tracker
 	estimator    *learn.Estimator
 	// dirty is set when reservations have to be repaired before the next decision.
-	dirty     bool
+	dirty bool
+	// evacuated reports whether a failure domain is evacuated; nil means none.
+	evacuated func(domain string) bool
 	now       time.Time
 	firstPass time.Time
 	// steadySince is when the period began in which the unused room of the sites is observed.
--- a/internal/state/plan/status.go
+++ b/internal/state/plan/status.go
@@ -139,6 +139,7 @@
 const (
 	WorkerReady       = "Ready"
 	WorkerLeaving     = "Leaving"
+	WorkerEvacuated   = "Evacuated"
 	WorkerQuarantined = string(health.Quarantined)
 	WorkerProbation   = string(health.Probation)
 )
@@ -151,6 +152,9 @@
 	case st != health.Good:
 		v.State = string(st)
 		rs = append(rs, why)
+	case p.isEvacuated(s):
+		v.State = WorkerEvacuated
+		rs = append(rs, "its failure domain is evacuated")
 	case s.Closed:
 		v.State = WorkerLeaving
 		rs = append(rs, "takes no new work")
