--- a/cmd/cleatctl/main.go
+++ b/cmd/cleatctl/main.go
@@ -21,6 +21,7 @@
 	Timeline     *timelineCmd     `arg:"subcommand:timeline" help:"merge the events of all hosts"`
 	Hosts        *hostsCmd        `arg:"subcommand:hosts" help:"list entry hosts and who owns which failure domain"`
 	Workers      *workersCmd      `arg:"subcommand:workers" help:"list workers and their use"`
+	Evacuations  *evacuationsCmd  `arg:"subcommand:evacuations" help:"list the evacuated failure domains and what still runs there"`
 	Profile      *profileCmd      `arg:"subcommand:profile" help:"publish, revise, retire, list and compare profiles"`
 	Organisation *organisationCmd `arg:"subcommand:organisation" help:"set and list organisations"`
 	Stop         *stopCmd         `arg:"subcommand:stop" help:"announce, cancel and list planned stops"`
--- a/cmd/cleatctl/main_test.go
+++ b/cmd/cleatctl/main_test.go
@@ -142,6 +142,18 @@
 	require.Contains(t, errs, "1 of 2 hosts are ready")
 }
 
+// TestEvacuationsMergeHosts guards against an evacuation that shows no work because one of the hosts does not reach the owner.
+func TestEvacuationsMergeHosts(t *testing.T) {
+	lone := respond(200, `{"Evacuations":[{"Domain":"a","Since":"2026-12-06T10:00:00Z"}],"Why":"no host owns the jobs"}`)
+	other := respond(200, `{"Evacuations":[{"Domain":"a","Since":"2026-12-06T10:00:07Z","Workers":117,"Tasks":30,"Accelerators":88}]}`)
+	code, out, errs := runCommand(t, "evacuations", "--json", "--status", serve(t, other), "--status", serve(t, lone))
+	require.Equal(t, exitOK, code)
+	require.Contains(t, errs, "no host owns the jobs")
+	for _, want := range []string{"10:00:00Z", "117", "30", "88"} {
+		require.Contains(t, out, want)
+	}
+}
+
 func TestWorkersPreferHighestTerm(t *testing.T) {
 	row := func(term, state string) http.Handler {
 		return respond(200, `{"Term":{"Counter":`+term+`},"Workers":[{"Name":"w1","Domain":"a","Rack":"r","State":"`+state+`"}]}`)
--- a/internal/host/status.go
+++ b/internal/host/status.go
@@ -23,6 +23,7 @@
 func (h *Host) statusServer() *status.Server {
 	return &status.Server{
 		Name: h.settings.Host.Name, Metrics: h.metrics, Events: h.events, Hosts: h.listHosts, Workers: h.fetchWorkers,
+		Evacuations: h.listEvacuations,
 		Ready: func() string {
 			if err := h.CheckReady(); err != nil {
 				return err.Error()
@@ -76,6 +77,31 @@
 	return nil
 }
 
+// listEvacuations lists the evacuated failure domains, with what the owner counts there.
+func (h *Host) listEvacuations(ctx context.Context) status.EvacuationsView {
+	var out status.EvacuationsView
+	xs := h.evacuations.Load().Find()
+	if len(xs) == 0 {
+		return out
+	}
+	r, err := h.fetchWorkers(ctx)
+	if err != nil {
+		r, out.Why = &wire.WorkersReply{}, err.Error()
+	}
+	for _, x := range xs {
+		v := status.EvacuationView{Domain: x.Domain, Since: x.Since}
+		for _, w := range r.GetWorkers() {
+			if w.GetDomain() == x.Domain {
+				v.Workers++
+				v.Tasks += int(w.GetSlotsUsed())
+				v.Accelerators += int(w.GetAcceleratorsUsed())
+			}
+		}
+		out.Evacuations = append(out.Evacuations, v)
+	}
+	return out
+}
+
 // fetchWorkers lists the workers that the owner tracks.
 func (h *Host) fetchWorkers(ctx context.Context) (*wire.WorkersReply, error) {
 	var r wire.WorkersReply
--- a/internal/transport/status/server.go
+++ b/internal/transport/status/server.go
@@ -39,6 +39,8 @@
 	Hosts func() []HostView
 	// Workers returns the workers in the ledger of the owner of this host's failure domain.
 	Workers func(ctx context.Context) (*wire.WorkersReply, error)
+	// Evacuations lists the evacuated failure domains; nil where operators cannot evacuate.
+	Evacuations func(ctx context.Context) EvacuationsView
 	// Keys returns the state of the claims of idempotency keys; nil where jobs use no idempotency keys.
 	Keys func() KeysView
 	// Name is the host's name.
@@ -53,6 +55,9 @@
 	m.HandleFunc("GET /v1/timeline", s.getTimeline)
 	m.HandleFunc("GET /v1/hosts", s.findHosts)
 	m.HandleFunc("GET /v1/workers", s.findWorkers)
+	if s.Evacuations != nil {
+		m.HandleFunc("GET /v1/evacuations", s.findEvacuations)
+	}
 	if s.Keys != nil {
 		m.HandleFunc("GET /v1/keys", s.getKeys)
 	}
