Answer a cancel as gone only when the store has shown it

Cause: a host took a job table that was read up to 2.5 s ago for proof that the job of a cancel does not exist. While the store was down, a cancel of an accepted job was answered 410 by a host that had not read the job, and the job ran on.

Change: a host that does not know the job asks the store where the topic ends, after the cancel has come, and waits until it has read that far (Follower.Confirm). Without an answer in 0.9 s another host is asked, and the caller hears 503 with Retry-After.

--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// Confirm asks the store where the topic ends, and waits until all records before that have been applied. Without an error the state
+// includes all records that were stored before the call.
+func (f *Follower) Confirm(ctx context.Context, timeout time.Duration) error {
+	x, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	f.mu.Lock()
+	next := f.next
+	f.mu.Unlock()
+	p, err := f.store.Read(x, f.topic, next, 0)
+	if err != nil {
+		return fmt.Errorf("find the end of %s: %w", f.topic.Name, err)
+	}
+	if p.End > next {
+		f.requestRead()
+	}
+	return f.WaitForOffset(x, p.End)
+}
+
 // sleepUntilNextRead waits for the interval between two reads or until a read is requested.
 func (f *Follower) sleepUntilNextRead(ctx context.Context, d time.Duration) error {
 	f.setIdle(true)
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -30,6 +30,8 @@
 	maxTableAge = 2500 * time.Millisecond
 	// refreshTimeout is how long a request waits for the job table to be refreshed.
 	refreshTimeout = 120 * time.Millisecond
+	// confirmTimeout is how long a cancel waits for the store to show that its job does not exist; another host is asked after that.
+	confirmTimeout = 900 * time.Millisecond
 )
 
 // Limits are the conditions under which requests are admitted.
@@ -279,12 +281,15 @@
 func (i *Intake) Cancel(ctx context.Context, id string, timeout time.Duration) error {
 	p, isKnown := i.findProgress(id)
 	if !isKnown {
-		// Another host may have just accepted the job.
-		i.follower.Refresh(ctx, refreshTimeout)
+		// Another host may have just accepted the job. A caller does not repeat a cancel that is answered as gone.
+		if err := i.follower.Confirm(ctx, confirmTimeout); err != nil {
+			i.log.Info("job table not confirmed for a cancel", "Job", id, "Cause", err.Error())
+			return ErrBusy{Why: "job is not known and the store has not confirmed that", RetryAfter: retryAfter}
+		}
 		p, isKnown = i.findProgress(id)
 	}
 	if !isKnown {
-		return i.notFoundError(id)
+		return fmt.Errorf("job %s: %w", id, ErrNoJob)
 	}
 	if !p.isOpen() {
 		return nil
