Keep the owner when its claim has expired from the topic

Cause: the topic of the ownership keeps the records of the last seconds. A host that starts, or reaches the store again, after the claim of the owner has expired reads its renewals alone, and took the first one for a claim, with a term of its own making. When it asked the owner for its term, the answer differed, so that it took a healthy owner for gone and claimed.

Change: a term of which only renewals were read counts as unknown, and is learned from the owner's answer. A changed lifetime, no term, or a failing one still mean that the owner is gone.

Test: TestHostThatMissedTheClaimLeavesOwnerAlone printed before, in 6 of 8 cases, `expected: "c", actual: "d"`: the host that started owned the jobs.

--- a/internal/coordination/elect/elect.go
+++ b/internal/coordination/elect/elect.go
@@ -56,12 +56,14 @@
 	// claimDelay is how long this host leaves a vacant ownership to other hosts.
 	claimDelay time.Duration
 
-	mu          sync.Mutex
-	owner       Owner
-	nextOffset  int64
-	lastHeard   time.Time
-	isReleased  bool
-	lastRenewal clock.Instant
+	mu    sync.Mutex
+	owner Owner
+	// isTermUnknown is set while only renewals of the owner were read, as its claim had expired; Term is then too high.
+	isTermUnknown bool
+	nextOffset    int64
+	lastHeard     time.Time
+	isReleased    bool
+	lastRenewal   clock.Instant
 	// renewedAt is the offset of the newest renewal that this host sent, and renewalSent when it was first sent.
 	renewedAt   int64
 	renewalSent clock.Instant
@@ -375,7 +377,8 @@
 	return nil
 }
 
-// apply processes one record; a claim starts a term, which is the offset of the claim plus one.
+// apply processes one record; a claim starts a term, which is the offset of the claim plus one. A renewal by a host that is not known
+// to be the owner belongs to a term whose claim was not read.
 func (e *Election) apply(offset int64, m *wire.LeadRecord) {
 	addr, err := netip.ParseAddrPort(m.GetAddr())
 	if err != nil {
@@ -396,5 +399,6 @@
 		return
 	}
 	e.owner = Owner{Host: m.GetHost(), Lifetime: m.GetLifetime(), Addr: addr, Term: offset + 1}
+	e.isTermUnknown = m.GetRenewal()
 	e.formerHeardAt = former
 }
--- a/internal/coordination/elect/probe.go
+++ b/internal/coordination/elect/probe.go
@@ -43,7 +43,7 @@
 // safe in any case, since the store accepts a claim only if no record has come since.
 func (e *Election) hasOwnerGone(ctx context.Context) bool {
 	e.mu.Lock()
-	owner, silent := e.owner, e.clock.Since(e.lastHeard)-e.claimDelay
+	owner, isTermUnknown, silent := e.owner, e.isTermUnknown, e.clock.Since(e.lastHeard)-e.claimDelay
 	e.mu.Unlock()
 	if e.probe == nil || owner.Term == 0 || silent < probeAfter {
 		return false
@@ -58,7 +58,11 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	isGone := err != nil || t.Lifetime != owner.Lifetime || t.Term != owner.Term || t.IsFailing
+	isOtherTerm := t.Term == 0 || t.Term != owner.Term && !isTermUnknown
+	isGone := err != nil || t.Lifetime != owner.Lifetime || isOtherTerm || t.IsFailing
+	if !isGone && isTermUnknown {
+		e.learnTerm(owner, t.Term)
+	}
 	if isGone {
 		cause := "its term is over"
 		if err != nil {
@@ -69,3 +73,12 @@
 	}
 	return isGone
 }
+
+// learnTerm sets the term of an owner whose claim was not read, unless another record has come since.
+func (e *Election) learnTerm(o Owner, term int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.owner == o {
+		e.owner.Term, e.isTermUnknown = term, false
+	}
+}
