tests: crowds of clients bring a host over its memory and its open files

Cause: the host reads each body whole, up to 1 MB, before it knows key, queue or room; the servers have a timeout for headers only; nothing counts bytes or connections of the whole process.

The test starts a host with Memory = 96MB and 512 open files, 200 of them reserved, and brings 400 connections at each of four addresses in nine ways. Bounds: resident memory plus unread bytes of its sockets at most 96 MB, open files at most 312, the process lives, one job is taken and run while the crowd is connected and one after it has left. No times and no share of served requests. Crowd and bounds are fixed here. make test runs these tests last and apart from other load.

--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,9 @@
 	-soak-hosts $(or $(HOSTS),5) -soak-workers $(or $(WORKERS),12) $(if $(KEEP),-soak-keep $(KEEP)) \
 	$(if $(ONLY),-soak-only "$(ONLY)")
 
+# CROWD matches the tests that measure the memory of a host under a crowd of clients.
+CROWD = ^(TestClientsKeepHostWithinItsLimits|TestLargestRequestIsServed)$$
+
 .PHONY: help build soak test lint fmt fmt-check layers generate generate-check proofs-check bench demo tools measure
 
 help: ## list the targets
@@ -16,8 +19,11 @@
 build: ## build the three programs into .bin
 	go build -ldflags "-X main.version=$(VERSION)" -o $(BIN)/ ./cmd/...
 
-test: ## run all tests with the race detector
-	go test -race -timeout 9m ./...
+test: ## run all tests with the race detector, those of crowds of clients last and apart from other load
+	@code=0; \
+	go test -race -timeout 9m -skip '$(CROWD)' ./... || code=1; \
+	go test -race -timeout 9m -run '$(CROWD)' ./tests || code=1; \
+	exit $$code
 
 soak: ## run the fault soak of real processes with more seeds
 	go test ./tests -run '^TestSoak$$' -count 1 -timeout 120m -args $(SOAK)
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -1,6 +1,7 @@
 package tests
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -38,11 +39,23 @@
 
 // run starts a program with its output in a file of the test's folder.
 func (r *programs) run(name, program string, args ...string) *process {
+	r.t.Helper()
+	return r.start(name, exec.Command(filepath.Join(binDir, program), args...))
+}
+
+// runLimited starts a program that may open a limited number of files.
+func (r *programs) runLimited(name, program string, openFiles int, args ...string) *process {
+	r.t.Helper()
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, openFiles)
+	return r.start(name, exec.Command("/bin/sh", append([]string{"-c", script, filepath.Join(binDir, program)}, args...)...))
+}
+
+func (r *programs) start(name string, x *exec.Cmd) *process {
 	r.t.Helper()
 	p := &process{name: name, log: filepath.Join(r.dir, name+".log"), done: make(chan struct{})}
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	require.NoError(r.t, err)
-	p.cmd = exec.Command(filepath.Join(binDir, program), args...)
+	p.cmd = x
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	require.NoError(r.t, p.cmd.Start())
 	r.mu.Lock()
--- a/tests/soak_plan_test.go
+++ b/tests/soak_plan_test.go
@@ -85,6 +85,10 @@
 	maxAttempts int
 	// maxHold is the longest lease that workers grant.
 	maxHold time.Duration
+	// memory is the memory that the settings give each host; empty means soakMemory. A positive openFiles limits the open
+	// files of each host.
+	memory    string
+	openFiles int
 
 	mu          sync.Mutex
 	outcomeRand *rand.Rand
--- a/tests/soak_site_test.go
+++ b/tests/soak_site_test.go
@@ -1,6 +1,7 @@
 package tests
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -34,6 +35,7 @@
 	soakHeartbeat       = 1500 * time.Millisecond
 	readyPort           = 7105
 	soakStoreDelay      = 2 * time.Millisecond
+	soakMemory          = "284MB"
 )
 
 var (
@@ -143,7 +145,7 @@
 	text += fmt.Sprintf("[Store]\nAddr = %s\n", h.store.listener.Addr())
 	text += fmt.Sprintf("[Bounds]\nMaxHold = %s\nStopTimeout = %s\nClaim = 2900ms\nGangTimeout = %s\nRevoke = %s\nKeepEnded = 120s\nGrace = %s\n",
 		s.plan.maxHold, soakStopTimeout, soakGangTimeout, soakRevokeTimeout, soakGracePeriod)
-	text += "[Log]\nLevel = info\n[Limits]\nMemory = 284MB\nProcessors = 1\n" + more
+	text += fmt.Sprintf("[Log]\nLevel = info\n[Limits]\nMemory = %s\nProcessors = 1\n", cmp.Or(s.plan.memory, soakMemory)) + more
 	if err := os.WriteFile(s.settingsPath(h), []byte(text), 0o600); err != nil {
 		s.violate("write settings of %s: %v", h.name, err)
 	}
@@ -154,7 +156,12 @@
 }
 
 func (s *soakSite) startHost(h *soakHost) {
-	s.run(h.name, "auburncleatd", "site", "--settings", s.settingsPath(h))
+	args := []string{"site", "--settings", s.settingsPath(h)}
+	if s.plan.openFiles > 0 {
+		s.runLimited(h.name, "auburncleatd", s.plan.openFiles, args...)
+	} else {
+		s.run(h.name, "auburncleatd", args...)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.isUp, h.leavingAt = true, time.Time{}
