host, platform: limits for clients at the caller, ready and status addresses

Change: queue, key, id and declared length are checked before the body is read; text, steps and job are charged to a budget; a large body is decoded alone and step by step; connections are bounded by memory and open files; the ready and status addresses have their own share. New settings Body, Header, CallerMemory and Connections under [Limits], with defaults above what the platform allows its clients.

--- a/cmd/auburncleatd/site.go
+++ b/cmd/auburncleatd/site.go
@@ -13,7 +13,6 @@
 	"syscall"
 
 	"github.com/auburncleat/auburncleat/internal/clock"
-	"github.com/auburncleat/auburncleat/internal/coordination/intake"
 	"github.com/auburncleat/auburncleat/internal/host"
 	"github.com/auburncleat/auburncleat/internal/logs"
 	"github.com/auburncleat/auburncleat/internal/metric"
@@ -96,8 +95,8 @@
 		ConfigTopic:      platform.ConfigTopic,
 		DecodeConfig:     platform.DecodeConfig,
 		DecodeEvacuation: platform.DecodeEvacuation,
-		NewCallerHandler: func(serve func(context.Context, intake.Request) (intake.Reply, error), l *slog.Logger) http.Handler {
-			return platform.NewCallerHandler(serve, l)
+		NewCallerHandler: func(d host.CallerDeps) http.Handler {
+			return platform.NewCallerHandler(d.Serve, d.Guard, d.Log, platform.WithAdmission(d.Admit), platform.WithBodyLimit(int64(d.MaxBody)))
 		},
 		Peers:      peer.NewPool(peer.WithScope(c)).Peers(),
 		ServePeers: servePeers,
--- a/internal/coordination/intake/serve.go
+++ b/internal/coordination/intake/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/pkg/errors"
 )
 
 // Verb is the operation that a caller requests.
@@ -57,6 +58,19 @@
 	return 0
 }
 
+// CheckPath returns the error that any submission with a host name, a path and a key is refused with, or nil. It leaves
+// reasons that may not hold at another host to Serve.
+func (i *Intake) CheckPath(host, path, key string) error {
+	c, err := i.Admit(host, path, key)
+	if errors.Is(err, ErrNoQueue) || errors.Is(err, ErrNoKey) {
+		return err
+	}
+	if err == nil && !jobs.IsID(c.Suffix) {
+		return fmt.Errorf("%q is not a job id: %w", c.Suffix, ErrNoQueue)
+	}
+	return nil
+}
+
 // Serve admits a request and executes it.
 func (i *Intake) Serve(ctx context.Context, q Request) (Reply, error) {
 	c, err := i.Admit(q.Host, q.Path, q.Key)
--- a/internal/host/deployment_test.go
+++ b/internal/host/deployment_test.go
@@ -196,7 +196,7 @@
 			return nil
 		},
 		DecodeConfig: s.decode, DecodeEvacuation: decodeTestEvacuation,
-		NewCallerHandler: func(func(context.Context, intake.Request) (intake.Reply, error), *slog.Logger) http.Handler {
+		NewCallerHandler: func(CallerDeps) http.Handler {
 			return http.NotFoundHandler()
 		},
 		Peers: port.Peers{Call: func(ctx context.Context, to netip.AddrPort, method string, q, r proto.Message) error {
--- /dev/null
+++ b/internal/host/door.go
@@ -0,0 +1,92 @@
+package host
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/transport/guard"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+)
+
+const (
+	// clientMemoryDivisor and connectionMemoryDivisor give the parts of the memory of the machine that requests and
+	// connections of clients may take.
+	clientMemoryDivisor     = 8
+	connectionMemoryDivisor = 4
+	// connectionBytes is the memory that a connection takes: its buffers, its goroutine, and what it has received and the
+	// process has not read.
+	connectionBytes = 64 << 10
+	// reservedFiles are open files that are kept for other uses than connections. The callers get half of the rest, and
+	// the calls to the store, to workers and to other hosts the other half.
+	reservedFiles  = 200
+	minConnections = 16
+	// maxProbes bounds the connections to each of the ready and the status address.
+	maxProbes = 32
+	// A connection without progress for this long may be closed for a new one. A probe sends its request at once.
+	callerStalledAfter = time.Second
+	probeStalledAfter  = 100 * time.Millisecond
+)
+
+// door is an HTTP server with its address and the limits of its connections.
+type door struct {
+	server       *http.Server
+	addr         netip.AddrPort
+	connections  int
+	stalledAfter time.Duration
+}
+
+// doors holds the HTTP servers of a host, whose clients one guard bounds.
+type doors struct {
+	guard                  *guard.Guard
+	callers, ready, status door
+}
+
+func (h *Host) newDoors() doors {
+	m, at := h.settings.Limits, h.settings.Listen
+	budget := int64(m.CallerMemory)
+	if budget == 0 {
+		budget = int64(m.Memory) / clientMemoryDivisor
+	}
+	g := guard.New(guard.NewBudget(budget), int(m.Header), h.clock, h.log, h.scope)
+	handler := h.deps.NewCallerHandler(CallerDeps{
+		Serve: h.relay.Serve, Admit: h.intake.CheckPath, Guard: g, MaxBody: m.Body, Log: h.log,
+	})
+	return doors{
+		guard:   g,
+		callers: door{g.NewServer(handler), at.Caller, h.maxCallers(), callerStalledAfter},
+		ready:   door{g.NewServer(guard.IgnoreBodies(http.HandlerFunc(h.serveReady))), at.Ready, maxProbes, probeStalledAfter},
+		status:  door{g.NewServer(guard.IgnoreBodies(h.statusServer().Handler())), at.Status, maxProbes, probeStalledAfter},
+	}
+}
+
+// maxCallers returns the number of connections that callers may keep open.
+func (h *Host) maxCallers() int {
+	m := h.settings.Limits
+	if m.Connections > 0 {
+		return m.Connections
+	}
+	n := int(m.Memory / connectionMemoryDivisor / connectionBytes)
+	if files, ok := guard.MaxOpenFiles(); ok {
+		n = min(n, (files-reservedFiles)/2)
+	}
+	return max(n, minConnections)
+}
+
+// addDoor listens at the address of a door and serves it.
+func (h *Host) addDoor(r *run.Group, g *guard.Guard, d door) error {
+	l, err := h.deps.Listen(d.addr)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", d.addr, err)
+	}
+	r.Add(func() error {
+		if err := d.server.Serve(g.Listen(l, d.connections, d.stalledAfter)); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve %s: %w", d.addr, err)
+		}
+		<-h.drained
+		return nil
+	}, func(error) { _ = d.server.Close() })
+	return nil
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -24,8 +24,10 @@
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
 	"github.com/auburncleat/auburncleat/internal/setup"
 	"github.com/auburncleat/auburncleat/internal/state/events"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/auburncleat/auburncleat/internal/state/queue"
+	"github.com/auburncleat/auburncleat/internal/transport/guard"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -42,14 +44,25 @@
 	// DecodeEvacuation decodes an entry of the same topic that evacuates a failure domain or withdraws that. It returns nil for other
 	// entries; it is nil itself where operators cannot evacuate.
 	DecodeEvacuation func(e port.Entry) (*queue.EvacuationChange, error)
-	// NewCallerHandler returns the HTTP handler for callers, which executes their requests through serve.
-	NewCallerHandler func(serve func(context.Context, intake.Request) (intake.Reply, error), l *slog.Logger) http.Handler
+	// NewCallerHandler returns the HTTP handler for callers.
+	NewCallerHandler func(CallerDeps) http.Handler
 	// Peers calls other hosts, and ServePeers serves their calls on a listener until ctx ends.
 	Peers      port.Peers
 	ServePeers func(ctx context.Context, l net.Listener, s PeerHandlers) error
 	Listen     func(a netip.AddrPort) (net.Listener, error)
 }
 
+// CallerDeps holds what the HTTP handler for callers uses of a host.
+type CallerDeps struct {
+	// Serve executes a request, and Admit refuses one whatever its body is.
+	Serve func(context.Context, intake.Request) (intake.Reply, error)
+	Admit func(host, path, key string) error
+	// Guard bounds the memory that callers take, and MaxBody the body of one request.
+	Guard   *guard.Guard
+	MaxBody fleet.Bytes
+	Log     *slog.Logger
+}
+
 // PeerHandlers holds the handlers for the calls of other hosts.
 type PeerHandlers struct {
 	// Take serves a request that another host forwards.
@@ -176,7 +189,9 @@
 	if !slices.Equal(s.Plan.Disable, old.Plan.Disable) || !slices.Equal(s.Plan.Enable, old.Plan.Enable) {
 		needStart = append(needStart, "Plan")
 	}
-	if s.Limits.Processors != old.Limits.Processors {
+	m := s.Limits
+	m.Memory, m.MaxOpenJobs = old.Limits.Memory, old.Limits.MaxOpenJobs
+	if m != old.Limits {
 		needStart = append(needStart, "Limits")
 	}
 	return needStart
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/oklog/run"
@@ -27,8 +26,6 @@
 	releaseTimeout = time.Second
 	// droppedLinesInterval is the interval of the gauge of dropped log lines.
 	droppedLinesInterval = 5 * time.Second
-	headerTimeout        = 5 * time.Second
-	idleTimeout          = time.Minute
 	// shutdownMargin is the part of the grace period that is reserved for the end of the process.
 	shutdownMargin = 500 * time.Millisecond
 )
@@ -39,11 +36,8 @@
 	var g run.Group
 	components, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	callers := &http.Server{
-		Handler: h.deps.NewCallerHandler(h.relay.Serve, h.log), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}
-	ready := &http.Server{Handler: http.HandlerFunc(h.serveReady), ReadHeaderTimeout: headerTimeout}
-	status := &http.Server{Handler: h.statusServer().Handler(), ReadHeaderTimeout: headerTimeout}
+	doors := h.newDoors()
+	callers := doors.callers.server
 	shutdown, cancel := context.WithCancel(ctx)
 	g.Add(func() error {
 		<-shutdown.Done()
@@ -61,14 +55,10 @@
 	addComponent(h.writer.Run)
 	addComponent(h.hosts.Run)
 	addComponent(func(c context.Context) error { return h.elect.Run(c, h.runEngine) })
-	if err := h.addHTTPServer(&g, callers, h.settings.Listen.Caller); err != nil {
-		return err
-	}
-	if err := h.addHTTPServer(&g, ready, h.settings.Listen.Ready); err != nil {
-		return err
-	}
-	if err := h.addHTTPServer(&g, status, h.settings.Listen.Status); err != nil {
-		return err
+	for _, d := range []door{doors.callers, doors.ready, doors.status} {
+		if err := h.addDoor(&g, doors.guard, d); err != nil {
+			return err
+		}
 	}
 	l, err := h.deps.Listen(h.settings.Listen.Peer)
 	if err != nil {
@@ -90,21 +80,6 @@
 	return nil
 }
 
-func (h *Host) addHTTPServer(g *run.Group, s *http.Server, a netip.AddrPort) error {
-	l, err := h.deps.Listen(a)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", a, err)
-	}
-	g.Add(func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve %s: %w", a, err)
-		}
-		<-h.drained
-		return nil
-	}, func(error) { _ = s.Close() })
-	return nil
-}
-
 // serveReady serves the readiness check of the load balancer.
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
 	err := h.CheckReady()
--- a/internal/setup/site.go
+++ b/internal/setup/site.go
@@ -75,6 +75,13 @@
 	Processors float64
 	// MaxOpenJobs bounds the number of jobs that have not ended.
 	MaxOpenJobs int
+	// Body bounds the body of one request, and Header its header.
+	Body   fleet.Bytes
+	Header fleet.Bytes
+	// CallerMemory bounds the memory that the requests of all callers take; zero means a part of Memory.
+	CallerMemory fleet.Bytes
+	// Connections bounds the open connections of callers; zero means as many as Memory and the open files allow.
+	Connections int
 }
 
 const (
@@ -82,6 +89,9 @@
 	maxMemory          = 1 << 40
 	maxOpenJobs        = 1_000_000
 	defaultOpenJobs    = 20_000
+	maxBody            = 64 * fleet.Megabyte
+	defaultHeader      = 16 * kilobyte
+	maxConnections     = 100_000
 	defaultMemory      = 256 * fleet.Megabyte
 	defaultRevoke      = 5 * time.Second
 	defaultGrace       = 6 * time.Second
@@ -109,6 +119,10 @@
 		s.Limits.Memory = x.bytes("Memory", defaultMemory, fleet.Megabyte, maxMemory)
 		s.Limits.Processors = x.fraction("Processors", 1)
 		s.Limits.MaxOpenJobs = x.count("MaxOpenJobs", defaultOpenJobs, 1, maxOpenJobs)
+		s.Limits.Body = x.bytes("Body", fleet.Megabyte, kilobyte, maxBody)
+		s.Limits.Header = x.bytes("Header", defaultHeader, kilobyte, fleet.Megabyte)
+		s.Limits.CallerMemory = x.bytes("CallerMemory", 0, fleet.Megabyte, maxMemory)
+		s.Limits.Connections = x.count("Connections", 0, 1, maxConnections)
 	})
 	r.readSection("Plan", func(x *section) { s.Plan = loadSitePlan(x) })
 	r.readSection("Log", func(x *section) { s.Log = loadLog(x) })
