Place work by the speeds of workers

Urgent gangs with a target of half their run time more were placed on workers that take two thirds longer, while patient work ran on the fast ones.

With the optional mechanism Speeds the planner expects the end of a run by its slowest worker, learns run times apart from it, looks for room in tiers of speed, and counts headroom on workers that are fast enough for urgent work.

--- a/internal/state/place/ledger.go
+++ b/internal/state/place/ledger.go
@@ -34,6 +34,9 @@
 	// guarantee may still use the site.
 	Ramping bool
 
+	// Slowness is how much longer than a typical worker the worker takes for the same work; zero if that is not known.
+	Slowness float64
+
 	rack *Rack
 	// labels are the labels of the worker.
 	labels []string
--- a/internal/state/plan/attempt.go
+++ b/internal/state/plan/attempt.go
@@ -30,7 +30,7 @@
 		p.health.Succeeded(e.job.ID, ws, at, p.ledger.Len())
 		ran := max(at.Sub(e.since), 0)
 		p.health.RecordRunTime(ran)
-		p.estimator.Ran(e.kind(), e.declaredRunTime(), ran+e.job.Progress)
+		p.estimator.Ran(e.kind(), e.declaredRunTime(), scale(ran, 1/slowest(e.sites))+e.job.Progress)
 		if e.peakMemory > 0 {
 			p.estimator.Used(e.kind(), e.job.Shape.Memory, e.peakMemory)
 		}
--- a/internal/state/plan/estimate.go
+++ b/internal/state/plan/estimate.go
@@ -29,7 +29,7 @@
 		return at
 	}
 	ran := p.now.Sub(e.since)
-	left := p.runTime(e) - ran
+	left := p.runTimeOn(e, e.sites) - ran
 	if left <= 0 {
 		left = ran / 2
 	}
--- a/internal/state/plan/headroom.go
+++ b/internal/state/plan/headroom.go
@@ -18,7 +18,8 @@
 	share     float64
 	peak      float64
 	updatedAt time.Time
-	// reserved is the number of accelerators to keep free now, and free the number that are free.
+	// reserved is the number of accelerators to keep free now, and free the number that are free on workers that are fast
+	// enough for urgent jobs.
 	reserved int
 	free     int
 }
@@ -56,11 +57,16 @@
 			has += n - len(e.vacated)*e.need.Accelerators
 		}
 	}
-	free := 0
+	free, fastEnough := 0, 0
 	for _, r := range p.ledger.Racks() {
 		for _, s := range r.Sites {
-			if !s.Closed {
-				free += max(s.Free().Accelerators, 0)
+			if s.Closed {
+				continue
+			}
+			n := max(s.Free().Accelerators, 0)
+			free += n
+			if p.isFastEnough(s) {
+				fastEnough += n
 			}
 		}
 	}
@@ -69,7 +75,7 @@
 		// other jobs would take. Their demand therefore counts as met.
 		has = need
 	}
-	p.headroom.update(p.now, need, has, free)
+	p.headroom.update(p.now, need, has, fastEnough)
 }
 
 // leavesHeadroom reports whether starting a job leaves enough accelerators free for urgent jobs.
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -74,6 +74,8 @@
 	fitsRack map[roomQuery]bool
 	// unused is the room in which the pass may start work; nil if it was not looked for yet.
 	unused []unusedRoom
+	// noTierRoom maps each query to the shortest run time for which a search of its speed tier found no room.
+	noTierRoom map[tierQuery]time.Duration
 	// ends caches the expected ends of started gangs.
 	ends map[*entry]time.Time
 	// lastSites holds the site where the last task of a query was placed, which often has room for the next one.
@@ -114,12 +116,14 @@
 	p.pass = passState{
 		failed: map[roomQuery]time.Duration{}, noPreemption: map[preemptionKey]bool{}, ends: map[*entry]time.Time{},
 		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{}, fitsRack: map[roomQuery]bool{}, isStarting: map[*submission]bool{},
+		noTierRoom: map[tierQuery]time.Duration{},
 	}
 	p.dropSubmissions()
 	p.sumJobs()
 	p.refreshSites()
 	p.repair()
 	p.rebookPending()
+	p.noteUrgentStretch()
 	p.updateHeadroom()
 	p.refillStartRate()
 }
@@ -241,7 +245,8 @@
 	if p.exceedsQuota(e) {
 		return
 	}
-	if p.isHeldBack(e) && !p.isOverdue(e) {
+	isHeldBack := p.isHeldBack(e) && !p.isOverdue(e)
+	if p.startBySpeed(e, isHeldBack, d) || isHeldBack {
 		return
 	}
 	if sites, reason := p.findSites(e); sites != nil {
@@ -290,7 +295,7 @@
 
 // startOutside starts a gang outside of guarantees.
 func (p *Planner) startOutside(e *entry, sites []*place.Site, reason string, d *Decisions) {
-	p.headroom.take(e.shape.TotalAccelerators(), e.isUrgent())
+	p.headroom.take(p.countFastEnough(e, sites), e.isUrgent())
 	p.takeStartToken(e)
 	p.start(e, sites, reason, d)
 }
@@ -319,7 +324,7 @@
 func (p *Planner) backfillView(e *entry, end time.Time, v place.View) place.View {
 	open := p.openView(e, end, v)
 	return func(s *place.Site) place.Resources {
-		if !s.BackfillUntil.IsZero() && end.After(s.BackfillUntil) {
+		if !s.BackfillUntil.IsZero() && p.endOn(s, end).After(s.BackfillUntil) {
 			return place.Resources{}
 		}
 		if s.Ramping && (len(p.gangsOn[s]) > 0 || e.job.IsOnce()) {
@@ -364,7 +369,7 @@
 	if s.Closed || s.OnProbation && (len(p.gangsOn[s]) > 0 || e.job.IsOnce()) {
 		return false
 	}
-	if !s.StopFrom.IsZero() && end.After(s.StopFrom) {
+	if !s.StopFrom.IsZero() && p.endOn(s, end).After(s.StopFrom) {
 		return false
 	}
 	if !p.matchesLabel(e, s) {
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -74,6 +74,12 @@
 	steadySince time.Time
 	targets     []place.Target
 	pass        passState
+	// slowness holds how much longer than a typical worker each worker takes, if that is known; isUneven is set if some worker
+	// is known to differ.
+	slowness map[string]float64
+	isUneven bool
+	// urgentStretch is the tightest turnaround target of urgent jobs, relative to their run time; zero if none is known.
+	urgentStretch float64
 	// disabled holds the mechanisms that are switched off.
 	disabled map[Mechanism]bool
 	// ignoreGuarantees lets unstoppable jobs use reserved capacity; tests set it to show that they detect the
@@ -124,6 +130,7 @@
 		limits:              defaultLimits(),
 		queued:              map[queueKey]int{},
 		fitCache:            map[fitQuery]bool{},
+		slowness:            map[string]float64{},
 		disabled:            map[Mechanism]bool{},
 		health:              health.New(),
 		estimator:           learn.New(),
@@ -233,7 +240,8 @@
 	if isNew && p.isSettled() {
 		p.health.Ramp(health.WorkerRef{Worker: w.Name, Rack: w.Rack}, p.now, p.ledger.Len())
 	}
-	p.ledger.Get(w.Name).Closed = w.Leaving || w.Avoided
+	s := p.ledger.Get(w.Name)
+	s.Closed, s.Slowness = w.Leaving || w.Avoided, p.slowness[w.Name]
 	p.invalidate()
 }
 
--- a/internal/state/plan/preempt.go
+++ b/internal/state/plan/preempt.go
@@ -114,7 +114,7 @@
 	}
 	left := p.runTime(e)
 	if !e.job.LosesProgress {
-		left = max(left-p.now.Sub(e.since), 0) + e.profile.ReclaimBound + p.restartCost
+		left = max(left-scale(p.now.Sub(e.since), 1/slowest(e.sites)), 0) + e.profile.ReclaimBound + p.restartCost
 	}
 	return p.now.Add(left + stopOverhead).After(due)
 }
