--- a/internal/state/replay/driver.go
+++ b/internal/state/replay/driver.go
@@ -12,6 +12,7 @@
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/place"
 	"github.com/auburncleat/auburncleat/internal/state/plan"
+	"github.com/auburncleat/auburncleat/internal/state/speed"
 )
 
 const (
@@ -65,6 +66,9 @@
 	ledger    *place.Ledger
 	metrics   metrics
 	err       error
+	// speedOf returns the true speed of a worker, and speeds is what the policy can learn of it; nil if all workers are alike.
+	speedOf func(worker string, at time.Time) float64
+	speeds  *speed.Tracker
 }
 
 type jobState struct {
@@ -88,10 +92,13 @@
 }
 
 // Run replays a trace under the policy that newPolicy returns; it calls newPolicy again when the owner changes.
-func Run(t Trace, newPolicy func() Policy) (Report, error) {
+func Run(t Trace, newPolicy func() Policy, opts ...Option) (Report, error) {
 	d := &Driver{
 		policy: newPolicy(), newPolicy: newPolicy, workers: map[string]fleet.Worker{}, faulty: map[string]bool{},
-		jobs: map[string]*jobState{}, ledger: place.New(),
+		jobs: map[string]*jobState{}, ledger: place.New(), speeds: speed.New(),
+	}
+	for _, o := range opts {
+		o(d)
 	}
 	for _, e := range t.Events {
 		d.schedule(e.At.Time(), func() { d.handle(e) })
@@ -198,6 +205,7 @@
 // changeOwner replaces the policy by a new one and restores its state, as a new owner does from workers and peers.
 func (d *Driver) changeOwner() {
 	d.policy = d.newPolicy()
+	d.speeds = speed.New()
 	d.policy.Configure(d.config)
 	for _, n := range sortedKeys(d.workers) {
 		d.policy.PutWorker(d.workers[n])
@@ -290,8 +298,10 @@
 	if r.truth.Fails {
 		return r.started.Add(failDelay), fail(r.placement[0].Worker)
 	}
-	remaining := max(r.truth.Ran-r.progress, 0) + r.overhead
+	work := float64(max(r.truth.Ran-r.progress, 0))
+	remaining := time.Duration(work/d.slowestSpeed(r)) + r.overhead
 	return r.started.Add(remaining), func() {
+		d.observeSpeeds(r)
 		d.endAttempt(r, plan.Ended{Result: plan.ResultDone})
 		d.setOutcome(r, "Done")
 	}
@@ -313,7 +323,7 @@
 			return
 		}
 		d.metrics.addLost(r, checkpointTime)
-		r.progress += ran
+		r.progress += time.Duration(float64(ran) * d.slowestSpeed(r))
 		d.endAttempt(r, plan.Ended{Result: plan.ResultStopped, Progress: r.progress, Requeue: true})
 	})
 }
--- a/internal/state/replay/policy.go
+++ b/internal/state/replay/policy.go
@@ -23,6 +23,8 @@
 	Started    func(id string, at time.Time)
 	Ended      func(x plan.Ended)
 	Pass       func(now time.Time) plan.Decisions
+	// SetSlowness tells what is known of the speed of a worker; nil if the policy has no use for it.
+	SetSlowness func(worker string, slowness float64)
 }
 
 // PlannerPolicy returns the project's own planner as a policy.
@@ -30,7 +32,7 @@
 	p := plan.New(domain, opts...)
 	return Policy{
 		Name: "ours", Configure: p.Configure, PutWorker: p.PutWorker, DropWorker: p.DropWorker, Submit: p.Submit,
-		Adopt: p.Adopt, Cancel: p.Cancel, Started: p.Started, Ended: p.Ended, Pass: p.Pass,
+		Adopt: p.Adopt, Cancel: p.Cancel, Started: p.Started, Ended: p.Ended, Pass: p.Pass, SetSlowness: p.SetSlowness,
 	}
 }
 
--- a/internal/state/replay/report.go
+++ b/internal/state/replay/report.go
@@ -84,6 +84,8 @@
 	Large         Class
 	// Late counts the urgent jobs that started after the wait bound of their profile, Urgent all urgent jobs.
 	Late, Urgent int
+	// InTime counts the jobs that met their turnaround targets, Timed all jobs that have one.
+	InTime, Timed int
 	// GuaranteedWait is the longest wait of a job within its guarantee.
 	GuaranteedWait time.Duration
 	// Stranded and Scattered are the mean fragmentation over the time with queued jobs; see place.Fragmentation.
@@ -103,6 +105,7 @@
 		Scattered:   d.metrics.scattered / max(d.metrics.queuedTime.Seconds(), 1),
 		LostSeconds: d.metrics.lost, Stops: d.metrics.stops,
 	}
+	x.Timed, x.InTime = d.countInTime()
 	byUrgency := map[config.Urgency][]*jobState{}
 	var large []*jobState
 	for _, id := range sortedKeys(d.jobs) {
--- a/internal/state/replay/trace.go
+++ b/internal/state/replay/trace.go
@@ -86,6 +86,11 @@
 	return n
 }
 
+func (f fields) float(k string) float64 {
+	x, _ := strconv.ParseFloat(f[k], 64)
+	return x
+}
+
 func (f fields) duration(k string) time.Duration {
 	d, _ := time.ParseDuration(f[k])
 	return d
@@ -96,7 +101,7 @@
 	f := parseFields(e.Text)
 	j := fleet.Job{
 		ID: e.Job, Organisation: e.Organisation, Profile: e.Profile, Key: f["Key"], Submitted: e.At.Time(),
-		RunTime: f.duration("RunTime"),
+		RunTime: f.duration("RunTime"), Stretch: f.float("Stretch"),
 		Shape: fleet.Shape{
 			Tasks: f.int("Tasks"), Accelerators: f.int("Accelerators"), Processors: f.int("Processors"),
 			Memory: fleet.Bytes(f.int("MemoryMB")) * fleet.Megabyte, Adjacent: fleet.Level(f["Adjacent"]),
