Feed reported progress to the planner's speeds, and switch them on

The owner passes the progress of running tasks to the tracker, and its changes to the planner every half second; a new lifetime of a worker begins anew. With the call in reconcile commented out, TestOwnerLearnsSpeedsFromReports prints 'Max difference between 1.6 and 0 allowed is 0.3, but difference was 1.6'.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -13,6 +13,7 @@
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/auburncleat/auburncleat/internal/state/plan"
 	"github.com/auburncleat/auburncleat/internal/state/queue"
+	"github.com/auburncleat/auburncleat/internal/state/speed"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -102,6 +103,9 @@
 	lastSummary time.Time
 	// lastPurge is when records of ended jobs were last checked for expiry.
 	lastPurge time.Time
+	// speeds estimates the speeds of the workers, and lastSpeeds is when the planner last got them; nil if it takes workers for alike.
+	speeds     *speed.Tracker
+	lastSpeeds time.Time
 	// idle holds the jobs that had nothing at work at the last look, and nextIdleCheck is when the next one is due.
 	idle          map[string]*idleJob
 	nextIdleCheck time.Time
@@ -153,6 +157,7 @@
 		none := &queue.Evacuations{}
 		e.deps.Evacuations = func() *queue.Evacuations { return none }
 	}
+	e.speeds = newSpeeds(e.enabled, e.disabled)
 	e.planner = plan.New("", append([]plan.Option{
 		plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim), plan.WithLossBounds(urgentWasteRatio, otherWasteRatio),
 		plan.WithHeadroom(headroomWindow, headroomShare), plan.WithStartRate(startRate, startBurst), plan.WithIdleBound(maxIdleTime),
@@ -268,6 +273,7 @@
 		if !now.Before(nextCheck) {
 			nextCheck = now.Add(checkInterval)
 			e.runChecks(now)
+			e.updateSpeeds(now)
 			e.purgeEndedJobs(now)
 		}
 		if !e.ready && (now.After(takeoverDeadline) || e.hasWorkerReports(now)) && len(e.workers) > 0 && e.deps.Evacuations() != nil {
--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -18,6 +18,7 @@
 			w.cancel()
 			w.cancel = nil
 			e.updatePlannerWorker(w)
+			e.forgetSpeed(w.name)
 			delete(e.workers, w.name)
 			e.mu.Unlock()
 			return
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -145,6 +145,9 @@
 	if !w.lastClockTime.IsZero() {
 		w.leaseEnd = later(w.leaseEnd, strayLeaseEnd)
 	}
+	if w.instance != "" {
+		e.forgetSpeed(w.name)
+	}
 	w.instance = instance
 	w.lastClock, w.lastClockTime = 0, time.Time{}
 	w.lastHandledEnd, w.lastStoredEnd, w.lastAckedEnd = 0, 0, 0
@@ -183,6 +186,7 @@
 		if x.Checkpoint != "" {
 			e.saveCheckpoint(t.unit, x.Checkpoint, x.Percent)
 		}
+		e.recordSpeed(w, t, x, r.Clock)
 		e.checkProgress(w, t, x.Percent, r.Clock)
 		if t.member.presence == taskUnknown {
 			t.member.presence, t.member.firstSeen = taskPresent, e.clock.Now()
