plan: start work on workers of its service alone

Cause: the service of an entry was checked not to be empty and dropped, that of a queue was decoded and read nowhere; the planner knew neither.

Change: workers and profiles carry their service, and each search for room asks for it as it does for a label, with the caches that go by what a job requires; headroom is kept for each service. Since it is part of the profile, a configuration that changes the service of a queue holds for all that waits. Workers of services that no queue names, also none that was removed, are left out of the planner and not called; runs there are followed to their end. Where workers or queues name no service all is as before.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -83,7 +83,9 @@
 	// evacuations are those that the planner knows.
 	evacuations *queue.Evacuations
 	workers     map[string]*worker
-	units       map[string]*unit
+	// foreign holds the listed workers of services that no queue names.
+	foreign map[string]port.Runner
+	units   map[string]*unit
 	// deferred holds units that the planner has not accepted; they are resubmitted by runChecks.
 	deferred map[string]*unit
 	// endingJobs are jobs whose end is being written to the store.
@@ -147,7 +149,7 @@
 func New(deps Deps, b Bounds, term int64, opts ...Option) *Engine {
 	e := &Engine{
 		deps: deps, bounds: b, term: term, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
-		workers: map[string]*worker{}, units: map[string]*unit{}, deferred: map[string]*unit{},
+		workers: map[string]*worker{}, foreign: map[string]port.Runner{}, units: map[string]*unit{}, deferred: map[string]*unit{},
 		endingJobs: map[string]bool{}, nextDue: map[string]time.Time{}, retired: map[string]queue.Queue{}, wake: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
--- a/internal/coordination/exec/lifetime.go
+++ b/internal/coordination/exec/lifetime.go
@@ -32,15 +32,21 @@
 	}
 	w.placedInstance = w.runner.Instance
 	for _, t := range w.tasks {
-		if !canRun(w.runner.Worker, t.unit) {
+		if !e.canRun(w.runner.Worker, t.unit) {
 			e.stopRun(t.unit, "its worker has come back as another kind")
 		}
 	}
 }
 
 // canRun reports whether a worker on which nothing else runs can run a task of a unit.
-func canRun(x fleet.Worker, u *unit) bool {
+func (e *Engine) canRun(x fleet.Worker, u *unit) bool {
+	service := e.serviceOf(u.queue)
+	if service != "" && x.Service != "" && service != x.Service {
+		return false
+	}
+	if u.step.Label != "" && !slices.Contains(strings.Split(x.Labels, ","), u.step.Label) {
+		return false
+	}
 	s := fleet.Shape{Tasks: 1, Accelerators: u.step.Accelerators, Processors: u.step.Processors, Memory: u.step.Memory}
-	hasLabel := u.step.Label == "" || slices.Contains(strings.Split(x.Labels, ","), u.step.Label)
-	return hasLabel && place.WorkerCapacity(x).Holds(place.TaskResources(s)) > 0
+	return place.WorkerCapacity(x).Holds(place.TaskResources(s)) > 0
 }
--- a/internal/coordination/exec/pass.go
+++ b/internal/coordination/exec/pass.go
@@ -20,6 +20,7 @@
 	}
 	e.config = c
 	e.configurePlanner()
+	e.syncServices()
 	e.planner.SetGuaranteed(guaranteedAccelerators(c))
 	e.log.Info("planner uses configuration", "Version", c.Version, "Queues", len(c.Queues))
 }
@@ -40,7 +41,7 @@
 
 func plannerProfile(q queue.Queue, b Bounds) config.Profile {
 	return config.Profile{
-		Name: q.Name, Urgency: q.Urgency, WaitBound: waitBound(q), Stoppable: true, ReclaimBound: b.StopTimeout,
+		Name: q.Name, Service: q.Service, Urgency: q.Urgency, WaitBound: waitBound(q), Stoppable: true, ReclaimBound: b.StopTimeout,
 	}
 }
 
@@ -68,6 +69,7 @@
 	}
 	e.log.Info("job of a removed queue keeps its terms", "Job", j.ID, "Queue", j.Queue, "MaxAttempts", t.MaxAttempts)
 	e.configurePlanner()
+	e.syncServices()
 }
 
 // waitBound returns the wait bound of a queue; the planner orders waiting work by its wait relative to this bound.
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -196,7 +196,7 @@
 	if u.key.Index == jobs.WholeGang {
 		s.Tasks = u.step.Tasks
 	}
-	if u.step.Adjacent && s.Tasks > 1 && e.planner.FitsEmptyRack(s) {
+	if u.step.Adjacent && s.Tasks > 1 && e.planner.FitsEmptyRack(s, e.serviceOf(u.queue)) {
 		s.Adjacent = fleet.LevelRack
 	}
 	return s
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -174,6 +174,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.isWorkerListLoaded = true
+	if !e.isOwnService(r.Worker.Service) {
+		e.putForeign(r)
+		return
+	}
+	delete(e.foreign, r.Worker.Name)
+	e.listRunner(r)
+}
+
+// listRunner adds or updates a listed worker of a service that a queue names.
+func (e *Engine) listRunner(r port.Runner) {
 	w := e.getWorker(r.Worker.Name)
 	isNew := !w.isListed
 	if !isNew && w.runner == r {
@@ -191,14 +201,22 @@
 		e.stopForDrain(w)
 	}
 	if isNew && w.cancel == nil {
-		x, cancel := context.WithCancel(e.ctx)
-		w.cancel = cancel
 		e.log.Info("worker listed", "Worker", w.name, "Rack", r.Worker.Rack, "Domain", r.Worker.Domain)
-		go e.pollWorker(x, w)
+		e.startPoller(w)
 	}
 	e.requestPass()
 }
 
+// startPoller starts polling a worker unless it is being polled.
+func (e *Engine) startPoller(w *worker) {
+	if w.cancel != nil {
+		return
+	}
+	x, cancel := context.WithCancel(e.ctx)
+	w.cancel = cancel
+	go e.pollWorker(x, w)
+}
+
 // stopForDrain stops the units on a draining worker that write checkpoints, so that they continue elsewhere.
 func (e *Engine) stopForDrain(w *worker) {
 	for _, t := range w.tasks {
@@ -212,12 +230,19 @@
 func (e *Engine) dropRunner(name string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w := e.workers[name]
-	if w == nil || !w.isListed {
+	delete(e.foreign, name)
+	if w := e.workers[name]; w != nil {
+		e.unlist(w)
+	}
+}
+
+// unlist stops new work for a worker; it is polled until its last task has ended.
+func (e *Engine) unlist(w *worker) {
+	if !w.isListed {
 		return
 	}
 	w.isListed = false
-	e.log.Info("worker unlisted", "Worker", name, "Tasks", len(w.tasks))
+	e.log.Info("worker unlisted", "Worker", w.name, "Tasks", len(w.tasks))
 	e.updatePlannerWorker(w)
 	e.requestPass()
 }
--- a/internal/state/config/profile.go
+++ b/internal/state/config/profile.go
@@ -52,6 +52,8 @@
 type Profile struct {
 	Name    string
 	Version uint64
+	// Service names the workers that run the jobs; empty means any.
+	Service string
 	Urgency Urgency
 	// WaitBound is the target for the longest wait before the start of a job within its guarantee.
 	WaitBound time.Duration
--- a/internal/state/fleet/worker.go
+++ b/internal/state/fleet/worker.go
@@ -4,7 +4,9 @@
 
 // Worker is one machine that runs tasks, as described by the platform.
 type Worker struct {
-	Name         string
+	Name string
+	// Service is the one whose jobs the worker runs; empty means any.
+	Service      string
 	Domain       string
 	Rack         string
 	Addr         netip.AddrPort
--- a/internal/state/plan/backfill.go
+++ b/internal/state/plan/backfill.go
@@ -110,7 +110,7 @@
 	var rs []release
 	for _, s := range r.Sites {
 		if s.Closed || s.OnProbation || !s.StopFrom.IsZero() || !s.BackfillUntil.IsZero() || slices.Contains(e.avoid, s.Worker.Name) ||
-			!p.matchesLabel(e, s) {
+			!p.mayUse(e, s) {
 			continue
 		}
 		room[s] = s.Free()
--- a/internal/state/plan/evacuate_test.go
+++ b/internal/state/plan/evacuate_test.go
@@ -46,7 +46,10 @@
 	require.Equal(t, 8*total/2, open.Accelerators)
 	require.Equal(t, open.Accelerators, used.Accelerators)
 	require.Equal(t, open.Accelerators, p.capacity.Accelerators)
-	require.Zero(t, p.headroom.free)
+	require.Len(t, p.headrooms, 1)
+	for _, h := range p.headrooms {
+		require.Zero(t, h.free)
+	}
 	require.False(t, p.FitsTwice(fmt.Sprintf("next%02d", total-1)))
 	evacuated["a"] = false
 	require.Len(t, p.Pass(at.Add(5*time.Second)).Starts, total/2)
--- a/internal/state/plan/fit.go
+++ b/internal/state/plan/fit.go
@@ -202,14 +202,16 @@
 	return top
 }
 
-// FitsEmptyRack reports whether some rack could hold the shape if it were idle; it returns true while no worker is
-// known.
-func (p *Planner) FitsEmptyRack(s fleet.Shape) bool {
+// FitsEmptyRack reports whether the workers of a service in some rack could hold the shape if they were idle; it returns true while no
+// worker is known.
+func (p *Planner) FitsEmptyRack(s fleet.Shape, service string) bool {
 	n := place.TaskResources(s)
 	for _, r := range p.ledger.Racks() {
 		k := 0
 		for _, x := range r.Sites {
-			k += x.Capacity.Holds(n)
+			if isServedBy(service, x) {
+				k += x.Capacity.Holds(n)
+			}
 		}
 		if k >= s.Tasks {
 			return true
--- a/internal/state/plan/guaranteed.go
+++ b/internal/state/plan/guaranteed.go
@@ -39,7 +39,7 @@
 	p.pass.fitsRack[k] = slices.ContainsFunc(p.ledger.Racks(), func(r *place.Rack) bool {
 		tasks := 0
 		for _, s := range r.Sites {
-			if s.Closed || !p.matchesLabel(e, s) {
+			if s.Closed || !p.mayUse(e, s) {
 				continue
 			}
 			tasks += min(s.Capacity.Holds(e.need), cmp.Or(e.job.PerWorker, math.MaxInt))
--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -174,7 +174,7 @@
 
 // lastResortRoom returns the room of a site in the view, beside guarantees, if the job may use its worker.
 func (p *Planner) lastResortRoom(e *entry, s *place.Site, v place.View) place.Resources {
-	if s.Worker.Leaving || s.Stopped || !s.StopFrom.IsZero() || !p.matchesLabel(e, s) {
+	if s.Worker.Leaving || s.Stopped || !s.StopFrom.IsZero() || !p.mayUse(e, s) {
 		return place.Resources{}
 	}
 	return besideGuarantees(e, s, v(s))
--- a/internal/state/plan/idlesim_test.go
+++ b/internal/state/plan/idlesim_test.go
@@ -334,7 +334,7 @@
 		j.Shape.Tasks = 2 + s.r.IntN(6)
 		j.Shape.Adjacent = []fleet.Level{fleet.LevelRack, fleet.LevelRack, fleet.LevelDomain, fleet.LevelWorker}[s.r.IntN(4)]
 	}
-	if j.Shape.Adjacent == fleet.LevelRack && !s.p.FitsEmptyRack(j.Shape) {
+	if j.Shape.Adjacent == fleet.LevelRack && !s.p.FitsEmptyRack(j.Shape, "") {
 		j.Shape.Adjacent = fleet.LevelDomain
 	}
 	if s.chance(0.15) {
--- a/internal/state/plan/mechanism.go
+++ b/internal/state/plan/mechanism.go
@@ -57,7 +57,7 @@
 			p.disabled[m] = true
 		}
 		if p.disabled[Headroom] {
-			p.headroom = headroom{}
+			p.headroom = headroomSettings{}
 		}
 		if p.disabled[StartRate] {
 			p.startRate = tokenBucket{}
--- a/internal/state/plan/overload_test.go
+++ b/internal/state/plan/overload_test.go
@@ -51,7 +51,7 @@
 func (o *overload) submit(profile string, s fleet.Shape, units int, run time.Duration, stretch float64) {
 	o.jobs++
 	org := fmt.Sprintf("org%02d", o.r.IntN(24))
-	if !o.FitsEmptyRack(s) {
+	if !o.FitsEmptyRack(s, "") {
 		s.Adjacent = fleet.LevelDomain
 	}
 	for i := range units {
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -27,6 +27,7 @@
 type roomQuery struct {
 	shape         fleet.Shape
 	isPreemptible bool
+	service       string
 	label         string
 	// group is the group of a job with a limit of tasks per worker.
 	group     string
@@ -35,7 +36,7 @@
 
 func (e *entry) roomQuery() roomQuery {
 	return roomQuery{
-		shape: e.shape, isPreemptible: e.isPreemptible, label: e.job.Label, group: e.job.Group, perWorker: e.job.PerWorker,
+		shape: e.shape, isPreemptible: e.isPreemptible, service: e.profile.Service, label: e.job.Label, group: e.job.Group, perWorker: e.job.PerWorker,
 	}
 }
 
@@ -46,6 +47,7 @@
 	timeliness   timeliness
 	isGuaranteed bool
 	org          string
+	service      string
 }
 
 // passState holds the counters and caches of one pass.
@@ -284,7 +286,7 @@
 func (p *Planner) isHeldBack(e *entry) bool {
 	switch {
 	case !p.leavesHeadroom(e):
-		e.reason = waitReason{code: reasonHeadroom, a: p.headroom.free, b: p.headroom.reserved}
+		e.reason = waitReason{code: reasonHeadroom, a: p.headroomOf(e).free, b: p.headroomOf(e).reserved}
 	case !p.hasStartToken(e):
 		e.reason = waitReason{code: reasonStartRate}
 	default:
@@ -295,7 +297,7 @@
 
 // startOutside starts a gang outside of guarantees.
 func (p *Planner) startOutside(e *entry, sites []*place.Site, reason string, d *Decisions) {
-	p.headroom.take(p.countFastEnough(e, sites), e.isUrgent())
+	p.headroomOf(e).take(p.countFastEnough(e, sites), e.isUrgent())
 	p.takeStartToken(e)
 	p.start(e, sites, reason, d)
 }
@@ -372,7 +374,7 @@
 	if !s.StopFrom.IsZero() && p.endOn(s, end).After(s.StopFrom) {
 		return false
 	}
-	if !p.matchesLabel(e, s) {
+	if !p.mayUse(e, s) {
 		return false
 	}
 	return len(e.avoid) == 0 || !slices.Contains(e.avoid, s.Worker.Name)
@@ -472,7 +474,12 @@
 	return fmt.Sprintf("%s of %s", e.job.Profile, e.job.Organisation)
 }
 
-// matchesLabel reports whether a worker has the label that the job requires, if any.
-func (p *Planner) matchesLabel(e *entry, s *place.Site) bool {
-	return e.job.Label == "" || s.HasLabel(e.job.Label)
+// mayUse reports whether a worker belongs to the service of the job, and has the label that the job requires, if any.
+func (p *Planner) mayUse(e *entry, s *place.Site) bool {
+	return isServedBy(e.profile.Service, s) && (e.job.Label == "" || s.HasLabel(e.job.Label))
+}
+
+// isServedBy reports whether a worker runs the jobs of a service, as far as both are known.
+func isServedBy(service string, s *place.Site) bool {
+	return service == "" || s.Worker.Service == "" || s.Worker.Service == service
 }
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -41,7 +41,9 @@
 	// minWaitBound is the shortest wait bound of the guarantees; zero means none.
 	minWaitBound        time.Duration
 	fragmentationWeight float64
-	headroom            headroom
+	headroom            headroomSettings
+	// headrooms holds the headroom of each service.
+	headrooms map[string]*headroom
 	// recentShapes are the shapes of the most recent urgent gangs.
 	recentShapes []fleet.Shape
 	// lossBounds are the loss bounds of urgent jobs and of other jobs; see WithLossBounds.
@@ -123,6 +125,7 @@
 		submissions:         map[string]*submission{},
 		gangsOn:             map[*place.Site][]*entry{},
 		knownWorkers:        map[string]fleet.Worker{},
+		headrooms:           map[string]*headroom{},
 		usage:               map[string]place.Resources{},
 		usedElsewhere:       map[string]int{},
 		fragmentationWeight: defaultFragmentationWeight,
--- a/internal/state/plan/preempt.go
+++ b/internal/state/plan/preempt.go
@@ -345,7 +345,7 @@
 		// No job has a lower urgency.
 		return false
 	}
-	kind := preemptionKey{e.shape, e.rank(), p.timeliness(e), p.isGuaranteed(e), e.job.Organisation}
+	kind := preemptionKey{e.shape, e.rank(), p.timeliness(e), p.isGuaranteed(e), e.job.Organisation, e.profile.Service}
 	isPlain := len(e.avoid) == 0 && e.job.PerWorker == 0 && e.job.Label == ""
 	if isPlain && p.pass.noPreemption[kind] || !e.isUrgent() && p.pass.preemptionSearches >= maxPreemptionSearches {
 		return false
--- a/internal/state/plan/speeds_test.go
+++ b/internal/state/plan/speeds_test.go
@@ -80,7 +80,7 @@
 // is kept for urgent work: it may start there, but not on the last workers that are fast enough.
 func TestHeadroomCountsFastWorkers(t *testing.T) {
 	p := unevenPlanner(t, 1, 1, 1.6)
-	p.headroom = headroom{decay: time.Minute, share: 1}
+	p.headroom = headroomSettings{decay: time.Minute, share: 1}
 	require.NoError(t, p.Submit(timedJob("urgent", "Urgent", shape(2, 8, fleet.LevelDomain), 1.5)))
 	run(p, p.Pass(start), start)
 	p.Ended(Ended{Job: "urgent", Result: ResultDone, At: start.Add(time.Second)})
--- a/internal/state/plan/unused.go
+++ b/internal/state/plan/unused.go
@@ -35,7 +35,7 @@
 	tasks := 0
 	us := p.unused()
 	for i := range us {
-		if !e.need.IsWithin(us[i].room) || !p.matchesLabel(e, us[i].site) {
+		if !e.need.IsWithin(us[i].room) || !p.mayUse(e, us[i].site) {
 			continue
 		}
 		tasks += us[i].site.Unused().Holds(e.need)
