exec: take no task for lost by a report that may be cut

Cause: a worker lists 500 ends at a time and goes on once these are acknowledged, which they are when they are stored. The owner took a task that was neither running nor listed for gone. The stand-in listed all ends.

Change: a report of 500 ends is marked as cut, and nothing is concluded from what is missing there: not of tasks that run or are being stopped, not of those that a new owner has taken over, nor of those that the next lifetime of their worker may have got. The stand-in takes a limit of ends in a report.

Failing before: TestEndsBeyondOneReportAreNotLost/store_is_down: expected: 16 actual: 25 .../owner_changes: expected: 16 actual: 22 .../stops_while_the_store_is_down: expected: 16 actual: 27 TestCutReportOfNewLifetimeLosesNoTask: expected: 3 actual: 5

--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -110,6 +110,9 @@
 		case present[ref]:
 			t.member.instance = instance
 			w.leaseEnd = later(w.leaseEnd, strayLeaseEnd)
+		case r.IsCut && t.member.presence != taskEnded:
+			w.leaseEnd = later(w.leaseEnd, strayLeaseEnd)
+			e.awaitWholeReport(t, w)
 		case t.member.isUndecided && t.member.presence != taskEnded:
 			t.member.instance = instance
 			e.blockStart(t.unit, t.member, w)
@@ -119,6 +122,14 @@
 	}
 }
 
+// awaitWholeReport leaves it to later reports whether a task, of which the first report of a new instance tells nothing, has ended there.
+func (e *Engine) awaitWholeReport(t task, w *worker) {
+	t.member.instance = w.instance
+	if t.unit.phase != phaseRunning {
+		e.blockStart(t.unit, t.member, w)
+	}
+}
+
 // handleReplacement records that another worker is at the address of a worker, which has thus ended and executes no start any more.
 func (e *Engine) handleReplacement(w *worker) {
 	e.beginInstance(w, "")
@@ -194,6 +205,10 @@
 		}
 	}
 	w.orphans = orphans
+	if r.IsCut {
+		// A task that is missing may be among the ends that the worker lists once those before are acknowledged.
+		return
+	}
 	for ref, t := range w.tasks {
 		if present[ref] || t.member.presence == taskEnded {
 			continue
--- a/internal/coordination/port/runner.go
+++ b/internal/coordination/port/runner.go
@@ -94,6 +94,8 @@
 	Clock    time.Duration
 	Running  []RunState
 	Ended    []RunEnd
+	// IsCut is set when more tasks may have ended than Ended lists; a task that the report lists nowhere may be among them.
+	IsCut bool
 }
 
 // Runners is the client of the workers that run tasks under leases.
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -21,6 +21,8 @@
 	MaxHold     time.Duration
 	StopTimeout time.Duration
 	GangTimeout time.Duration
+	// EndsPerReport bounds the ends that a report lists; zero means no limit.
+	EndsPerReport int
 }
 
 // RunOutcome is the duration and the result of one run of a task.
@@ -383,6 +385,9 @@
 		r.acknowledge(w, h.AckedEnd)
 		h.AckedEnd = 0
 		out := port.RunReport{Instance: w.instance, Clock: now.Sub(w.startedAt), Ended: slices.Clone(w.ended)}
+		if n := r.limits.EndsPerReport; n > 0 && len(out.Ended) >= n {
+			out.Ended, out.IsCut = out.Ended[:n], true
+		}
 		for _, x := range w.tasks {
 			out.Running = append(out.Running, port.RunState{Ref: x.ref, Percent: x.percent(now)})
 		}
--- a/internal/standin/runnerfault.go
+++ b/internal/standin/runnerfault.go
@@ -42,6 +42,13 @@
 	r.limits.Attempts = n
 }
 
+// SetEndsPerReport changes how many ends a report lists at most; zero means no limit.
+func (r *Runners) SetEndsPerReport(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limits.EndsPerReport = n
+}
+
 // SetFull sets whether a worker refuses all starts with port.ErrNoRoom.
 func (r *Runners) SetFull(addr netip.AddrPort, isFull bool) {
 	r.mu.Lock()
