Confirm a state only when it has reached the end that the read found

Cause: a reply of the store holds a bounded amount of records and tells where the topic ends. The follower took every reply for a confirmation, so that Fresh called a state new that lacked records which the store had: a host could deny a job that it had not read yet, or admit callers by keys that were withdrawn.

Change: a read whose end was not reached confirms once later reads have reached it.

Test: TestFreshIsNoNewerThanTheStateWhileBehind printed before `"10ms" is not greater than or equal to "610ms"`, `confirmed after 3 of 10 records`.

--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -44,8 +44,10 @@
 	next         int64
 	// completeAt is the offset up to which the topic has to be read before the state is complete, since records may be
 	// appended while the keys are loaded in several pages. It is negative until the first load.
-	completeAt    int64
-	lastReadSent  clock.Instant
+	completeAt int64
+	// confirmedAt is when the newest read was sent whose end the state has reached, and unreached a later read whose end it has not.
+	confirmedAt   clock.Instant
+	unreached     *readEnd
 	isUnavailable bool
 	changed       chan struct{}
 	// isIdle is set between two reads, when the store may have records that were not read.
@@ -54,6 +56,12 @@
 	readRequested chan struct{}
 }
 
+// readEnd is the end of the topic as a read found it.
+type readEnd struct {
+	offset int64
+	sent   clock.Instant
+}
+
 // FollowerOption sets one part of a new Follower.
 type FollowerOption func(*Follower)
 
@@ -94,14 +102,14 @@
 	}
 }
 
-// Fresh returns when the last successful read was sent, or zero while the state is incomplete.
+// Fresh returns when the last successful read was sent whose records have all been applied, or zero while the state is incomplete.
 func (f *Follower) Fresh() clock.Instant {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.completeAt < 0 || f.next < f.completeAt {
 		return clock.Instant{}
 	}
-	return f.lastReadSent
+	return f.confirmedAt
 }
 
 // WaitForOffset waits until all records before an offset have been applied.
@@ -273,16 +281,37 @@
 	f.mu.Lock()
 	f.next = next
 	f.completeAt = completeAt
-	f.lastReadSent = sent
+	f.confirmedAt, f.unreached = sent, nil
+	f.notifyChange()
+	f.mu.Unlock()
+}
+
+// notifyChange wakes those that wait for the next read.
+func (f *Follower) notifyChange() {
 	close(f.changed)
 	f.changed = make(chan struct{})
-	f.mu.Unlock()
+}
+
+// advanceTowards moves the state to an offset after a read, which may have found the end of the topic further on.
+func (f *Follower) advanceTowards(next int64, end readEnd) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next = next
+	switch {
+	case next >= end.offset:
+		f.confirmedAt, f.unreached = end.sent, nil
+	case f.unreached == nil:
+		f.unreached = &end
+	case next >= f.unreached.offset:
+		f.confirmedAt, f.unreached = f.unreached.sent, &end
+	}
+	f.notifyChange()
 }
 
 func (f *Follower) read(ctx context.Context) error {
 	sent := f.clock.Instant()
 	f.mu.Lock()
-	next, completeAt := f.next, f.completeAt
+	next := f.next
 	f.mu.Unlock()
 	p, err := f.store.Read(ctx, f.topic, next, f.pollWait)
 	if err != nil {
@@ -294,6 +323,6 @@
 	if n := len(p.Entries); n > 0 {
 		next = p.Entries[n-1].Offset + 1
 	}
-	f.advance(next, completeAt, sent)
+	f.advanceTowards(next, readEnd{offset: p.End, sent: sent})
 	return nil
 }
--- a/internal/coordination/feed/follower_test.go
+++ b/internal/coordination/feed/follower_test.go
@@ -21,6 +21,8 @@
 	entries []port.Entry
 	reads   int
 	changed chan struct{}
+	// maxEntries limits the records of a reply; zero means no limit.
+	maxEntries int
 }
 
 func (s *fakeTopic) append() {
@@ -44,6 +46,9 @@
 	p := port.Entries{End: int64(len(s.entries))}
 	if offset < p.End {
 		p.Entries = slices.Clone(s.entries[offset:])
+		if s.maxEntries > 0 && len(p.Entries) > s.maxEntries {
+			p.Entries = p.Entries[:s.maxEntries]
+		}
 	}
 	return p, s.changed
 }
@@ -124,3 +129,30 @@
 		require.EqualValues(t, 1000, seen.Load())
 	})
 }
+
+// A state that lacks records which the store had at the last read must not count as confirmed then: a host would deny a job that it has
+// not read yet.
+func TestFreshIsNoNewerThanTheStateWhileBehind(t *testing.T) {
+	withFollower(t, func(ctx context.Context, s *fakeTopic, x *Follower, seen *atomic.Int64) {
+		time.Sleep(2 * time.Second)
+		s.mu.Lock()
+		s.maxEntries = 3
+		s.mu.Unlock()
+		synctest.Wait()
+		before := clock.System().Instant()
+		for range 10 {
+			s.append()
+		}
+		for until := time.Now().Add(10 * time.Second); seen.Load() < 10; time.Sleep(10 * time.Millisecond) {
+			require.True(t, time.Now().Before(until), "the follower has read %d records", seen.Load())
+			at := x.Fresh()
+			synctest.Wait()
+			if n := seen.Load(); n < 10 {
+				require.GreaterOrEqual(t, clock.System().Age(at), clock.System().Age(before), "confirmed after %d of 10 records", n)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		require.Less(t, clock.System().Age(x.Fresh()), 2*time.Second)
+		require.NoError(t, x.Confirm(ctx, time.Second))
+	})
+}
--- a/internal/host/evacuation_test.go
+++ b/internal/host/evacuation_test.go
@@ -125,7 +125,7 @@
 				s.submitWave(1)
 				s.advance(2 * time.Second)
 				require.Equal(t, before, s.countStartsIn("a"))
-				v := s.hosts[s.owner()].listEvacuations(t.Context())
+				v := s.hosts[s.owner()].listEvacuations(s.t.Context())
 				require.Equal(t, "a", v.Evacuations[0].Domain)
 				require.Equal(t, 2, v.Evacuations[0].Workers)
 				require.Zero(t, v.Evacuations[0].Tasks, "the domain is empty by now")
