Store the end of a large job in several groups

Cause: the end of a job and the tombstones of all its units were one group. For some 67,000 units, of 100,000 that a job may have, that is more than the store takes in a call. The writer repeats what the store did not execute, so that this owner and each after it stored nothing any more.

Change: groups have at most 10,000 records, and the end of the job comes first: without the records of its units a job that counts as open would run again.

--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -186,6 +186,9 @@
 	return nil
 }
 
+// maxGroupRecords bounds the records that are stored as one, whose size the store limits.
+const maxGroupRecords = 10_000
+
 // endJob writes the end of a job to the store and stops its remaining units.
 func (e *Engine) endJob(id string, s jobs.State, reason string, more []jobs.Record) {
 	var final *jobs.Job
@@ -212,13 +215,19 @@
 		e.log.Error("cannot encode the end of a job", "Job", id, "Cause", err.Error())
 		return
 	}
-	records = append(records, r, jobs.JobTombstone(id))
+	ends := []jobs.Record{r, jobs.JobTombstone(id)}
 	if hasCancel {
-		records = append(records, jobs.CancelTombstone(id))
+		ends = append(ends, jobs.CancelTombstone(id))
 	}
+	// The end comes first: an open job without the records of its units would run again.
+	records = append(ends, records...)
 	e.log.Info("job ends", "Job", id, "State", int(s), "Reason", reason, "Term", e.term)
 	e.scope.Tagged(map[string]string{"State": stateName(s)}).Counter("jobs_ended").Inc(1)
 	e.endingJobs[id] = true
+	for len(records) > maxGroupRecords {
+		e.store(records[:maxGroupRecords], nil)
+		records = records[maxGroupRecords:]
+	}
 	e.store(records, func() { delete(e.endingJobs, id) })
 	for _, u := range e.units {
 		if u.job == id {
