--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -76,7 +76,7 @@
 	return s.Tasks
 }
 
-var idPattern = regexp.MustCompile(`^[0-9a-f]{16}$`)
+var idPattern = regexp.MustCompile(`^[0-9a-fA-F]{16}$`)
 
 // IsID reports whether a string is a well-formed job id.
 func IsID(s string) bool {
