Count a job as pending until one of its tasks has been at a worker

Cause: a job counted as begun as soon as a record of one of its units was stored, also when the workers had refused every start. The count of pending jobs of a queue was too low, and such a job was shown as running.

Change: the record of an ended run tells if no task of the unit has ever been at a worker. Records of earlier versions count as before.

Test: TestRefusedStartLeavesJobPending printed before `0 jobs are pending, not 1`.

--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -123,6 +123,7 @@
 		return nil
 	}
 	u.run, u.failures, u.checkpoint, u.progress, u.maxAttempts = x.Run, x.Failures, x.Checkpoint, x.Progress, x.MaxAttempts
+	u.hasBegun = !x.IsUnbegun
 	if x.Result != jobs.Running {
 		return u
 	}
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -200,7 +200,7 @@
 		e.recordSpeed(w, t, x, r.Clock)
 		e.checkProgress(w, t, x.Percent, r.Clock)
 		if t.member.presence == taskUnknown {
-			t.member.presence, t.member.firstSeen = taskPresent, e.clock.Now()
+			e.markPresent(t.unit, t.member)
 			e.markRunning(t.unit)
 		}
 	}
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -140,7 +140,7 @@
 	case err == nil:
 		w.updateClock(workerClock, e.clock.Now())
 		if m.presence == taskUnknown {
-			m.presence, m.firstSeen = taskPresent, e.clock.Now()
+			e.markPresent(u, m)
 			e.markRunning(u)
 		}
 		w.wakePoller()
@@ -184,6 +184,12 @@
 	e.finishRun(u)
 }
 
+// markPresent records that a task is on its worker.
+func (e *Engine) markPresent(u *unit, m *member) {
+	m.presence, m.firstSeen = taskPresent, e.clock.Now()
+	u.hasBegun = true
+}
+
 // markRunning marks a starting unit as running once the workers have accepted all its tasks.
 func (e *Engine) markRunning(u *unit) {
 	if u.phase != phaseStarting {
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -94,6 +94,7 @@
 		r = jobs.Lost
 	}
 	m.presence, m.result, m.isSecondary = taskEnded, r, isBroken
+	u.hasBegun = u.hasBegun || r != jobs.Stopped || m.endNumber > 0
 	if checkpoint != "" {
 		e.saveCheckpoint(u, checkpoint, -1)
 	}
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -94,6 +94,8 @@
 	since       time.Time
 	// phaseSince is when the unit entered its phase.
 	phaseSince time.Time
+	// hasBegun is set once a task of the unit may have been at a worker.
+	hasBegun bool
 	// isOver is set when the job has ended or is being cancelled; the unit is not run again.
 	isOver bool
 }
@@ -121,6 +123,7 @@
 	x := &jobs.Unit{
 		Key: u.key, Run: u.run, Failures: u.failures, Result: r, Checkpoint: u.checkpoint, Progress: u.progress, MaxAttempts: u.maxAttempts,
 	}
+	x.IsUnbegun = r != jobs.Running && !u.hasBegun
 	for _, m := range u.members {
 		x.Members = append(x.Members, jobs.Member{Worker: m.worker, Instance: m.instance})
 	}
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -114,9 +114,14 @@
 	return j.State == Open && !j.IsCancelling
 }
 
-// HasStarted reports whether a task of the job has ever started.
+// HasStarted reports whether a task of the job has ever started, or is about to.
 func (j *Job) HasStarted() bool {
-	return len(j.units) > 0
+	for _, u := range j.units {
+		if !u.IsUnbegun {
+			return true
+		}
+	}
+	return false
 }
 
 // GetUnit returns the newest run of a unit, or nil if the unit never ran.
--- a/internal/state/jobs/record.go
+++ b/internal/state/jobs/record.go
@@ -168,6 +168,7 @@
 		Job: u.Key.Job, Step: int32(u.Key.Step), Index: int32(u.Key.Index), Run: int32(u.Run),
 		Failures: int32(u.Failures), Result: wire.BatchResult(u.Result), Checkpoint: u.Checkpoint,
 		ProgressNanos: int64(u.Progress), Occurrence: int32(u.Key.Occurrence), MaxAttempts: int32(u.MaxAttempts),
+		Unbegun: u.IsUnbegun,
 	}
 	if u.Result == Running {
 		for _, x := range u.Members {
@@ -197,6 +198,7 @@
 		},
 		Run: int(m.GetRun()), Failures: int(m.GetFailures()), Result: Result(m.GetResult()),
 		Checkpoint: m.GetCheckpoint(), Progress: time.Duration(m.GetProgressNanos()), MaxAttempts: int(m.GetMaxAttempts()),
+		IsUnbegun: m.GetUnbegun(),
 	}
 	for _, x := range m.GetMembers() {
 		u.Members = append(u.Members, Member{Worker: x.GetWorker(), Instance: x.GetInstance()})
--- a/internal/state/jobs/unit.go
+++ b/internal/state/jobs/unit.go
@@ -68,6 +68,8 @@
 	Run      int
 	Failures int
 	Result   Result
+	// IsUnbegun is set after a run if no task of the unit has ever been at a worker.
+	IsUnbegun bool
 	// Members are ordered by task index.
 	Members []Member
 	// Checkpoint is the newest one, from which the next run resumes.
