intake: bound the memory that open jobs take

Cause: the number of open jobs was bounded, not their size. Trial (Memory = 284MB, one job on an idle host): 100,000 tasks in a body of some 40 bytes brought the owner from 16 MB to 227 MB, 20,000 steps of one task to 132 MB.

Change: the footprint of a job is estimated from steps and units; the intake refuses beyond [Limits] JobMemory, half of Memory by default, and reserves what was checked until the job is in the table.

Without it TestLargeJobsKeepHostWithinItsLimits printed: condition not met in time, end of a job beside the large jobs within 30s.

Open: in that trial the owner had 512 of 512 files open with one worker and 100,000 runnable tasks; not traced.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	$(if $(ONLY),-soak-only "$(ONLY)")
 
 # CROWD matches the tests that measure the memory of a host under a crowd of clients.
-CROWD = ^(TestClientsKeepHostWithinItsLimits|TestLargestRequestIsServed)$$
+CROWD = ^(TestClientsKeepHostWithinItsLimits|TestLargeJobsKeepHostWithinItsLimits|TestLargestRequestIsServed)$$
 
 .PHONY: help build soak test lint fmt fmt-check layers generate generate-check proofs-check bench demo tools measure
 
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -10,6 +10,7 @@
 	"github.com/auburncleat/auburncleat/internal/clock"
 	"github.com/auburncleat/auburncleat/internal/coordination/feed"
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/auburncleat/auburncleat/internal/state/queue"
 	"github.com/uber-go/tally/v4"
@@ -38,8 +39,9 @@
 type Limits struct {
 	// MaxConfigAge is the maximum time since the configuration was last confirmed to be the newest.
 	MaxConfigAge time.Duration
-	// MaxOpenJobs limits the jobs that have not ended.
+	// MaxOpenJobs limits the jobs that have not ended, and JobMemory the memory that they take on the owner.
 	MaxOpenJobs int
+	JobMemory   fleet.Bytes
 }
 
 // Intake serves callers on one host.
@@ -48,6 +50,7 @@
 	follower *feed.Follower
 	writer   *feed.Writer
 	limits   atomic.Pointer[Limits]
+	room     room
 	clock    clock.Clock
 	log      *slog.Logger
 	scope    tally.Scope
@@ -128,9 +131,11 @@
 		i.log.Info("job known", "Job", j.ID, "Queue", c.Queue.Name)
 		return nil
 	}
-	if n, limit := i.table.CountOpen(), i.limits.Load().MaxOpenJobs; limit > 0 && n >= limit {
-		return ErrBusy{Why: fmt.Sprintf("%d jobs are open, the limit is %d", n, limit), RetryAfter: retryAfter, IsFull: true}
+	give, err := i.room.take(i.table, j.Footprint(), *i.limits.Load())
+	if err != nil {
+		return err
 	}
+	defer give()
 	j.Queue, j.Organisation, j.Accepted, j.Terms = c.Queue.Name, c.Organisation, i.clock.Now(), c.Queue.Terms()
 	r, err := jobs.JobRecord(j)
 	if err != nil {
--- a/internal/host/door.go
+++ b/internal/host/door.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/setup"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/transport/guard"
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
@@ -16,6 +18,8 @@
 	// connections of clients may take.
 	clientMemoryDivisor     = 8
 	connectionMemoryDivisor = 4
+	// jobMemoryDivisor gives the part that open jobs may take.
+	jobMemoryDivisor = 2
 	// connectionBytes is the memory that a connection takes: its buffers, its goroutine, and what it has received and the
 	// process has not read.
 	connectionBytes = 64 << 10
@@ -62,6 +66,14 @@
 	}
 }
 
+// jobMemory returns the memory that open jobs may take.
+func jobMemory(s *setup.Site) fleet.Bytes {
+	if s.Limits.JobMemory > 0 {
+		return s.Limits.JobMemory
+	}
+	return s.Limits.Memory / jobMemoryDivisor
+}
+
 // maxCallers returns the number of connections that callers may keep open.
 func (h *Host) maxCallers() int {
 	m := h.settings.Limits
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -165,7 +165,7 @@
 }
 
 func intakeLimits(s *setup.Site) intake.Limits {
-	return intake.Limits{MaxConfigAge: s.Bounds.Revoke - revokeMargin, MaxOpenJobs: s.Limits.MaxOpenJobs}
+	return intake.Limits{MaxConfigAge: s.Bounds.Revoke - revokeMargin, MaxOpenJobs: s.Limits.MaxOpenJobs, JobMemory: jobMemory(s)}
 }
 
 // Reload applies the settings that can change at run time, and returns the changed sections that need a restart.
@@ -190,7 +190,7 @@
 		needStart = append(needStart, "Plan")
 	}
 	m := s.Limits
-	m.Memory, m.MaxOpenJobs = old.Limits.Memory, old.Limits.MaxOpenJobs
+	m.Memory, m.MaxOpenJobs, m.JobMemory = old.Limits.Memory, old.Limits.MaxOpenJobs, old.Limits.JobMemory
 	if m != old.Limits {
 		needStart = append(needStart, "Limits")
 	}
--- a/internal/setup/site.go
+++ b/internal/setup/site.go
@@ -75,6 +75,8 @@
 	Processors float64
 	// MaxOpenJobs bounds the number of jobs that have not ended.
 	MaxOpenJobs int
+	// JobMemory bounds the memory that open jobs take on the owner; zero means a part of Memory.
+	JobMemory fleet.Bytes
 	// Body bounds the body of one request, and Header its header.
 	Body   fleet.Bytes
 	Header fleet.Bytes
@@ -119,6 +121,7 @@
 		s.Limits.Memory = x.bytes("Memory", defaultMemory, fleet.Megabyte, maxMemory)
 		s.Limits.Processors = x.fraction("Processors", 1)
 		s.Limits.MaxOpenJobs = x.count("MaxOpenJobs", defaultOpenJobs, 1, maxOpenJobs)
+		s.Limits.JobMemory = x.bytes("JobMemory", 0, fleet.Megabyte, maxMemory)
 		s.Limits.Body = x.bytes("Body", fleet.Megabyte, kilobyte, maxBody)
 		s.Limits.Header = x.bytes("Header", defaultHeader, kilobyte, fleet.Megabyte)
 		s.Limits.CallerMemory = x.bytes("CallerMemory", 0, fleet.Megabyte, maxMemory)
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -107,6 +107,8 @@
 	// offset is that of the job record, or of the end record once the job has ended.
 	offset int64
 	units  map[UnitKey]*Unit
+	// footprint is that of the job when it was read.
+	footprint fleet.Bytes
 }
 
 // IsOpen reports whether the job still has to run.
@@ -114,6 +116,25 @@
 	return j.State == Open && !j.IsCancelling
 }
 
+const (
+	// jobBytes, stepBytes and unitBytes are the memory that an open job, one of its steps and one of its units take on the
+	// owner, at most.
+	jobBytes  fleet.Bytes = 4 << 10
+	stepBytes fleet.Bytes = 4 << 10
+	unitBytes fleet.Bytes = 2 << 10
+)
+
+// Footprint returns an estimate of the memory that the job takes on the owner while it is open.
+func (j *Job) Footprint() fleet.Bytes {
+	n := jobBytes + fleet.Bytes(len(j.Spec))
+	for k := range j.Steps {
+		s := &j.Steps[k]
+		n += stepBytes + fleet.Bytes(8*len(s.After))
+		n += unitBytes * fleet.Bytes(s.Units()) * fleet.Bytes(j.Occurrences())
+	}
+	return n
+}
+
 // HasStarted reports whether a task of the job has ever started, or is about to.
 func (j *Job) HasStarted() bool {
 	for _, u := range j.units {
--- a/internal/state/jobs/table.go
+++ b/internal/state/jobs/table.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/pkg/errors"
 )
 
@@ -120,7 +121,7 @@
 	if why := j.Check(); j.ID != id || why != "" {
 		return fmt.Errorf("apply %s: job id %q, check %q: %w", r.Key, j.ID, why, ErrMalformed)
 	}
-	j.offset = offset
+	j.offset, j.footprint = offset, j.Footprint()
 	j.units = map[UnitKey]*Unit{}
 	for _, u := range t.orphans[id] {
 		if j.hasUnit(u.Key) {
@@ -280,15 +281,15 @@
 	return n
 }
 
-// CountOpen returns the number of jobs that have not ended.
-func (t *Table) CountOpen() int {
+// CountOpen returns the number of jobs that have not ended, and the memory that they take on the owner.
+func (t *Table) CountOpen() (n int, footprint fleet.Bytes) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
 	for _, j := range t.jobs {
 		if j.State == Open {
 			n++
+			footprint += j.footprint
 		}
 	}
-	return n
+	return n, footprint
 }
--- a/tests/crowd_test.go
+++ b/tests/crowd_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -105,3 +107,29 @@
 	require.Empty(t, s.findViolations())
 	g.requireWithinLimits("after the request")
 }
+
+// largeJobs is the number of jobs of a crowd that hands in jobs of very many tasks.
+const largeJobs = 40
+
+// TestLargeJobsKeepHostWithinItsLimits guards against jobs that are small as requests and large once they are accepted: of very
+// many tasks, or of very many steps, for which no worker has room. The host must stay within its memory, and run a small job.
+func TestLargeJobsKeepHostWithinItsLimits(t *testing.T) {
+	s, h := newCrowdSite(t)
+	g := startGauge(t, s.process(h.name), h.ip)
+	var clients sync.WaitGroup
+	for i := range largeJobs {
+		steps := `{"count":20000,"cpu":99999999}`
+		if i%2 == 1 {
+			steps = strings.TrimSuffix(strings.Repeat(`{"count":1,"cpu":99999999},`, 5000), ",")
+		}
+		body := []byte(`{"spec":"x","steps":[` + steps + `]}`)
+		clients.Go(func() {
+			s.call(h, soakRequest{http.MethodPost, "quiet", fmt.Sprintf("%016x", 1<<48+i), s.key("harbour"), body})
+		})
+	}
+	clients.Wait()
+	g.requireWithinLimits("after the large jobs")
+	s.requireServes(h, s.plan.jobs[0], "beside the large jobs")
+	g.requireWithinLimits("after the small job")
+	t.Log(g)
+}
