Count the occurrences of a job that are not due by their records alone

The bound on the memory of open jobs counted each occurrence of a scheduled job as if all were due at once, so that a job of few tasks and many occurrences could be refused on a small host. Only the units of the occurrence that is due are on the owner in full; the others take a record each.

--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -118,10 +118,11 @@
 
 const (
 	// jobBytes, stepBytes and unitBytes are the memory that an open job, one of its steps and one of its units take on the
-	// owner, at most.
-	jobBytes  fleet.Bytes = 4 << 10
-	stepBytes fleet.Bytes = 4 << 10
-	unitBytes fleet.Bytes = 2 << 10
+	// owner, at most. A unit of an occurrence that is not due, or that has ended, takes recordBytes.
+	jobBytes    fleet.Bytes = 4 << 10
+	stepBytes   fleet.Bytes = 4 << 10
+	unitBytes   fleet.Bytes = 2 << 10
+	recordBytes fleet.Bytes = 512
 )
 
 // Footprint returns an estimate of the memory that the job takes on the owner while it is open.
@@ -130,7 +131,7 @@
 	for k := range j.Steps {
 		s := &j.Steps[k]
 		n += stepBytes + fleet.Bytes(8*len(s.After))
-		n += unitBytes * fleet.Bytes(s.Units()) * fleet.Bytes(j.Occurrences())
+		n += fleet.Bytes(s.Units()) * (unitBytes + recordBytes*fleet.Bytes(j.Occurrences()-1))
 	}
 	return n
 }
