Start borrowers only where they are likely to keep their room

Cause: the least urgent tasks start in any free room and are stopped when the next urgent gang comes, many within half a second; those that checkpoint also take the room that is kept for urgent work, and a gang of middle urgency that doesn't waits behind them; and free accelerators count as room for gangs that need whole workers.

Change: the optional mechanism DelayCost remembers how much room more urgent jobs had and wanted, and starts a job only if the room left, counted by what recent urgent tasks could use, covers the likely rise until the job has ended or saved. Room that less urgent work has borrowed counts. The idle bound and guarantees stand above.

--- a/internal/state/plan/claim.go
+++ b/internal/state/plan/claim.go
@@ -130,6 +130,7 @@
 func (p *Planner) awaitStops(e *entry, c preemption, reason string) {
 	e.awaited = c.sites
 	p.bookPending(e, 1)
+	p.pass.scarcity.awaited += e.shape.TotalAccelerators()
 	for _, b := range c.stops {
 		p.requestStop(b, reason)
 	}
--- a/internal/state/plan/headroom.go
+++ b/internal/state/plan/headroom.go
@@ -120,9 +120,23 @@
 	return &headroom{settings: p.headroom}
 }
 
+// freeAccelerators returns the accelerators of open workers that no job has or awaits.
+func (p *Planner) freeAccelerators() int {
+	free := 0
+	for _, r := range p.ledger.Racks() {
+		for _, s := range r.Sites {
+			if !s.Closed {
+				free += max(s.Free().Accelerators, 0)
+			}
+		}
+	}
+	return free
+}
+
 // leavesHeadroom reports whether starting a job leaves enough accelerators free for urgent jobs.
 func (p *Planner) leavesHeadroom(e *entry) bool {
-	if p.headroom.decay == 0 || e.isUrgent() || !e.job.LosesProgress {
+	// With DelayCost, keepsRoom decides instead once the sites are known.
+	if p.headroom.decay == 0 || !p.disabled[DelayCost] || e.isUrgent() || !e.job.LosesProgress {
 		return true
 	}
 	h := p.headroomOf(e)
--- a/internal/state/plan/idlerandom_test.go
+++ b/internal/state/plan/idlerandom_test.go
@@ -18,13 +18,17 @@
 const idlePlay = 20 * time.Second
 
 // TestNoJobIdlesBesideRoom guards against accepted jobs that have nothing placed for seconds beside room for two of them, in random
-// failure domains with random work, slow stops and workers that fail, refuse, leave or do not answer.
+// failure domains with random work, slow stops and workers that fail, refuse, leave or do not answer; also where less urgent work is held
+// back for the cost of a delay.
 func TestNoJobIdlesBesideRoom(t *testing.T) {
 	for i := range *idleSeeds {
 		seed := *idleFirst + uint64(i)
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			require.Empty(t, newIdleSim(seed).play(idlePlay))
+			s := newIdleSim(seed)
+			With(DelayCost)(s.p)
+			require.Empty(t, s.play(idlePlay))
 		})
 	}
 }
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -82,6 +82,8 @@
 	ends map[*entry]time.Time
 	// lastSites holds the site where the last task of a query was placed, which often has room for the next one.
 	lastSites map[roomQuery]*place.Site
+	// scarcity is the room for which jobs compete.
+	scarcity scarcity
 }
 
 // Pass decides which jobs to start, stop and refuse now.
@@ -127,6 +129,7 @@
 	p.rebookPending()
 	p.noteUrgentStretch()
 	p.updateHeadroom()
+	p.observeScarcity()
 	p.refillStartRate()
 }
 
@@ -252,6 +255,9 @@
 		return
 	}
 	if sites, reason := p.findSites(e); sites != nil {
+		if !p.keepsRoom(e, sites) && !p.isOverdue(e) {
+			return
+		}
 		p.startOutside(e, sites, reason, d)
 		return
 	}
@@ -285,6 +291,7 @@
 // isHeldBack reports, as the reason for which a job waits, whether room is kept from it for urgent jobs.
 func (p *Planner) isHeldBack(e *entry) bool {
 	switch {
+	case p.isAlreadyHeld(e):
 	case !p.leavesHeadroom(e):
 		e.reason = waitReason{code: reasonHeadroom, a: p.headroomOf(e).free, b: p.headroomOf(e).reserved}
 	case !p.hasStartToken(e):
@@ -299,6 +306,7 @@
 func (p *Planner) startOutside(e *entry, sites []*place.Site, reason string, d *Decisions) {
 	p.headroomOf(e).take(p.countFastEnough(e, sites), e.isUrgent())
 	p.takeStartToken(e)
+	p.noteStart(e, sites)
 	p.start(e, sites, reason, d)
 }
 
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/config"
+	"github.com/auburncleat/auburncleat/internal/state/cost"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/health"
 	"github.com/auburncleat/auburncleat/internal/state/hold"
@@ -44,6 +45,8 @@
 	headroom            headroomSettings
 	// headrooms holds the headroom of each service.
 	headrooms map[string]*headroom
+	// demand holds, for each rank, the recent demand of all jobs that are more urgent.
+	demand [rankCount]cost.Demand
 	// recentShapes are the shapes of the most recent urgent gangs.
 	recentShapes []fleet.Shape
 	// lossBounds are the loss bounds of urgent jobs and of other jobs; see WithLossBounds.
--- a/internal/state/plan/speeds.go
+++ b/internal/state/plan/speeds.go
@@ -198,7 +198,7 @@
 		limit /= runTimeMargin
 	}
 	for _, t := range tiersOf(e, isHeldBack) {
-		if to := p.fitTier(e, t, limit); to != nil {
+		if to := p.fitTier(e, t, limit); to != nil && (p.keepsRoom(e, to) || p.isOverdue(e)) {
 			p.startOutside(e, to, "on workers whose speed suits it", d)
 			return true
 		}
