Finish late jobs that are nearly done first

Cause: a job is of use only once all its tasks have ended, but its last tasks, late by then, wait until no job is left that could be in time. Change: with DelayCost a late job of which at most a third is left is ordered like one that can be in time.

Failed before: TestNearlyDoneJobsAreFinished: expected: 2, actual: 0

--- a/internal/state/plan/idle.go
+++ b/internal/state/plan/idle.go
@@ -28,6 +28,8 @@
 type submission struct {
 	key  string
 	jobs int
+	// most is the highest number of jobs that it had.
+	most int
 	// idleSince is when one of its jobs was last at work, or when the first was submitted.
 	idleSince time.Time
 	// emptySince is when its last job was deleted.
@@ -61,6 +63,7 @@
 	}
 	e.submission = p.submissions[k]
 	e.submission.jobs++
+	e.submission.most = max(e.submission.most, e.submission.jobs)
 }
 
 // deleteJob removes a job from the table and from its submission.
--- a/internal/state/plan/order.go
+++ b/internal/state/plan/order.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/state/cost"
 	"github.com/auburncleat/auburncleat/internal/state/place"
 )
 
@@ -48,6 +49,17 @@
 // defaultWaitBound is used to order jobs whose profile has no wait bound.
 const defaultWaitBound = 4 * time.Hour
 
+// orderTimeliness returns the timeliness by which a job is ordered. A late job whose submission is nearly done counts as on time: it is
+// of use only as a whole, and little work is missing.
+func (p *Planner) orderTimeliness(e *entry) timeliness {
+	t := p.timeliness(e)
+	x := e.submission
+	if t == late && !p.disabled[DelayCost] && cost.IsNearlyDone(x.jobs, x.most) {
+		return onTime
+	}
+	return t
+}
+
 type queuedJob struct {
 	e          *entry
 	rank       int
@@ -61,7 +73,7 @@
 	os := make([]queuedJob, 0, p.queuedTotal)
 	for _, e := range p.jobs {
 		if e.isQueued() && isOf(e) {
-			os = append(os, queuedJob{e: e, rank: p.effectiveRank(e), timeliness: p.timeliness(e), waitRatio: p.waitRatioOrDefault(e)})
+			os = append(os, queuedJob{e: e, rank: p.effectiveRank(e), timeliness: p.orderTimeliness(e), waitRatio: p.waitRatioOrDefault(e)})
 		}
 	}
 	slices.SortFunc(os, func(x, y queuedJob) int {
