--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -128,8 +128,13 @@
 		// Lasting tasks run again whatever their result.
 		res = jobs.Stopped
 	}
-	if res == jobs.FailedRun {
+	switch res {
+	case jobs.FailedRun:
 		u.failures++
+	case jobs.Done:
+		e.churn.done++
+		e.scope.Counter("units_done").Inc(1)
+	default:
 	}
 	if u.isOver {
 		e.releaseRun(u, res)
--- a/internal/coordination/exec/summary.go
+++ b/internal/coordination/exec/summary.go
@@ -9,6 +9,9 @@
 // summaryInterval is the time between two log lines that summarize the queue and the workers.
 const summaryInterval = 2 * time.Second
 
+// forecastTime is how far ahead the summary forecasts the demand of more urgent work.
+const forecastTime = 5 * time.Second
+
 func percent(part, whole int) int {
 	return int(100 * float64(part) / float64(max(whole, 1)))
 }
@@ -42,6 +45,7 @@
 		"Ready", workers[plan.WorkerReady], "Leaving", workers[plan.WorkerLeaving],
 		"Evacuated", workers[plan.WorkerEvacuated], "Quarantined", workers[plan.WorkerQuarantined], "Probation", workers[plan.WorkerProbation],
 	}
+	args = append(args, e.describeCompetition()...)
 	if oldest != nil {
 		s, err := e.planner.Status(oldest.name)
 		reason := s.Reason
@@ -57,6 +61,29 @@
 	e.reportEvacuations()
 }
 
+// describeCompetition returns the attributes of the summary that tell how jobs compete for room, if the planner decides by it.
+func (e *Engine) describeCompetition() []any {
+	c, ok := e.planner.Competition(forecastTime)
+	if !ok {
+		return nil
+	}
+	e.scope.Gauge("units_held_back").Update(float64(c.HeldBack))
+	e.scope.Gauge("accelerators_usable").Update(float64(c.Usable))
+	e.scope.Gauge("accelerators_rise").Update(float64(c.LikelyRise))
+	out := []any{
+		"Free", c.Free, "Usable", c.Usable, "Awaited", c.Awaited, "LikelyRise", c.LikelyRise, "HeldBack", c.HeldBack,
+		"Preempted", e.churn.preempted, "Done", e.churn.done,
+	}
+	e.churn = churn{}
+	return out
+}
+
+// churn counts runs since the last summary.
+type churn struct {
+	// preempted runs were stopped for other units, done ones ended with success.
+	preempted, done int
+}
+
 // FindWorkers lists the workers known to the planner.
 func (e *Engine) FindWorkers() []plan.WorkerView {
 	e.mu.Lock()
