--- a/internal/coordination/exec/evacuate_test.go
+++ b/internal/coordination/exec/evacuate_test.go
@@ -192,8 +192,8 @@
 						return nil
 					}
 					x.submit(testID, step)
-					for x.countSent("a") == 0 {
-						x.advance(time.Millisecond)
+					for until := time.Now().Add(5 * time.Second); x.countSent("a") == 0; x.advance(time.Millisecond) {
+						require.True(t, time.Now().Before(until), "no start was sent")
 					}
 					x.advance(20 * time.Millisecond)
 					x.mu.Lock()
