Search the tiers of speed without repeats, and keep jobs from idling there

Each tier keeps the site of its last task, and a job for which the pass has no room is not searched for in any tier. Tasks of one kind with different limits made each other forget that site, so that each search looked at all workers.

--- a/internal/state/plan/idlerandom_test.go
+++ b/internal/state/plan/idlerandom_test.go
@@ -32,3 +32,19 @@
 		})
 	}
 }
+
+// TestNoJobIdlesOnUnevenWorkers guards the same where speeds are taken into account: room on workers that do not suit a job is no
+// reason to let it idle.
+func TestNoJobIdlesOnUnevenWorkers(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newIdleSim(seed)
+			With(Speeds)(s.p)
+			for i, w := range s.workers {
+				s.p.SetSlowness(w.Name, []float64{0, 1, 0.6, 1.6}[(uint64(i)+seed)%4])
+			}
+			require.Empty(t, s.play(idlePlay))
+		})
+	}
+}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -81,7 +81,7 @@
 	// ends caches the expected ends of started gangs.
 	ends map[*entry]time.Time
 	// lastSites holds the site where the last task of a query was placed, which often has room for the next one.
-	lastSites map[roomQuery]*place.Site
+	lastSites map[tierQuery]*place.Site
 	// scarcity is the room for which jobs compete.
 	scarcity scarcity
 }
@@ -119,7 +119,7 @@
 	}
 	p.pass = passState{
 		failed: map[roomQuery]time.Duration{}, noPreemption: map[preemptionKey]bool{}, ends: map[*entry]time.Time{},
-		lastSites: map[roomQuery]*place.Site{}, isTight: map[roomQuery]bool{}, fitsRack: map[roomQuery]bool{}, isStarting: map[*submission]bool{},
+		lastSites: map[tierQuery]*place.Site{}, isTight: map[roomQuery]bool{}, fitsRack: map[roomQuery]bool{}, isStarting: map[*submission]bool{},
 		noTierRoom: map[tierQuery]time.Duration{},
 	}
 	p.dropSubmissions()
@@ -393,19 +393,14 @@
 func (p *Planner) findSites(e *entry) ([]*place.Site, string) {
 	run := p.runTime(e)
 	key := e.roomQuery()
-	if f, ok := p.pass.failed[key]; ok && run >= f && len(e.avoid) == 0 {
-		e.reason = waitReason{code: reasonRoom}
-		return nil, ""
-	}
-	if !p.mayFit(e) {
-		p.pass.failed[key], p.pass.isTight[key] = run, true
+	if p.hasNoRoom(e) {
 		e.reason = waitReason{code: reasonRoom}
 		return nil, ""
 	}
 	end := p.now.Add(run)
 	q := place.Search{Shape: e.shape, Targets: p.scoringTargets()}
 	q.View = p.backfillView(e, end, (*place.Site).FreeUncommitted)
-	if to := p.fitUnreserved(e, key, q); to != nil {
+	if to := p.fitUnreserved(e, tierQuery{room: key}, q); to != nil {
 		return to, "on capacity that no reservation needs"
 	}
 	q.View = p.backfillView(e, end, (*place.Site).Free)
@@ -427,9 +422,23 @@
 	return nil, ""
 }
 
+// hasNoRoom reports whether a job has no room in the pass, as far as that is known without a search.
+func (p *Planner) hasNoRoom(e *entry) bool {
+	run := p.runTime(e)
+	key := e.roomQuery()
+	if f, ok := p.pass.failed[key]; ok && run >= f && len(e.avoid) == 0 {
+		return true
+	}
+	if p.mayFit(e) {
+		return false
+	}
+	p.pass.failed[key], p.pass.isTight[key] = run, true
+	return true
+}
+
 // fitUnreserved finds room that is not reserved. A single task goes next to the last task of the same shape if it fits
 // there, which saves the search.
-func (p *Planner) fitUnreserved(e *entry, key roomQuery, q place.Search) []*place.Site {
+func (p *Planner) fitUnreserved(e *entry, key tierQuery, q place.Search) []*place.Site {
 	isPacked := e.shape.Tasks == 1 && len(e.avoid) == 0
 	if s := p.pass.lastSites[key]; isPacked && s != nil && q.View(s).Holds(e.need) > 0 {
 		return []*place.Site{s}
--- a/internal/state/plan/speeds.go
+++ b/internal/state/plan/speeds.go
@@ -120,8 +120,10 @@
 type speedTier int
 
 const (
+	// tierAny has all sites.
+	tierAny speedTier = iota
 	// tierFast has the sites that are faster than typical and fast enough for the job.
-	tierFast speedTier = iota
+	tierFast
 	// tierKnown has the sites that are known to be fast enough for the job.
 	tierKnown
 	// tierFastEnough has the sites that are fast enough as far as is known.
@@ -149,6 +151,8 @@
 func (t speedTier) has(p *Planner, s *place.Site, limit float64) bool {
 	x := slownessOf(s)
 	switch t {
+	case tierAny:
+		return true
 	case tierFast:
 		return x < 1 && x <= limit
 	case tierKnown:
@@ -190,6 +194,9 @@
 	if !p.isUneven || isHeldBack && (e.isUrgent() || !p.hasStartToken(e)) {
 		return false
 	}
+	if p.hasNoRoom(e) {
+		return false
+	}
 	limit := p.maxSlowness(e)
 	if limit < 1 && !e.isUrgent() || math.IsInf(limit, 1) && e.isUrgent() {
 		return false
@@ -235,7 +242,7 @@
 		return s.FreeUncommitted()
 	}
 	q.View = p.backfillView(e, p.now.Add(run), inTier)
-	to := p.fitUnreserved(e, room, q)
+	to := p.fitUnreserved(e, tierQuery{room: room, tier: t}, q)
 	if to == nil && len(e.avoid) == 0 {
 		p.pass.noTierRoom[key] = run
 	}
