Place tasks that last without regard to speed

They have no end, so that every limit of slowness was met and slow workers came first. Before: TestLastingWorkTakesNoSlowWorkersFirst expected w000, got w001.

--- a/internal/state/plan/speeds.go
+++ b/internal/state/plan/speeds.go
@@ -189,9 +189,10 @@
 }
 
 // startBySpeed starts a job where the known speeds of the workers suit it and reports whether there is such room. A job that is
-// held back for urgent ones may start only where these would be late.
+// held back for urgent ones may start only where these would be late. A job that lasts has no end for which speed matters, and is
+// placed as without speeds.
 func (p *Planner) startBySpeed(e *entry, isHeldBack bool, d *Decisions) bool {
-	if !p.isUneven || isHeldBack && (e.isUrgent() || !p.hasStartToken(e)) {
+	if !p.isUneven || e.job.Lasts || isHeldBack && (e.isUrgent() || !p.hasStartToken(e)) {
 		return false
 	}
 	if p.hasNoRoom(e) {
--- a/internal/state/plan/speeds_test.go
+++ b/internal/state/plan/speeds_test.go
@@ -67,6 +67,16 @@
 	require.Equal(t, map[string][]string{"0": {"w001"}}, placedOn(p.Pass(start)))
 }
 
+// TestLastingWorkTakesNoSlowWorkersFirst guards tasks that serve callers for as long as they run against a place on slow workers, as
+// they would never be done there.
+func TestLastingWorkTakesNoSlowWorkersFirst(t *testing.T) {
+	p := unevenPlanner(t, 1, 1.6)
+	j := timedJob("0", "Audit", shape(1, 8, fleet.LevelDomain), 0)
+	j.Lasts = true
+	require.NoError(t, p.Submit(j))
+	require.Equal(t, map[string][]string{"0": {"w000"}}, placedOn(p.Pass(start)))
+}
+
 // TestGangsAreAlikeInSpeed guards against gangs spread over fast and slow workers, of which the fast ones then wait.
 func TestGangsAreAlikeInSpeed(t *testing.T) {
 	p := unevenPlanner(t, 1.6, 1, 1.6, 1)
