exec: ask an idle worker for a report before its next start

A start decided in the up to 250 ms before its entry is read was sent by the labels of the former lifetime, if the last report was less than 2.4 s old.

Change: a start on a worker that names its lifetimes waits for a report if more than 0.4 s passed from the last report to the poll that is under way, or to now; that poll asks for an answer at once (before, from 0.9 s on).

--- a/internal/coordination/exec/lifetime.go
+++ b/internal/coordination/exec/lifetime.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/place"
@@ -14,6 +15,23 @@
 	return w.runner.Instance == "" || w.instance == "" || w.runner.Instance == w.instance
 }
 
+// minAbsence is the shortest time between two lifetimes of a worker.
+const minAbsence = 400 * time.Millisecond
+
+// mayHaveRestarted reports whether the next lifetime of a worker that names its lifetimes may have begun since the last report. A poll that
+// is under way fails when the worker ends.
+func (w *worker) mayHaveRestarted(now time.Time) bool {
+	if w.lastPoll.After(w.lastReport) {
+		now = w.lastPoll
+	}
+	return w.runner.Instance != "" && now.Sub(w.lastReport) > minAbsence
+}
+
+// isUncertain reports whether a start has to wait for a report or for the entry of the worker: it may have ended, or be of another kind.
+func (w *worker) isUncertain(now time.Time) bool {
+	return w.mayHaveEnded(now) || !w.isDescribed() || w.mayHaveRestarted(now)
+}
+
 // handleListing processes a new entry of a worker; one of another lifetime than that of the last report calls for a new report.
 func (e *Engine) handleListing(w *worker) {
 	if !w.isDescribed() {
--- a/internal/coordination/exec/otherkind_test.go
+++ b/internal/coordination/exec/otherkind_test.go
@@ -144,3 +144,35 @@
 		})
 	}
 }
+
+// TestIdleWorkerIsAskedBeforeItsNextStart guards against tasks on workers without the label that they require: an idle worker, which is not
+// asked for reports, comes back as another kind, and a start is decided before its entry is read.
+func TestIdleWorkerIsAskedBeforeItsNextStart(t *testing.T) {
+	const next = "00000000000000bb"
+	for _, idle := range []time.Duration{minAbsence + 10*time.Millisecond, time.Second, 2 * time.Second} {
+		t.Run(idle.String(), func(t *testing.T) {
+			runInLabelledRig(t, func(r *rig) {
+				r.submitLabelled(testID, "a", 1)
+				r.requireRunning(testID, 1, time.Second)
+				r.append(jobs.CancelRecord(testID))
+				for !r.isIdle("w0") {
+					r.advance(time.Millisecond)
+				}
+				r.advance(idle)
+				r.runners.Add(labelledWorker(0, "b"))
+				r.submitLabelled(next, "a", 1)
+				r.advance(time.Second)
+				require.Empty(t, r.runners.Faults())
+				require.Equal(t, map[phase]int{phaseQueued: 1}, r.phases(next))
+			})
+		})
+	}
+}
+
+// isIdle reports whether nothing runs on a worker and no poll of it is under way.
+func (r *rig) isIdle(worker string) bool {
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	w := r.engine.workers[worker]
+	return len(w.tasks) == 0 && w.lastAckedEnd == w.lastHandledEnd && w.lastPoll.Before(w.lastReport)
+}
--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -73,7 +73,8 @@
 	if !w.isFailing && now.Sub(w.lastReport) <= maxAckAge && w.ackableEnd() > w.lastAckedEnd {
 		h.AckedEnd, h.Once, h.Within = w.ackableEnd(), true, responseTimeout
 	}
-	mayWait := w.isAnswering() && !w.mayHaveEnded(now.Add(pollWait)) && len(w.orphans) == 0 && !w.hasBarredTask() && !w.isOutdated
+	mayWait := w.isAnswering() && !w.mayHaveEnded(now.Add(pollWait)) && len(w.orphans) == 0 && !w.hasBarredTask() && !w.isOutdated &&
+		!w.mayHaveRestarted(now)
 	w.isOutdated = false
 	if !mayWait {
 		h.Wait = 0
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -62,7 +62,7 @@
 		}
 		now := e.clock.Now()
 		if pause := e.startPause(w, now); pause > 0 {
-			isLate := (w.mayHaveEnded(now) || !w.isDescribed()) && !now.Before(deadline)
+			isLate := w.isUncertain(now) && !now.Before(deadline)
 			done := isLate && e.handleStartReply(u, m, run, w, 0, port.ErrUnsent, deadline, isUndecided)
 			e.mu.Unlock()
 			if done || e.clock.Sleep(e.ctx, pause) != nil {
@@ -107,7 +107,7 @@
 	switch {
 	case !e.mayHold() || w.isFailing:
 		return commandRetryInterval
-	case w.mayHaveEnded(now) || !w.isDescribed():
+	case w.isUncertain(now):
 		return reportCheckInterval
 	default:
 		return 0
