--- a/internal/state/plan/delaycost.go
+++ b/internal/state/plan/delaycost.go
@@ -165,8 +165,7 @@
 func (p *Planner) keepsRoom(e *entry, sites []*place.Site) bool {
 	s := &p.pass.scarcity
 	rank := e.rank()
-	isPlenty := p.capacity.Accelerators-s.free+e.shape.TotalAccelerators() <= int(busyShare*float64(p.capacity.Accelerators))
-	if p.disabled[DelayCost] || isPlenty || rank == 0 {
+	if p.disabled[DelayCost] || rank == 0 || p.leavesPlenty(e) {
 		return true
 	}
 	left := s.usable[rank] - p.takenBy(e, sites) - float64(s.awaited)
@@ -178,6 +177,12 @@
 	return false
 }
 
+// leavesPlenty reports whether less than busyShare of the accelerators are in use once a job has started.
+func (p *Planner) leavesPlenty(e *entry) bool {
+	used := p.capacity.Accelerators - p.pass.scarcity.free + e.shape.TotalAccelerators()
+	return used <= int(busyShare*float64(p.capacity.Accelerators))
+}
+
 // takenBy returns the usable room that a job takes on the sites.
 func (p *Planner) takenBy(e *entry, sites []*place.Site) float64 {
 	x := 0.0
