guard: bound receive buffers from the listener on

Cause: the buffer was set after a connection was accepted, when its window had grown already.

Change: the listener has the small buffer and its connections inherit it.

--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -61,6 +61,7 @@
 // Listen returns a listener that keeps at most a number of the connections of l open. When there are as many, one without
 // progress for stalledAfter may be closed for a new one.
 func (g *Guard) Listen(l net.Listener, connections int, stalledAfter time.Duration) *Listener {
+	limitReceiveBuffers(l)
 	return &Listener{Listener: l, guard: g, max: connections, stalledAfter: stalledAfter, conns: map[*conn]struct{}{}}
 }
 
--- a/internal/transport/guard/listener.go
+++ b/internal/transport/guard/listener.go
@@ -3,12 +3,29 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // receiveBufferBytes is the size of the receive buffer of a connection, which holds what the process has not read.
 const receiveBufferBytes = 32 << 10
 
+// limitReceiveBuffers bounds the receive buffers of the connections that a listener accepts, also before they are accepted. A
+// system that refuses it keeps its own size.
+func limitReceiveBuffers(l net.Listener) {
+	t, ok := l.(*net.TCPListener)
+	if !ok {
+		return
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+	})
+}
+
 // Listener keeps at most a number of connections open. For a new one beyond them it closes an idle or a stalled one; if
 // there is none it closes the new one, so that no connection waits unaccepted.
 type Listener struct {
@@ -47,10 +64,6 @@
 		l.guard.count(causeEvicted)
 		_ = v.Close()
 	}
-	if t, ok := x.(*net.TCPConn); ok {
-		// A system that refuses it keeps its own size.
-		_ = t.SetReadBuffer(receiveBufferBytes)
-	}
 	c := &conn{Conn: x, listener: l, progressAt: now, isInHeader: true, loan: loan{budget: l.guard.budget}}
 	l.mu.Lock()
 	defer l.mu.Unlock()
