Sum the evidence on speeds in a fixed order

The rates of a group and the median worker were summed in the order of a map, so that rounding could decide a class and a seed might not replay exactly.

--- a/internal/state/speed/class.go
+++ b/internal/state/speed/class.go
@@ -55,14 +55,17 @@
 // medianWorker returns the median of the estimates of all workers with evidence, which is uncertain if these are few.
 func (t *Tracker) medianWorker() value {
 	means := make([]float64, 0, len(t.workers))
-	sum := 0.0
 	for _, w := range t.workers {
 		if len(w.evidence) > 0 {
-			m := w.estimate(Group{}).mean
-			means = append(means, m)
-			sum += m
+			means = append(means, w.estimate(Group{}).mean)
 		}
 	}
+	// Sums of the sorted values do not depend on the order of the map.
+	slices.Sort(means)
+	sum := 0.0
+	for _, m := range means {
+		sum += m
+	}
 	n := float64(len(means))
 	if n < minKnown {
 		return value{variance: square(priorDeviation)}
@@ -71,7 +74,6 @@
 	for _, m := range means {
 		scatter += square(m - sum/n)
 	}
-	slices.Sort(means)
 	return value{mean: means[len(means)/2], variance: medianVariance * scatter / (n * n)}
 }
 
--- a/internal/state/speed/tracker.go
+++ b/internal/state/speed/tracker.go
@@ -1,6 +1,8 @@
 package speed
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -62,6 +64,10 @@
 	run    int
 }
 
+func (k taskKey) compare(o taskKey) int {
+	return cmp.Or(cmp.Compare(k.worker, o.worker), cmp.Compare(k.task, o.task), cmp.Compare(k.run, o.run))
+}
+
 // progress is what was last read of a task, and a reading before from which its rate is computed.
 type progress struct {
 	first, last Reading
@@ -184,7 +190,9 @@
 // rates returns the rate of the group on each worker, from all its tasks there.
 func (g *group) rates() map[string]value {
 	out := map[string]value{}
-	for k, p := range g.tasks {
+	// Sums in the order of the keys do not depend on the order of the map.
+	for _, k := range slices.SortedFunc(maps.Keys(g.tasks), taskKey.compare) {
+		p := g.tasks[k]
 		if p.variance == 0 {
 			continue
 		}
