Drop the kept terms of a queue once a configuration holds it

An owner that adopts jobs before it has read a configuration keeps the terms of all their queues. They stood for the rest of its term, so that a service that only they named still counted as one of the deployment's. The terms are dropped when a configuration names the queue, and the log speaks of a removed queue only when a configuration is known. They are kept outside of the view of the job table now, whose lock the calls that follow could have asked for again.

--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -34,6 +34,8 @@
 	}
 	var newUnits []*unit
 	isCancelling, isEnded, isDone := false, false, false
+	var queueName string
+	var terms *jobs.Terms
 	e.deps.Table.View(id, func(j *jobs.Job) {
 		if j == nil || j.State != jobs.Open {
 			isEnded = true
@@ -41,8 +43,8 @@
 		}
 		isCancelling = j.IsCancelling
 		isDone = j.IsDone()
+		queueName, terms = j.Queue, j.Terms
 		if !isCancelling {
-			e.retainQueue(j)
 			newUnits = e.findNewUnits(j)
 		}
 	})
@@ -57,6 +59,7 @@
 		e.endJob(id, jobs.Completed, "", nil)
 		return
 	}
+	e.retainQueue(id, queueName, terms)
 	if len(newUnits) > 0 {
 		e.log.Info("job taken up", "Job", id, "Units", len(newUnits), "Step", newUnits[0].key.Step, "Term", e.term)
 	}
--- a/internal/coordination/exec/pass.go
+++ b/internal/coordination/exec/pass.go
@@ -1,6 +1,7 @@
 package exec
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -19,6 +20,7 @@
 		return
 	}
 	e.config = c
+	maps.DeleteFunc(e.retired, func(name string, _ queue.Queue) bool { return c.GetAnyQueue(name) != nil })
 	e.configurePlanner()
 	e.syncServices()
 	e.planner.SetGuaranteed(guaranteedAccelerators(c))
@@ -59,15 +61,16 @@
 }
 
 // retainQueue keeps the terms of the queue of a job when no configuration that this host has seen holds the queue.
-func (e *Engine) retainQueue(j *jobs.Job) {
-	if j.Terms == nil || e.getQueue(j.Queue) != nil {
+func (e *Engine) retainQueue(job, name string, t *jobs.Terms) {
+	if t == nil || e.getQueue(name) != nil {
 		return
 	}
-	t := j.Terms
-	e.retired[j.Queue] = queue.Queue{
-		Name: j.Queue, Service: t.Service, Urgency: t.Urgency, MaxAttempts: t.MaxAttempts, Stretch: t.Stretch, Objective: t.Objective,
+	e.retired[name] = queue.Queue{
+		Name: name, Service: t.Service, Urgency: t.Urgency, MaxAttempts: t.MaxAttempts, Stretch: t.Stretch, Objective: t.Objective,
+	}
+	if e.config != nil {
+		e.log.Info("job of a removed queue keeps its terms", "Job", job, "Queue", name, "MaxAttempts", t.MaxAttempts)
 	}
-	e.log.Info("job of a removed queue keeps its terms", "Job", j.ID, "Queue", j.Queue, "MaxAttempts", t.MaxAttempts)
 	e.configurePlanner()
 	e.syncServices()
 }
--- a/internal/coordination/exec/service.go
+++ b/internal/coordination/exec/service.go
@@ -6,15 +6,15 @@
 )
 
 // serviceOf returns the service of a queue, or "" if it is not known.
-func (e *Engine) serviceOf(queue string) string {
-	if q := e.getQueue(queue); q != nil {
+func (e *Engine) serviceOf(name string) string {
+	if q := e.getQueue(name); q != nil {
 		return q.Service
 	}
 	return ""
 }
 
-// isOwnService reports whether any queue, also one whose jobs go on after its removal, names a service. Without a configuration and
-// for a worker that names none that is not known, and counts as true.
+// isOwnService reports whether a queue names the service, also a removed one whose jobs go on. It is true without a configuration, and
+// for a worker that names no service.
 func (e *Engine) isOwnService(name string) bool {
 	if e.config == nil || name == "" {
 		return true
