End the starts under way to a worker that may have ended

Cause: a start that was sent just before its worker crashed waited for its connection, which was opened on a second try a second later, 0.3 s after the worker had come back as another kind; the owner learned of the new lifetime only after that. Evidence: its neighbours of the same job were sent 40 ms before the crash, the start arrived 0.9 s after it, and the stop 10 ms later.

Change: the calls that start tasks share a context for each lifetime of a worker. A call that had been sent counts as undecided, as before.

--- a/internal/coordination/exec/lifetime.go
+++ b/internal/coordination/exec/lifetime.go
@@ -1,6 +1,7 @@
 package exec
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
@@ -32,11 +33,29 @@
 	return w.mayHaveEnded(now) || !w.isDescribed() || w.mayHaveRestarted(now)
 }
 
+// startContextOf returns the context of the starts that are under way to a worker.
+func (e *Engine) startContextOf(w *worker) context.Context {
+	if w.startContext == nil {
+		w.startContext, w.cancelStarts = context.WithCancel(e.ctx)
+	}
+	return w.startContext
+}
+
+// endStarts ends the starts that are under way to a worker which may have ended: a connection that is still being opened could reach
+// its next lifetime, which may be of another kind.
+func (w *worker) endStarts() {
+	if w.cancelStarts != nil {
+		w.cancelStarts()
+	}
+	w.startContext, w.cancelStarts = nil, nil
+}
+
 // handleListing processes a new entry of a worker; one of another lifetime than that of the last report calls for a new report.
 func (e *Engine) handleListing(w *worker) {
 	if !w.isDescribed() {
 		e.log.Info("worker is listed with another lifetime", "Worker", w.name, "Listed", w.runner.Instance, "Reported", w.instance)
 		w.isOutdated = true
+		w.endStarts()
 		w.wakePoller()
 	}
 	e.stopMisplaced(w)
--- a/internal/coordination/exec/otherkind_test.go
+++ b/internal/coordination/exec/otherkind_test.go
@@ -1,6 +1,9 @@
 package exec
 
 import (
+	"context"
+	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -176,3 +179,40 @@
 	w := r.engine.workers[worker]
 	return len(w.tasks) == 0 && w.lastAckedEnd == w.lastHandledEnd && w.lastPoll.Before(w.lastReport)
 }
+
+// TestStartBeingConnectedEndsWithItsWorker guards against a start that reaches the next lifetime of its worker, which is of another kind:
+// its connection was still being opened when the worker ended.
+func TestStartBeingConnectedEndsWithItsWorker(t *testing.T) {
+	runInLabelledRig(t, func(r *rig) {
+		var isSlow atomic.Bool
+		r.stop()
+		r.entry = func(w fleet.Worker) port.Runner { return r.runners.List(w.Addr) }
+		r.change = func(d *Deps) {
+			start := d.Runners.Start
+			d.Runners.Start = func(ctx context.Context, to netip.AddrPort, s port.RunStart) (time.Duration, error) {
+				if isSlow.CompareAndSwap(true, false) {
+					select {
+					case <-ctx.Done():
+						return 0, port.ErrUnsent
+					case <-time.After(460 * time.Millisecond):
+					}
+				}
+				return start(ctx, to, s)
+			}
+		}
+		r.start(r.engine.term + 1)
+		r.advance(time.Second)
+		isSlow.Store(true)
+		r.submitLabelled(testID, "a", 1)
+		for isSlow.Load() {
+			r.advance(time.Millisecond)
+		}
+		w := r.workers[0]
+		r.kill(w)
+		r.advance(450 * time.Millisecond)
+		r.gone.Store(nil)
+		r.runners.Add(labelledWorker(0, "b"))
+		r.advance(3 * time.Second)
+		require.Empty(t, r.runners.Faults())
+	})
+}
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -159,6 +159,7 @@
 	if w.instance != "" {
 		e.forgetSpeed(w.name)
 	}
+	w.endStarts()
 	w.instance = instance
 	w.lastClock, w.lastClockTime = 0, time.Time{}
 	w.lastHandledEnd, w.lastStoredEnd, w.lastAckedEnd = 0, 0, 0
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -76,8 +76,9 @@
 		}
 		addr := w.runner.Worker.Addr
 		m.isSent, m.isUndecided = true, true
+		ctx := e.startContextOf(w)
 		e.mu.Unlock()
-		workerClock, err := e.deps.Runners.Start(e.ctx, addr, s)
+		workerClock, err := e.deps.Runners.Start(ctx, addr, s)
 		e.mu.Lock()
 		wasUndecided := isUndecided
 		isUndecided = isUndecided || isUndecidedStart(err)
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -82,6 +82,9 @@
 	unstoredEnds map[int64]bool
 	wake         chan struct{}
 	cancel       context.CancelFunc
+	// startContext is that of the starts that are under way to the worker, and cancelStarts ends them; both are nil before the first.
+	startContext context.Context
+	cancelStarts context.CancelFunc
 	isInPlanner  bool
 	// lastAckedEnd is the number of the newest end acknowledged to the worker; the worker need not report it again.
 	lastAckedEnd int64
