--- a/internal/coordination/exec/evacuate.go
+++ b/internal/coordination/exec/evacuate.go
@@ -106,7 +106,8 @@
 	return max(e.guaranteedTotal()-e.acceleratorsLeft(), 0)
 }
 
-// reportEvacuations updates the gauges of what still runs in evacuated failure domains and of what they are missed for.
+// reportEvacuations updates the gauges of what still runs in evacuated failure domains and of the guaranteed accelerators that the other
+// workers lack.
 func (e *Engine) reportEvacuations() {
 	tasks := 0
 	xs := e.evacuations.Find()
--- a/internal/coordination/exec/lifetime.go
+++ b/internal/coordination/exec/lifetime.go
@@ -16,7 +16,7 @@
 	return w.runner.Instance == "" || w.instance == "" || w.runner.Instance == w.instance
 }
 
-// minAbsence is the shortest time between two lifetimes of a worker.
+// minAbsence is taken to be the shortest time between two lifetimes of a worker.
 const minAbsence = 400 * time.Millisecond
 
 // mayHaveRestarted reports whether the next lifetime of a worker that names its lifetimes may have begun since the last report. A poll that
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -102,8 +102,7 @@
 	}
 }
 
-// startPause returns how long a start has to wait at least, as it would extend the lease of a worker that may have ended, reach one that
-// may be of another kind, or in a term that may be over.
+// startPause returns how long a start has to wait at least: the term may be over, or the worker may have ended or be of another kind.
 func (e *Engine) startPause(w *worker, now time.Time) time.Duration {
 	switch {
 	case !e.mayHold() || w.isFailing:
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -269,7 +269,7 @@
 	e.planner.PutWorker(x)
 }
 
-// takesWork reports whether new work may be started on a worker whose failure domain is not evacuated.
+// takesWork reports whether new work may be started on a worker; the caller checks isEvacuated.
 func (w *worker) takesWork() bool {
 	return w.isListed && w.hasReported && w.isDescribed() && !w.runner.IsDraining && !w.isSuspect && len(w.orphans) == 0
 }
--- a/internal/coordination/feed/follower_test.go
+++ b/internal/coordination/feed/follower_test.go
@@ -130,8 +130,8 @@
 	})
 }
 
-// A state that lacks records which the store had at the last read must not count as confirmed then: a host would deny a job that it has
-// not read yet.
+// TestFreshIsNoNewerThanTheStateWhileBehind guards against a host that denies a job which it has not read yet: a state that lacks records
+// which the store had at the last read must not count as confirmed then.
 func TestFreshIsNoNewerThanTheStateWhileBehind(t *testing.T) {
 	withFollower(t, func(ctx context.Context, s *fakeTopic, x *Follower, seen *atomic.Int64) {
 		time.Sleep(2 * time.Second)
--- a/internal/host/removedqueue_test.go
+++ b/internal/host/removedqueue_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// TestLoweredLimitOutlivesQueue guards against hosts that have seen neither and allow the failed runs of the time at which the job
-// was accepted, when the limit was lowered before its queue was removed.
+// TestLoweredLimitOutlivesQueue guards against hosts that have seen neither the lowered limit nor the queue and allow the failed
+// runs of the time at which the job was accepted, when the limit was lowered before its queue was removed.
 func TestLoweredLimitOutlivesQueue(t *testing.T) {
 	runMixedSite(t, 1, 24, 1, largeLimits, func(x *mixedSite) {
 		x.publish("14")
--- a/internal/setup/site.go
+++ b/internal/setup/site.go
@@ -27,7 +27,7 @@
 type SitePlan struct {
 	// Enable lists the optional mechanisms that are switched on.
 	Enable []plan.Mechanism
-	// Disable lists the mechanisms that are switched off, for measurements of what they are worth.
+	// Disable lists the mechanisms that are switched off, for measurements of what they are worth. It wins over Enable.
 	Disable []plan.Mechanism
 }
 
--- a/internal/state/queue/check.go
+++ b/internal/state/queue/check.go
@@ -22,7 +22,8 @@
 	Key   int
 }
 
-// Finding is a fault of a configuration. An error makes an entry void; other findings have an effect that is seldom wanted.
+// Finding is a fault of a configuration. An error is a fault that has to be corrected; other findings have an effect that
+// is seldom wanted.
 type Finding struct {
 	Place   Place
 	IsError bool
--- a/internal/state/queue/evacuation.go
+++ b/internal/state/queue/evacuation.go
@@ -75,8 +75,8 @@
 	return x.isInForce() != old.isInForce()
 }
 
-// Reload applies the newest record of each failure domain before an offset, or from it on. A request that has none has been
-// withdrawn, unless it was made from that offset on.
+// Reload applies the newest records, as read up to the offset before. A request without a record has been withdrawn, unless it is from
+// that offset on.
 func (l *EvacuationLog) Reload(cs []EvacuationChange, before int64, now time.Time) bool {
 	isListed := map[string]bool{}
 	hasChanged := false
--- a/internal/state/replay/delaycost_test.go
+++ b/internal/state/replay/delaycost_test.go
@@ -35,8 +35,8 @@
 }
 
 // TestDelayCostUnderBursts is the load of quiet tasks that fill the workers beside urgent gangs in bursts, 3 s of every 8: they
-// start in each pause and are stopped at each burst. With the mechanism less than a tenth of them is
-// stopped and of the work repeated, urgent gangs wait no longer, and all tasks end.
+// start in each pause and are stopped at each burst. With the mechanism less than a tenth of them is stopped and of the work repeated,
+// urgent gangs wait no longer, and all tasks end.
 func TestDelayCostUnderBursts(t *testing.T) {
 	c := newTraceBuilder(11)
 	c.profile(config.Profile{Name: "Alarm", Urgency: config.Urgent, WaitBound: time.Minute, Stoppable: true, ReclaimBound: 400 * time.Millisecond})
--- a/internal/state/replay/speeds_test.go
+++ b/internal/state/replay/speeds_test.go
@@ -52,7 +52,7 @@
 		speedOf func(string, time.Time) float64
 		length  time.Duration
 		factor  float64
-		// gain is the least share of the jobs that speeds bring in time beside those that are without.
+		// gain is the least increase of the share of jobs in time.
 		gain float64
 	}{
 		"steady":             {steady, 10 * time.Minute, 1, 0.3},
--- a/internal/state/speed/tracker.go
+++ b/internal/state/speed/tracker.go
@@ -143,7 +143,8 @@
 	}
 }
 
-// Update derives the estimates from the readings up to now and returns the workers whose class has changed, by name.
+// Update derives the estimates from the readings up to now and returns the workers whose class, or whose
+// slowness by factorStep, has changed, by name.
 func (t *Tracker) Update() []Change {
 	for _, of := range t.oldest {
 		if g := t.groups[of]; g.isChanged {
