guard: don't evict an executed request with an unread body

Cause: a connection left the phase of reading only when the body of its request was read to the end.

Change: LeaveBody and IgnoreBodies set the phase to executing.

Failed before: TestExecutedRequestWithUnreadBodyIsAnswered, both cases: guard_test.go:149: Should be zero, but was 200 Messages: there is no connection for it

--- a/internal/transport/guard/conn.go
+++ b/internal/transport/guard/conn.go
@@ -35,7 +35,7 @@
 const (
 	// reading receives a request, from its first byte to the last of its body.
 	reading phase = iota
-	// executing serves a request that was received in full.
+	// executing serves a request that was received in full, or whose body is not read.
 	executing
 	// answering sends the response.
 	answering
--- a/internal/transport/guard/guard.go
+++ b/internal/transport/guard/guard.go
@@ -125,17 +125,26 @@
 	w.WriteHeader(http.StatusRequestTimeout)
 }
 
-// LeaveBody prepares a response that is sent before the rest of the body is read. The connection is closed after a body
-// that is large or of unknown length; the rest of a small one is read and discarded.
+// LeaveBody begins to execute a request that is answered before the rest of its body is read. The connection is closed after
+// a body that is large or of unknown length; the rest of a small one is read and discarded.
 func LeaveBody(w http.ResponseWriter, r *http.Request) {
+	beginExecution(r)
 	if r.ContentLength < 0 || r.ContentLength > smallBytes {
 		w.Header().Set("Connection", "close")
 	}
 }
 
+// beginExecution keeps the connection of a request from being closed for a new one until the handler returns.
+func beginExecution(r *http.Request) {
+	if c := connOf(r.Context()); c != nil {
+		c.setPhase(executing)
+	}
+}
+
 // IgnoreBodies returns a handler that answers requests with a body before the body is read.
 func IgnoreBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		beginExecution(r)
 		if r.ContentLength != 0 {
 			w.Header().Set("Connection", "close")
 		}
--- a/internal/transport/guard/guard_test.go
+++ b/internal/transport/guard/guard_test.go
@@ -130,6 +130,29 @@
 	})
 }
 
+// TestExecutedRequestWithUnreadBodyIsAnswered guards against the eviction of a request that is being executed while its body,
+// which nobody reads, is still under way: its caller could not tell whether it took effect.
+func TestExecutedRequestWithUnreadBodyIsAnswered(t *testing.T) {
+	leave := func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			LeaveBody(w, r)
+			next.ServeHTTP(w, r)
+		})
+	}
+	for name, wrap := range map[string]func(http.Handler) http.Handler{"left": leave, "ignored": IgnoreBodies} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				execute := func(http.ResponseWriter, *http.Request) { time.Sleep(5 * time.Second) }
+				_, connect := serve(t, 1<<20, 1, wrap(http.HandlerFunc(execute)))
+				long := send(connect(), "DELETE / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+				time.Sleep(2 * time.Second)
+				require.Zero(t, <-send(connect(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n"), "there is no connection for it")
+				require.Equal(t, http.StatusOK, <-long)
+			})
+		})
+	}
+}
+
 // TestHeadersTakeMemoryFromTheBudget guards against many requests whose headers consist of very many short fields: beyond
 // the budget connections are closed, and their memory is free again afterwards.
 func TestHeadersTakeMemoryFromTheBudget(t *testing.T) {
