guard: a connection chosen to be closed executes nothing more

Cause: the connection to close was chosen under the locks and closed after them. In between it could receive the rest of a request and begin to execute it.

Change: the choice is checked again and marks the connection as closed, under the lock that guards its phase. A marked connection gets no memory for a header, and the end of a body that it reads is an error. The end of a header counts as progress, so that no connection is chosen between it and the decision whether the body is read.

Failed before: TestVictimDoesNotBeginExecution, which then called findVictim: guard_test.go:170: Target error should be in err chain: expected: "use of closed network connection" in chain: "EOF"

--- a/internal/transport/guard/body.go
+++ b/internal/transport/guard/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/clock"
@@ -30,9 +31,12 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.received += n
-	if err == io.EOF {
-		_ = b.conn.SetReadDeadline(time.Time{})
-		b.conn.setPhase(executing)
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	_ = b.conn.SetReadDeadline(time.Time{})
+	if !b.conn.beginExecution() {
+		return n, net.ErrClosed
+	}
+	return n, io.EOF
 }
--- a/internal/transport/guard/conn.go
+++ b/internal/transport/guard/conn.go
@@ -58,7 +58,8 @@
 	// headerBytes is the number of bytes received since the last request.
 	headerBytes int64
 	loan        loan
-	isClosed    bool
+	// isClosed is set when the connection is closed, or chosen to be closed.
+	isClosed bool
 }
 
 type connKey struct{}
@@ -157,6 +158,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isInHeader, c.headerBytes = false, 0
+	// Whether the body is read is decided at once; until then the connection is not closed for a new one.
+	c.mark()
 	return c.resize(headerCost(h))
 }
 
@@ -186,6 +189,18 @@
 	c.mark()
 }
 
+// beginExecution sets the phase to executing; it returns false if the connection is closed.
+func (c *conn) beginExecution() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isClosed {
+		return false
+	}
+	c.phase = executing
+	c.mark()
+	return true
+}
+
 // becomeIdle returns the memory of the last request.
 func (c *conn) becomeIdle() {
 	c.mu.Lock()
@@ -199,12 +214,33 @@
 func (c *conn) evictionRank(now time.Time) (rank int, since time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.isEvictable(now) {
+		return 0, time.Time{}, false
+	}
+	if c.phase == idle {
+		return 0, c.progressAt, true
+	}
+	return 1, c.progressAt, true
+}
+
+// beginEviction marks the connection as closed, unless it may no longer be closed for a new one.
+func (c *conn) beginEviction(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isEvictable(now) {
+		return false
+	}
+	c.isClosed = true
+	return true
+}
+
+func (c *conn) isEvictable(now time.Time) bool {
 	switch {
+	case c.isClosed, c.phase == executing:
+		return false
 	case c.phase == idle:
-		return 0, c.progressAt, true
-	case c.phase == executing || now.Sub(c.progressAt) < c.listener.stalledAfter:
-		return 0, time.Time{}, false
+		return true
 	default:
-		return 1, c.progressAt, true
+		return now.Sub(c.progressAt) >= c.listener.stalledAfter
 	}
 }
--- a/internal/transport/guard/guard_test.go
+++ b/internal/transport/guard/guard_test.go
@@ -153,6 +153,26 @@
 	}
 }
 
+// TestVictimDoesNotBeginExecution guards against a connection that is chosen to be closed and receives the rest of a request
+// before it is closed: the request would be executed and its caller would not hear of it.
+func TestVictimDoesNotBeginExecution(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := New(NewBudget(1<<20), 16<<10, clock.System(), slog.New(slog.DiscardHandler), tally.NoopScope)
+		l := g.Listen(&pipeListener{}, 1, time.Second)
+		_, end := net.Pipe()
+		c, ok := l.admit(end)
+		require.True(t, ok)
+		require.True(t, c.beginRequest(http.Header{}))
+		time.Sleep(2 * time.Second)
+		require.Same(t, c, l.takeVictim(time.Now()))
+		b := body{ReadCloser: http.NoBody, conn: c}
+		_, err := b.Read(make([]byte, 1))
+		require.ErrorIs(t, err, net.ErrClosed)
+		require.False(t, c.beginRequest(http.Header{}))
+		require.Nil(t, l.takeVictim(time.Now()), "it is taken once")
+	})
+}
+
 // TestHeadersTakeMemoryFromTheBudget guards against many requests whose headers consist of very many short fields: beyond
 // the budget connections are closed, and their memory is free again afterwards.
 func TestHeadersTakeMemoryFromTheBudget(t *testing.T) {
--- a/internal/transport/guard/listener.go
+++ b/internal/transport/guard/listener.go
@@ -57,7 +57,7 @@
 func (l *Listener) admit(x net.Conn) (*conn, bool) {
 	now := l.guard.clock.Now()
 	if l.isFull() {
-		v := l.findVictim(now)
+		v := l.takeVictim(now)
 		if v == nil {
 			return nil, false
 		}
@@ -77,6 +77,16 @@
 	return len(l.conns) >= l.max
 }
 
+// takeVictim returns the connection to close, which begins to execute no further request.
+func (l *Listener) takeVictim(now time.Time) *conn {
+	for {
+		v := l.findVictim(now)
+		if v == nil || v.beginEviction(now) {
+			return v
+		}
+	}
+}
+
 // findVictim returns the connection that has been idle for longest, or else the one that has been stalled for longest.
 func (l *Listener) findVictim(now time.Time) *conn {
 	l.mu.Lock()
