intake: confirm a cancel within the caller's timeout

Cause: a cancel of an unknown job waited up to confirmTimeout (900 ms) for the store also when its caller waits for less. The caller had left before it could hear that nothing was stored.

Change: the wait ends replyMargin before the timeout of the caller, as that for storing a record does.

Failed before: TestCancelIsAnsweredWithinShortTimeout: cancel_test.go:72: "502ms" is not less than or equal to "350ms"

--- a/internal/coordination/intake/cancel_test.go
+++ b/internal/coordination/intake/cancel_test.go
@@ -60,3 +60,15 @@
 		require.NoError(t, b.intake.Cancel(t.Context(), testID, testTimeout))
 	})
 }
+
+// TestCancelIsAnsweredWithinShortTimeout guards against a cancel whose caller has left before it hears that it may repeat it.
+func TestCancelIsAnsweredWithinShortTimeout(t *testing.T) {
+	const timeout = 500 * time.Millisecond
+	inHosts(t, func(t *testing.T, s *standin.Store, _, b entry) {
+		s.SetUnresponsive("b", true)
+		var busy ErrBusy
+		begin := time.Now()
+		require.ErrorAs(t, b.intake.Cancel(t.Context(), testID, timeout), &busy)
+		require.LessOrEqual(t, time.Since(begin), timeout-replyMargin)
+	})
+}
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -31,7 +31,8 @@
 	maxTableAge = 2500 * time.Millisecond
 	// refreshTimeout is how long a request waits for the job table to be refreshed.
 	refreshTimeout = 120 * time.Millisecond
-	// confirmTimeout is how long a cancel waits for the store to show that its job does not exist; another host is asked after that.
+	// confirmTimeout is how long a cancel waits at most for the store to show that its job does not exist; another host is asked
+	// after that.
 	confirmTimeout = 900 * time.Millisecond
 )
 
@@ -169,7 +170,7 @@
 	}
 	i.writer.Submit(item)
 	storeDeadline := i.clock.After(storeTimeout)
-	deadline := i.clock.After(max(timeout-replyMargin, replyMargin))
+	deadline := i.clock.After(replyTime(timeout))
 	for {
 		select {
 		case err := <-done:
@@ -189,6 +190,11 @@
 	}
 }
 
+// replyTime returns the time until the reply has to be sent to a caller with a timeout.
+func replyTime(timeout time.Duration) time.Duration {
+	return max(timeout-replyMargin, replyMargin)
+}
+
 // retryDelay returns the retry delay for a caller, given the time without a reply of the store.
 func retryDelay(sinceReply time.Duration) time.Duration {
 	if sinceReply > outageAfter {
@@ -287,7 +293,7 @@
 	p, isKnown := i.findProgress(id)
 	if !isKnown {
 		// Another host may have just accepted the job. A caller does not repeat a cancel that is answered as gone.
-		if err := i.follower.Confirm(ctx, confirmTimeout); err != nil {
+		if err := i.follower.Confirm(ctx, min(confirmTimeout, replyTime(timeout))); err != nil {
 			i.log.Info("job table not confirmed for a cancel", "Job", id, "Cause", err.Error())
 			return ErrBusy{Why: "job is not known and the store has not confirmed that", RetryAfter: retryAfter}
 		}
