--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -132,11 +132,11 @@
 		i.log.Info("job known", "Job", j.ID, "Queue", c.Queue.Name)
 		return nil
 	}
-	give, err := i.room.take(i.table, j.Footprint(), *i.limits.Load())
+	release, err := i.room.take(i.table, j.Footprint(), *i.limits.Load())
 	if err != nil {
 		return err
 	}
-	defer give()
+	defer release()
 	j.Queue, j.Organisation, j.Accepted, j.Terms = c.Queue.Name, c.Organisation, i.clock.Now(), c.Queue.Terms()
 	r, err := jobs.JobRecord(j)
 	if err != nil {
--- a/internal/coordination/intake/room.go
+++ b/internal/coordination/intake/room.go
@@ -23,7 +23,7 @@
 }
 
 // take reserves the memory of a job, and returns the function that returns it or the reason why there is none.
-func (r *room) take(t *jobs.Table, need fleet.Bytes, m Limits) (give func(), err error) {
+func (r *room) take(t *jobs.Table, need fleet.Bytes, m Limits) (release func(), err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n, used := t.CountOpen()
--- a/internal/coordination/intake/room_test.go
+++ b/internal/coordination/intake/room_test.go
@@ -15,11 +15,11 @@
 	m := Limits{JobMemory: 64 * fleet.Megabyte}
 	table := jobs.NewTable()
 	large := (&jobs.Job{Steps: []jobs.Step{{Tasks: 10_000}}}).Footprint()
-	var gives []func()
+	var releases []func()
 	for range 2 {
-		give, err := r.take(table, large, m)
+		release, err := r.take(table, large, m)
 		require.NoError(t, err)
-		gives = append(gives, give)
+		releases = append(releases, release)
 	}
 	_, err := r.take(table, large, m)
 	var busy ErrBusy
@@ -27,7 +27,7 @@
 	require.True(t, busy.IsFull)
 	_, err = r.take(table, (&jobs.Job{Steps: []jobs.Step{{Tasks: 10}}}).Footprint(), m)
 	require.NoError(t, err)
-	gives[0]()
+	releases[0]()
 	_, err = r.take(table, large, m)
 	require.NoError(t, err)
 	_, err = r.take(table, 4*large, m)
--- a/internal/host/door.go
+++ b/internal/host/endpoint.go
@@ -34,21 +34,21 @@
 	probeStalledAfter  = 100 * time.Millisecond
 )
 
-// door is an HTTP server with its address and the limits of its connections.
-type door struct {
+// endpoint is an HTTP server with its address and the limits of its connections.
+type endpoint struct {
 	server       *http.Server
 	addr         netip.AddrPort
 	connections  int
 	stalledAfter time.Duration
 }
 
-// doors holds the HTTP servers of a host, whose clients one guard bounds.
-type doors struct {
+// endpoints holds the HTTP servers of a host, whose clients one guard bounds.
+type endpoints struct {
 	guard                  *guard.Guard
-	callers, ready, status door
+	callers, ready, status endpoint
 }
 
-func (h *Host) newDoors() doors {
+func (h *Host) newEndpoints() endpoints {
 	m, at := h.settings.Limits, h.settings.Listen
 	budget := int64(m.CallerMemory)
 	if budget == 0 {
@@ -58,11 +58,11 @@
 	handler := h.deps.NewCallerHandler(CallerDeps{
 		Serve: h.relay.Serve, Admit: h.intake.CheckPath, Guard: g, MaxBody: m.Body, Log: h.log,
 	})
-	return doors{
+	return endpoints{
 		guard:   g,
-		callers: door{g.NewServer(handler), at.Caller, h.maxCallers(), callerStalledAfter},
-		ready:   door{g.NewServer(guard.IgnoreBodies(http.HandlerFunc(h.serveReady))), at.Ready, maxProbes, probeStalledAfter},
-		status:  door{g.NewServer(guard.IgnoreBodies(h.statusServer().Handler())), at.Status, maxProbes, probeStalledAfter},
+		callers: endpoint{g.NewServer(handler), at.Caller, h.maxCallers(), callerStalledAfter},
+		ready:   endpoint{g.NewServer(guard.IgnoreBodies(http.HandlerFunc(h.serveReady))), at.Ready, maxProbes, probeStalledAfter},
+		status:  endpoint{g.NewServer(guard.IgnoreBodies(h.statusServer().Handler())), at.Status, maxProbes, probeStalledAfter},
 	}
 }
 
@@ -87,18 +87,18 @@
 	return max(n, minConnections)
 }
 
-// addDoor listens at the address of a door and serves it.
-func (h *Host) addDoor(r *run.Group, g *guard.Guard, d door) error {
-	l, err := h.deps.Listen(d.addr)
+// addEndpoint listens at the address of an endpoint and serves it.
+func (h *Host) addEndpoint(r *run.Group, g *guard.Guard, e endpoint) error {
+	l, err := h.deps.Listen(e.addr)
 	if err != nil {
-		return fmt.Errorf("listen on %s: %w", d.addr, err)
+		return fmt.Errorf("listen on %s: %w", e.addr, err)
 	}
 	r.Add(func() error {
-		if err := d.server.Serve(g.Listen(l, d.connections, d.stalledAfter)); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve %s: %w", d.addr, err)
+		if err := e.server.Serve(g.Listen(l, e.connections, e.stalledAfter)); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve %s: %w", e.addr, err)
 		}
 		<-h.drained
 		return nil
-	}, func(error) { _ = d.server.Close() })
+	}, func(error) { _ = e.server.Close() })
 	return nil
 }
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -36,8 +36,8 @@
 	var g run.Group
 	components, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	doors := h.newDoors()
-	callers := doors.callers.server
+	endpoints := h.newEndpoints()
+	callers := endpoints.callers.server
 	shutdown, cancel := context.WithCancel(ctx)
 	g.Add(func() error {
 		<-shutdown.Done()
@@ -55,8 +55,8 @@
 	addComponent(h.writer.Run)
 	addComponent(h.hosts.Run)
 	addComponent(func(c context.Context) error { return h.elect.Run(c, h.runEngine) })
-	for _, d := range []door{doors.callers, doors.ready, doors.status} {
-		if err := h.addDoor(&g, doors.guard, d); err != nil {
+	for _, e := range []endpoint{endpoints.callers, endpoints.ready, endpoints.status} {
+		if err := h.addEndpoint(&g, endpoints.guard, e); err != nil {
 			return err
 		}
 	}
--- a/internal/transport/guard/budget.go
+++ b/internal/transport/guard/budget.go
@@ -30,7 +30,7 @@
 	return b.used
 }
 
-// loan is the part of a budget that one connection holds. Only the goroutine that serves the connection uses it.
+// loan is the part of a budget that one connection holds. The mutex of the connection guards it.
 type loan struct {
 	budget *Budget
 	held   int64
