--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -103,8 +103,8 @@
 	lastPassTime time.Duration
 	// lastSummary is when the state of queue and workers was last logged.
 	lastSummary time.Time
-	// churn counts the runs since then.
-	churn churn
+	// runCounts counts the runs that were preempted or done since the last summary.
+	runCounts runCounts
 	// lastPurge is when records of ended jobs were last checked for expiry.
 	lastPurge time.Time
 	// speeds estimates the speeds of the workers, and lastSpeeds is when the planner last got them; nil if it takes workers for alike.
--- a/internal/coordination/exec/pass.go
+++ b/internal/coordination/exec/pass.go
@@ -116,7 +116,7 @@
 	}
 	for _, s := range d.Stops {
 		if u := e.units[s.Job]; u != nil {
-			e.churn.preempted++
+			e.runCounts.preempted++
 			e.scope.Counter("units_preempted").Inc(1)
 			e.stopRun(u, s.Reason)
 		}
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -132,7 +132,7 @@
 	case jobs.FailedRun:
 		u.failures++
 	case jobs.Done:
-		e.churn.done++
+		e.runCounts.done++
 		e.scope.Counter("units_done").Inc(1)
 	default:
 	}
--- a/internal/coordination/exec/summary.go
+++ b/internal/coordination/exec/summary.go
@@ -46,6 +46,7 @@
 		"Evacuated", workers[plan.WorkerEvacuated], "Quarantined", workers[plan.WorkerQuarantined], "Probation", workers[plan.WorkerProbation],
 	}
 	args = append(args, e.describeCompetition()...)
+	e.runCounts = runCounts{}
 	if oldest != nil {
 		s, err := e.planner.Status(oldest.name)
 		reason := s.Reason
@@ -70,16 +71,14 @@
 	e.scope.Gauge("units_held_back").Update(float64(c.HeldBack))
 	e.scope.Gauge("accelerators_usable").Update(float64(c.Usable))
 	e.scope.Gauge("accelerators_rise").Update(float64(c.LikelyRise))
-	out := []any{
+	return []any{
 		"Free", c.Free, "Usable", c.Usable, "Awaited", c.Awaited, "LikelyRise", c.LikelyRise, "HeldBack", c.HeldBack,
-		"Preempted", e.churn.preempted, "Done", e.churn.done,
+		"Preempted", e.runCounts.preempted, "Done", e.runCounts.done,
 	}
-	e.churn = churn{}
-	return out
 }
 
-// churn counts runs since the last summary.
-type churn struct {
+// runCounts counts the runs that were preempted or done since the last summary.
+type runCounts struct {
 	// preempted runs were stopped for other units, done ones ended with success.
 	preempted, done int
 }
--- a/internal/state/cost/demand.go
+++ b/internal/state/cost/demand.go
@@ -40,7 +40,8 @@
 }
 
 // LikelyRise returns by how much the demand is as likely as not to rise within the given time: the median rise after all moments, or
-// that after moments with no more demand than now, if it is larger. It is zero if that much time has not passed yet.
+// that after moments with no more demand than now, if it is larger. It is zero if that much time has not passed yet. Times above half of demandWindow count as that
+// half.
 func (d *Demand) LikelyRise(within time.Duration) int {
 	var all, fromHere []int
 	for _, x := range d.spans(min(within, demandWindow/2)) {
--- a/internal/state/plan/mechanism.go
+++ b/internal/state/plan/mechanism.go
@@ -33,7 +33,7 @@
 	DelayCost Mechanism = "DelayCost"
 )
 
-// Mechanisms lists all mechanisms that Without accepts.
+// Mechanisms lists the mechanisms that are on unless Without switches them off.
 var Mechanisms = []Mechanism{
 	Headroom, StartRate, LossBounds, StopCosts, Reservations, Timeliness, Fragmentation, RunTimes, Health, Backoff,
 }
