plan: count the room and the jobs held back as they are

With DelayCost, starts in reservations and places no longer awaited left the count of the room as it was, each rank lost the room beside the job's own rank, jobs that did start counted as held back, and an urgent pass reset what queue status shows. Without DelayCost nothing changes.

--- a/internal/state/plan/claim.go
+++ b/internal/state/plan/claim.go
@@ -13,6 +13,7 @@
 func (p *Planner) claim(e *entry, d *Decisions) bool {
 	if g := e.gang; g != nil {
 		p.bookPending(e, -1)
+		p.noteDropped(e, e.awaited)
 		e.awaited = nil
 		if len(g.Places) > 0 {
 			if p.startInGang(e, g, d) || p.startOverdue(e, d) || p.reclaim(e, g) {
--- a/internal/state/plan/delaycost.go
+++ b/internal/state/plan/delaycost.go
@@ -1,7 +1,6 @@
 package plan
 
 import (
-	"slices"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/state/cost"
@@ -15,7 +14,7 @@
 	// have borrowed, where urgent tasks would fit.
 	free   int
 	usable [rankCount]float64
-	// awaited is the room that jobs wait for while others are stopped for them; those will want room again.
+	// awaited is the room for which this pass had others stopped; those will want room again.
 	awaited int
 	// heldBack counts the jobs that found room and did not start, and held has what they asked for; the room only gets shorter.
 	heldBack int
@@ -43,20 +42,17 @@
 	return heldQuery{room: e.roomQuery(), rank: e.rank(), within: p.timeToKeep(e).Round(riseResolution)}
 }
 
-// isAlreadyHeld reports, as the reason for which a job waits, whether a job like it was held back in this pass.
+// isAlreadyHeld reports whether a job like it was held back in this pass.
 func (p *Planner) isAlreadyHeld(e *entry) bool {
-	s := &p.pass.scarcity
-	if len(s.held) == 0 || !s.held[p.heldQuery(e)] {
-		return false
-	}
-	p.holdBack(e)
-	return true
+	held := p.pass.scarcity.held
+	return len(held) > 0 && held[p.heldQuery(e)]
 }
 
-// holdBack records why a job waits.
+// holdBack records that a job waits, and why.
 func (p *Planner) holdBack(e *entry) {
 	s := &p.pass.scarcity
 	s.heldBack++
+	s.held[p.heldQuery(e)] = true
 	e.reason = waitReason{code: reasonHeadroom, a: s.free, b: p.likelyRise(e.rank(), p.timeToKeep(e))}
 }
 
@@ -139,13 +135,18 @@
 func (p *Planner) roomBeside(x *place.Site, rank int) place.Resources {
 	room := x.Free()
 	for _, b := range p.gangsOn[x] {
-		if b.rank() > rank && b.isPreemptible && b.gang == nil {
+		if b.isBorrowedFrom(rank) {
 			room = room.Plus(b.roomOn(x))
 		}
 	}
 	return room
 }
 
+// isBorrowedFrom reports whether the room of a job counts as borrowed for jobs of a rank.
+func (e *entry) isBorrowedFrom(rank int) bool {
+	return e.rank() > rank && e.isPreemptible && e.gang == nil
+}
+
 // usableIn returns how many accelerators of a room the recent urgent tasks could use, as the mean over them. Without any, each
 // counts.
 func (s *scarcity) usableIn(room place.Resources) float64 {
@@ -168,13 +169,8 @@
 	if p.disabled[DelayCost] || rank == 0 || p.leavesPlenty(e) {
 		return true
 	}
-	left := s.usable[rank] - p.takenBy(e, sites) - float64(s.awaited)
-	if left >= float64(p.likelyRise(rank, p.timeToKeep(e))) {
-		return true
-	}
-	s.held[p.heldQuery(e)] = true
-	p.holdBack(e)
-	return false
+	left := s.usable[rank] - p.takenBy(e, sites, rank) - float64(s.awaited)
+	return left >= float64(p.likelyRise(rank, p.timeToKeep(e)))
 }
 
 // leavesPlenty reports whether less than busyShare of the accelerators are in use once a job has started.
@@ -183,41 +179,58 @@
 	return used <= int(busyShare*float64(p.capacity.Accelerators))
 }
 
-// takenBy returns the usable room that a job takes on the sites.
-func (p *Planner) takenBy(e *entry, sites []*place.Site) float64 {
+// takenBy returns the room usable for a rank that a job takes on the sites.
+func (p *Planner) takenBy(e *entry, sites []*place.Site, rank int) float64 {
+	s := &p.pass.scarcity
 	x := 0.0
-	for i, y := range sites {
-		if slices.Contains(sites[:i], y) {
-			continue
-		}
-		tasks := 0
-		for _, z := range sites[i:] {
-			if z == y {
-				tasks++
-			}
-		}
-		room := p.roomBeside(y, e.rank())
-		x += p.pass.scarcity.usableIn(room) - p.pass.scarcity.usableIn(room.Minus(e.need.Times(tasks)))
+	for _, y := range countTasks(sites) {
+		room := p.roomBeside(y.site, rank)
+		x += s.usableIn(room) - s.usableIn(room.Minus(e.need.Times(y.tasks)))
 	}
 	return x
 }
 
+// countTasks returns the number of tasks on each of the sites of a gang, in their order, so that sums don't vary.
+func countTasks(sites []*place.Site) []siteLimit {
+	var out []siteLimit
+	for _, x := range sites {
+		out = addSiteLimit(out, x, 1)
+	}
+	return out
+}
+
 // noteStart records that a job starts on the sites, before its room is allocated.
 func (p *Planner) noteStart(e *entry, sites []*place.Site) {
-	s := &p.pass.scarcity
-	if p.disabled[DelayCost] {
+	p.shiftRoom(e, sites, -1)
+}
+
+// noteDropped records that a job awaits the sites no more, after its booking there was removed.
+func (p *Planner) noteDropped(e *entry, sites []*place.Site) {
+	p.shiftRoom(e, sites, 1)
+}
+
+// shiftRoom adds (sign 1) or removes (sign -1) the room of a job on sites where it isn't booked. A rank loses no room to a job that it
+// could take it from.
+func (p *Planner) shiftRoom(e *entry, sites []*place.Site, sign int) {
+	if p.disabled[DelayCost] || len(sites) == 0 {
 		return
 	}
-	s.free -= e.shape.TotalAccelerators()
-	for rank := max(e.rank(), 1); rank < rankCount; rank++ {
-		s.usable[rank] -= p.takenBy(e, sites)
+	s := &p.pass.scarcity
+	for _, y := range countTasks(sites) {
+		free := y.site.Free().Accelerators
+		s.free += sign * (max(free, 0) - max(free-y.tasks*e.need.Accelerators, 0))
+	}
+	for rank := 1; rank < rankCount; rank++ {
+		if sign > 0 || !e.isBorrowedFrom(rank) {
+			s.usable[rank] += float64(sign) * p.takenBy(e, sites, rank)
+		}
 	}
 }
 
 // Competition describes how urgent and less urgent jobs compete for room, in accelerators.
 type Competition struct {
-	// Free is the room that no job has or awaits, Usable the part of it where urgent tasks would fit, and Awaited the room of jobs for
-	// which others are being stopped.
+	// Free is the room that no job has or awaits, Usable the part of it, together with what less urgent jobs have borrowed, where urgent
+	// tasks would fit, and Awaited the room of jobs for which others are being stopped.
 	Free, Usable, Awaited int
 	// HeldBack is the number of jobs that found room and didn't start, as they would likely not have kept it.
 	HeldBack int
@@ -225,12 +238,27 @@
 	LikelyRise int
 }
 
-// Competition returns how jobs competed for room in the last pass, and the likely rise of demand within the given time.
-func (p *Planner) Competition(within time.Duration) (Competition, bool) {
+// noteCompetition keeps how jobs competed for room in a pass over all of them.
+func (p *Planner) noteCompetition() {
+	if p.disabled[DelayCost] {
+		return
+	}
 	s := &p.pass.scarcity
-	if p.disabled[DelayCost] || s.rises == nil {
+	c := Competition{Free: s.free, Usable: int(s.usable[rankCount-1]), HeldBack: s.heldBack}
+	for _, e := range p.jobs {
+		if e.isQueued() && len(e.awaited) > 0 {
+			c.Awaited += e.shape.TotalAccelerators()
+		}
+	}
+	p.competition = &c
+}
+
+// Competition returns how jobs competed for room in the last pass over all of them, and the likely rise of demand within the given time.
+func (p *Planner) Competition(within time.Duration) (Competition, bool) {
+	if p.disabled[DelayCost] || p.competition == nil {
 		return Competition{}, false
 	}
-	c := Competition{Free: s.free, Usable: int(s.usable[rankCount-1]), Awaited: s.awaited, HeldBack: s.heldBack, LikelyRise: p.likelyRise(rankCount-1, within)}
+	c := *p.competition
+	c.LikelyRise = p.demand[rankCount-1].LikelyRise(within)
 	return c, true
 }
--- a/internal/state/plan/delaycost_test.go
+++ b/internal/state/plan/delaycost_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/auburncleat/auburncleat/internal/state/config"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/stretchr/testify/require"
 )
@@ -138,3 +139,77 @@
 		require.Equal(t, isOn, len(d.Starts) == 1, "%v", p.FindStatus()[0])
 	}
 }
+
+// TestRoomIsCountedThroughPasses guards against work that is held back, or started, by a count of the room that drifts in a pass: what
+// a pass has counted at its end is what a new count finds. Some jobs start in a guarantee.
+func TestRoomIsCountedThroughPasses(t *testing.T) {
+	b := newBurstLoad(36, With(DelayCost))
+	guaranteed := normal
+	guaranteed.Guarantees = []config.Guarantee{{Organisation: "org1", Shape: shape(2, 8, fleet.LevelDomain), Gangs: 2}}
+	b.Configure(profiles(bulk, guaranteed, urgent))
+	counted, reserved := 0, 0
+	for at := time.Duration(0); at < 12*time.Second; at += simStep {
+		if at%(2*time.Second) == 0 {
+			b.add("Urgent", shape(4, 8, fleet.LevelDomain), 1, burstTime)
+			b.add("Normal", shape(2, 8, fleet.LevelDomain), 1, burstTime)
+			b.add("Normal", shape(1, 1, fleet.LevelDomain), 20, burstTime)
+			b.add("Bulk", shape(1, 3, fleet.LevelDomain), 60, 3*time.Second)
+		}
+		d := b.step(simStep)
+		s := b.pass.scarcity
+		if s.awaited > 0 || len(d.Stops) > 0 {
+			continue
+		}
+		for _, x := range d.Starts {
+			if b.Planner.jobs[x.Job.ID].gang != nil {
+				reserved++
+			}
+		}
+		fresh := scarcity{shapes: s.shapes}
+		b.addUsable(&fresh)
+		counted++
+		require.Equal(t, b.freeAccelerators(), s.free, "at %v", at)
+		for rank := 1; rank < rankCount; rank++ {
+			require.InDelta(t, fresh.usable[rank], s.usable[rank], 1e-6, "rank %d at %v", rank, at)
+		}
+	}
+	require.Greater(t, counted, 20)
+	require.Positive(t, reserved)
+}
+
+// TestHeldBackCountsWaitingJobs guards against a count of held back jobs that has such as do start, or that an urgent pass resets: more
+// urgent work comes and goes, and of two like tasks one is overdue.
+func TestHeldBackCountsWaitingJobs(t *testing.T) {
+	p := planner(t, workers(1, 8), profiles(bulk, normal, urgent), WithIdleBound(2*time.Second), With(DelayCost))
+	require.NoError(t, p.Submit(job("full", "CW", "Bulk", shape(4, 8, fleet.LevelRack))))
+	run(p, p.Pass(start), start)
+	at := start
+	for i := range 60 {
+		at = at.Add(200 * time.Millisecond)
+		for rank := 1; rank < rankCount; rank++ {
+			p.demand[rank].Observe(at, 64*(i%2))
+		}
+	}
+	submit := func(id string) {
+		p.PassUrgent(at)
+		j := job(id, "Gear", "Bulk", shape(1, 8, fleet.LevelDomain))
+		j.Submission, j.Submitted = id, at
+		require.NoError(t, p.Submit(j))
+	}
+	heldBack := func() int {
+		c, ok := p.Competition(time.Second)
+		require.True(t, ok)
+		return c.HeldBack
+	}
+	submit("old")
+	require.Empty(t, p.Pass(at).Starts)
+	require.Equal(t, 1, heldBack())
+	p.PassUrgent(at)
+	require.Equal(t, 1, heldBack(), "an urgent pass leaves the count")
+	at = at.Add(2500 * time.Millisecond)
+	submit("new")
+	d := p.Pass(at)
+	require.Len(t, d.Starts, 1)
+	require.Equal(t, "old", d.Starts[0].Job.ID)
+	require.Equal(t, 1, heldBack(), "old starts and only new waits")
+}
--- a/internal/state/plan/pass.go
+++ b/internal/state/plan/pass.go
@@ -92,7 +92,9 @@
 	p.beginPass(now)
 	queue := p.order(func(*entry) bool { return true })
 	p.targets = p.findTargets(queue)
-	return p.decideAll(queue)
+	d := p.decideAll(queue)
+	p.noteCompetition()
+	return d
 }
 
 // PassUrgent is a pass over urgent jobs only, which stays fast with a long queue of other jobs.
@@ -244,18 +246,27 @@
 	if p.claim(e, d) {
 		return
 	}
+	awaited := e.awaited
 	p.dropAwaited(e)
+	p.noteDropped(e, awaited)
 	p.relaxAvoidance(e)
 	p.relaxAdjacency(e)
 	if p.exceedsQuota(e) {
 		return
 	}
 	isHeldBack := p.isHeldBack(e) && !p.isOverdue(e)
-	if p.startBySpeed(e, isHeldBack, d) || isHeldBack {
+	if p.startBySpeed(e, isHeldBack, d) {
+		return
+	}
+	if isHeldBack {
+		if p.isAlreadyHeld(e) {
+			p.holdBack(e)
+		}
 		return
 	}
 	if sites, reason := p.findSites(e); sites != nil {
 		if !p.keepsRoom(e, sites) && !p.isOverdue(e) {
+			p.holdBack(e)
 			return
 		}
 		p.startOutside(e, sites, reason, d)
@@ -306,12 +317,12 @@
 func (p *Planner) startOutside(e *entry, sites []*place.Site, reason string, d *Decisions) {
 	p.headroomOf(e).take(p.countFastEnough(e, sites), e.isUrgent())
 	p.takeStartToken(e)
-	p.noteStart(e, sites)
 	p.start(e, sites, reason, d)
 }
 
 // start allocates the resources of a gang and adds its start to the decisions.
 func (p *Planner) start(e *entry, sites []*place.Site, reason string, d *Decisions) {
+	p.noteStart(e, sites)
 	p.dequeue(e)
 	e.job.Attempt++
 	e.starts++
--- a/internal/state/plan/planner.go
+++ b/internal/state/plan/planner.go
@@ -47,6 +47,8 @@
 	headrooms map[string]*headroom
 	// demand holds, for each rank, the recent demand of all jobs that are more urgent.
 	demand [rankCount]cost.Demand
+	// competition is how jobs competed for room in the last pass over all of them; nil before the first.
+	competition *Competition
 	// recentShapes are the shapes of the most recent urgent gangs.
 	recentShapes []fleet.Shape
 	// lossBounds are the loss bounds of urgent jobs and of other jobs; see WithLossBounds.
