End the starts to a worker only when no connection to it can be opened

A poll that is answered late ended the starts under way as well, so that a busy worker could have its starts sent again and again. A worker that has ended refuses connections, which is what the starts have to end for. TestStartBeingConnectedEndsWithItsWorker passes as before.

--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -142,7 +142,10 @@
 	}
 	e.mu.Lock()
 	w.isFailing = true
-	w.endStarts()
+	if errors.Is(err, port.ErrUnsent) {
+		// No connection can be opened. A poll that is answered late alone says nothing of the starts.
+		w.endStarts()
+	}
 	if errors.Is(err, port.ErrWrongWorker) {
 		e.log.Info("another worker is at the address", "Worker", w.name)
 		e.handleReplacement(w)
