--- a/cmd/auburncleatd/site.go
+++ b/cmd/auburncleatd/site.go
@@ -85,12 +85,24 @@
 	return p.Serve(l)
 }
 
+// idleConnectionsDivisor gives the part of all connections that may be kept to workers without a call under way.
+const idleConnectionsDivisor = 4
+
+// newRunnerClient returns the client of the workers.
+func newRunnerClient(s *setup.Site) *rest.Client {
+	opts := []rest.Option{rest.WithMaxConnections(connectionsPerWorker)}
+	if n, ok := host.MaxConnections(s); ok {
+		opts = append(opts, rest.WithMaxIdleConnections(max(n/idleConnectionsDivisor, connectionsPerWorker)))
+	}
+	return rest.New(opts...)
+}
+
 // siteAdapters connects the host to the platform, its workers and callers, and to the other hosts.
 func siteAdapters(s *setup.Site, l *slog.Logger, c tally.Scope) host.Deps {
 	store := platform.NewStore(rest.New(), s.Store.Addr)
 	return host.Deps{
 		Store:            store,
-		Runners:          platform.NewRunners(rest.New(rest.WithMaxConnections(connectionsPerWorker))),
+		Runners:          platform.NewRunners(newRunnerClient(s)),
 		FollowRunners:    platform.NewRunnerWatcher(store, clock.System(), l),
 		ConfigTopic:      platform.ConfigTopic,
 		DecodeConfig:     platform.DecodeConfig,
--- a/internal/host/endpoint.go
+++ b/internal/host/endpoint.go
@@ -74,6 +74,15 @@
 	return s.Limits.Memory / jobMemoryDivisor
 }
 
+// MaxConnections returns how many connections of all kinds the host may have open, and false if nothing limits them.
+func MaxConnections(s *setup.Site) (int, bool) {
+	files, ok := s.Limits.OpenFiles, true
+	if files == 0 {
+		files, ok = guard.MaxOpenFiles()
+	}
+	return files - reservedFiles, ok
+}
+
 // maxCallers returns the number of connections that callers may keep open.
 func (h *Host) maxCallers() int {
 	m := h.settings.Limits
@@ -81,8 +90,8 @@
 		return m.Connections
 	}
 	n := int(m.Memory / connectionMemoryDivisor / connectionBytes)
-	if files, ok := guard.MaxOpenFiles(); ok {
-		n = min(n, (files-reservedFiles)/2)
+	if files, ok := MaxConnections(h.settings); ok {
+		n = min(n, files/2)
 	}
 	return max(n, minConnections)
 }
--- a/internal/setup/site.go
+++ b/internal/setup/site.go
@@ -84,6 +84,8 @@
 	CallerMemory fleet.Bytes
 	// Connections bounds the open connections of callers; zero means as many as Memory and the open files allow.
 	Connections int
+	// OpenFiles is the number of files and connections that the process may have open; zero means the limit of the system.
+	OpenFiles int
 }
 
 const (
@@ -94,6 +96,8 @@
 	maxBody            = 64 * fleet.Megabyte
 	defaultHeader      = 16 * kilobyte
 	maxConnections     = 100_000
+	minOpenFiles       = 256
+	maxOpenFiles       = 1 << 30
 	defaultMemory      = 256 * fleet.Megabyte
 	defaultRevoke      = 5 * time.Second
 	defaultGrace       = 6 * time.Second
@@ -126,6 +130,7 @@
 		s.Limits.Header = x.bytes("Header", defaultHeader, kilobyte, fleet.Megabyte)
 		s.Limits.CallerMemory = x.bytes("CallerMemory", 0, fleet.Megabyte, maxMemory)
 		s.Limits.Connections = x.count("Connections", 0, 1, maxConnections)
+		s.Limits.OpenFiles = x.count("OpenFiles", 0, minOpenFiles, maxOpenFiles)
 	})
 	r.readSection("Plan", func(x *section) { s.Plan = loadSitePlan(x) })
 	r.readSection("Log", func(x *section) { s.Log = loadLog(x) })
--- a/internal/transport/rest/client.go
+++ b/internal/transport/rest/client.go
@@ -99,6 +99,7 @@
 	hedgeDelay     time.Duration
 	maxReplyBytes  int64
 	maxConnections int
+	maxIdle        int
 	dial           func(ctx context.Context, network, addr string) (net.Conn, error)
 	pooled         *http.Client
 	fresh          *http.Client
@@ -122,6 +123,10 @@
 // WithMaxConnections sets the maximum number of pooled connections to one address.
 func WithMaxConnections(n int) Option { return func(r *Client) { r.maxConnections = n } }
 
+// WithMaxIdleConnections sets the maximum number of idle connections to all addresses together; the one unused for longest is
+// closed for another. Zero means no maximum.
+func WithMaxIdleConnections(n int) Option { return func(r *Client) { r.maxIdle = n } }
+
 // WithDial replaces the function that opens connections.
 func WithDial(f func(ctx context.Context, network, addr string) (net.Conn, error)) Option {
 	return func(r *Client) { r.dial = f }
@@ -141,6 +146,7 @@
 	}
 	c.pooled = &http.Client{Transport: &http.Transport{
 		DialContext:         c.dial,
+		MaxIdleConns:        c.maxIdle,
 		MaxIdleConnsPerHost: maxIdlePerAddr,
 		MaxConnsPerHost:     c.maxConnections,
 		IdleConnTimeout:     idleTimeout,
