--- a/cmd/cleatctl/operator_test.go
+++ b/cmd/cleatctl/operator_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,11 +20,12 @@
 )
 
 // servePolicy serves a policy whose log is kept in memory, and returns the flags to reach it; appends return *fault if it is set.
-func servePolicy(t *testing.T, fault *error) (*policy.Policy, []string) {
+// A command that has ended may leave an attempt that is still being served, which reads fault.
+func servePolicy(t *testing.T, fault *atomic.Pointer[error]) (*policy.Policy, []string) {
 	var p *policy.Policy
 	p = policy.New(policy.WithAppend(func(_ context.Context, r *wire.Record) (uint64, error) {
-		if *fault != nil {
-			return 0, *fault
+		if err := fault.Load(); err != nil {
+			return 0, *err
 		}
 		offset := p.State().Next()
 		p.Fold(offset, time.Now(), r)
@@ -37,7 +39,7 @@
 }
 
 func TestOperatorCommands(t *testing.T) {
-	var fault error
+	var fault atomic.Pointer[error]
 	p, flags := servePolicy(t, &fault)
 	dir := t.TempDir()
 	write := func(name, text string) string {
@@ -102,11 +104,11 @@
 		})
 	}
 	require.Empty(t, p.Config().Profiles)
-	fault = stream.ErrOutcomeUnknown
+	fault.Store(&stream.ErrOutcomeUnknown)
 	code, _, errs := runCommand(t, append([]string{"profile", "publish", one, why[0], why[1]}, flags...)...)
 	require.Equal(t, exitUnknown, code)
 	require.Contains(t, errs, "repeat the command with --id")
-	fault = stream.ErrLogDown
+	fault.Store(&stream.ErrLogDown)
 	code, _, errs = runCommand(t, append([]string{"profile", "publish", one, why[0], why[1]}, flags...)...)
 	require.Equal(t, exitFailed, code)
 	require.Contains(t, errs, "nothing was changed")
@@ -115,7 +117,7 @@
 }
 
 func TestNoticeCommands(t *testing.T) {
-	var fault error
+	var fault atomic.Pointer[error]
 	p, flags := servePolicy(t, &fault)
 	n := config.Notice{
 		ID: "n1", Organisation: "registry", Profile: "audits", Domain: "north-quay", Slower: 2.5, Why: "rack-7 stops",
