exec: log and count on what evidence a task is lost, and stray orders

The log says that a lease expired or that a worker has a new lifetime, and not which lease set the bound, whether the task was adopted, or whether an order for an earlier lifetime was executed by a later one. So the hypotheses can't be told apart: an order of a former owner reached the new lifetime; one of this owner did; a start by a clock that was read before the rebirth.

Change: no decision differs. The bounds of a worker's leases have a type that keeps whose lease sets them. "lease of task on unresponsive worker expired" names the bound, lifetimes, ages and origin of the start; "worker has a new lifetime" names the orders without an answer and the resulting bound, and also comes for a lifetime that follows that of an entry. New are the line "order was executed by a later lifetime", the evidence in "run ends", and the counters tasks_lost, worker_lifetimes, orders_by_later_lifetime and leases_by_old_clock. A start's answer has only a clock, so a rebirth early in a lifetime is not seen there.

--- a/internal/coordination/exec/health.go
+++ b/internal/coordination/exec/health.go
@@ -1,10 +1,6 @@
 package exec
 
-import (
-	"time"
-
-	"github.com/auburncleat/auburncleat/internal/state/jobs"
-)
+import "time"
 
 // runChecks withholds new work from unresponsive workers, counts their tasks as lost once their leases have expired,
 // lifts the avoidance of workers where tasks stalled, and resubmits deferred units.
@@ -15,8 +11,8 @@
 			e.log.Info("worker is silent", "Worker", w.name, "Tasks", len(w.tasks), "Asked", now.Sub(w.lastPoll).String())
 			e.updatePlannerWorker(w)
 		}
-		if now.After(later(w.leaseEnd, w.formerLeaseEnd)) {
-			e.expireTasks(w)
+		if now.After(w.leaseBound().at) {
+			e.expireTasks(w, now)
 		}
 	}
 	for _, w := range e.workers {
@@ -37,12 +33,12 @@
 }
 
 // expireTasks counts the tasks of a worker as lost once its lease has certainly expired.
-func (e *Engine) expireTasks(w *worker) {
+func (e *Engine) expireTasks(w *worker, now time.Time) {
 	for _, t := range w.tasks {
 		if t.member.presence == taskEnded || t.unit.phase == phaseStoring {
 			continue
 		}
-		e.log.Info("lease of task on unresponsive worker expired", "Worker", w.name, "Unit", t.unit.name, "Run", t.unit.run)
-		e.handleTaskEnd(t.unit, t.member, jobs.Lost, "", false)
+		e.logExpiredLease(w, t, now)
+		e.loseTask(t, leaseExpired)
 	}
 }
--- /dev/null
+++ b/internal/coordination/exec/leasebound.go
@@ -0,0 +1,46 @@
+package exec
+
+import "time"
+
+// boundSource tells which leases make a bound as late as it is.
+type boundSource string
+
+const (
+	// ownGrant: a lease that this owner granted.
+	ownGrant boundSource = "OwnGrant"
+	// formerOwner: a lease that a former owner may have granted.
+	formerOwner boundSource = "FormerOwner"
+	// strayOrder: a lease that an order for an earlier lifetime of the worker may have got at a later one.
+	strayOrder boundSource = "Stray"
+)
+
+// bound is a time by which leases of a worker have certainly expired.
+type bound struct {
+	at     time.Time
+	source boundSource
+}
+
+// raise moves the bound to a time if that is later.
+func (b *bound) raise(at time.Time, s boundSource) {
+	if at.After(b.at) {
+		b.at, b.source = at, s
+	}
+}
+
+// lower moves the bound to a time if that is earlier.
+func (b *bound) lower(at time.Time) {
+	b.at = earlier(b.at, at)
+}
+
+// later returns the later one of two bounds.
+func (b bound) later(x bound) bound {
+	if x.at.After(b.at) {
+		return x
+	}
+	return b
+}
+
+// leaseBound returns the bound of all leases of the worker.
+func (w *worker) leaseBound() bound {
+	return w.leaseEnd.later(w.formerLeaseEnd)
+}
--- a/internal/coordination/exec/lifetime.go
+++ b/internal/coordination/exec/lifetime.go
@@ -33,6 +33,42 @@
 	return w.mayHaveEnded(now) || !w.isDescribed() || w.mayHaveRestarted(now)
 }
 
+// logNewLifetime logs and counts a lifetime of a worker that follows one known to this owner; an empty one stands for another worker at
+// its address.
+func (e *Engine) logNewLifetime(w *worker, instance string) {
+	before := w.knownInstance
+	if instance != "" {
+		w.knownInstance = instance
+	}
+	isReported := w.instance != "" || w.hasReported
+	if isReported {
+		before = w.instance
+	} else if instance == "" || before == "" || before == instance {
+		return
+	}
+	if instance != "" {
+		e.scope.Counter("worker_lifetimes").Inc(1)
+	}
+	starts, formerStarts := w.countUnansweredStarts()
+	b := w.leaseBound()
+	e.log.Info("worker has a new lifetime", "Worker", w.name, "Before", before, "Now", instance, "IsReported", isReported,
+		"UnansweredStarts", starts, "FormerStarts", formerStarts, "UnansweredRenewals", w.unansweredRenewals,
+		"IsClockKnown", !w.lastClockTime.IsZero(), "Bound", string(b.source), "LeaseEnd", b.at.Sub(e.clock.Now()).Round(time.Millisecond).String())
+}
+
+// countUnansweredStarts counts the starts of this owner that may still be executed, and those of former owners that no report has shown.
+func (w *worker) countUnansweredStarts() (own, former int) {
+	for _, t := range w.tasks {
+		switch m := t.member; {
+		case m.isUndecided:
+			own++
+		case m.isAdopted && m.presence == taskUnknown:
+			former++
+		}
+	}
+	return own, former
+}
+
 // startContextOf returns the context of the starts that are under way to a worker.
 func (e *Engine) startContextOf(w *worker) context.Context {
 	if w.startContext == nil {
@@ -52,6 +88,9 @@
 
 // handleListing processes a new entry of a worker; one of another lifetime than that of the last report calls for a new report.
 func (e *Engine) handleListing(w *worker) {
+	if w.knownInstance == "" {
+		w.knownInstance = w.runner.Instance
+	}
 	if !w.isDescribed() {
 		e.log.Info("worker is listed with another lifetime", "Worker", w.name, "Listed", w.runner.Instance, "Reported", w.instance)
 		w.isOutdated = true
--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -82,17 +82,19 @@
 	if !w.lastClockTime.IsZero() && !w.isFailing && e.mayHold() {
 		h.Until = e.grantLease(w, now)
 	}
+	o := e.newOrder(renewalOrder, w, h.Until, now)
 	w.lastPoll = now
 	addr := w.runner.Worker.Addr
 	e.mu.Unlock()
 	r, err := e.deps.Runners.Renew(ctx, addr, h)
 	e.scope.Counter("worker_looks").Inc(1)
 	if err != nil {
-		e.handlePollError(ctx, w, err)
+		e.handlePollError(ctx, w, o, err)
 		return
 	}
 	stored := make(chan struct{})
 	e.mu.Lock()
+	e.checkOrder(w, o, r.Instance, r.Clock)
 	w.lastAckedEnd = max(w.lastAckedEnd, h.AckedEnd)
 	e.handleReport(w, now, r, func() { close(stored) })
 	e.mu.Unlock()
@@ -136,12 +138,15 @@
 	return maxRenewalAge
 }
 
-func (e *Engine) handlePollError(ctx context.Context, w *worker, err error) {
+func (e *Engine) handlePollError(ctx context.Context, w *worker, o order, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	e.mu.Lock()
 	w.isFailing = true
+	if o.until > 0 && isUndecidedStart(err) {
+		w.unansweredRenewals++
+	}
 	if errors.Is(err, port.ErrUnsent) {
 		// No connection can be opened. A poll that is answered late alone says nothing of the starts.
 		w.endStarts()
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -17,6 +17,7 @@
 	if r.Instance != w.instance {
 		e.handleRestart(w, r)
 	}
+	w.unansweredRenewals = 0
 	w.updateClock(r.Clock, now)
 	if w.isSuspect {
 		e.log.Info("worker answers again", "Worker", w.name)
@@ -25,7 +26,7 @@
 	isFirst := !w.hasReported
 	if isFirst {
 		// The worker has seen the term of this owner, so that former owners extend its leases no more.
-		w.formerLeaseEnd = earlier(w.formerLeaseEnd, now.Add(leaseBound(e.formerLease)))
+		w.formerLeaseEnd.lower(now.Add(leaseBound(e.formerLease)))
 	}
 	w.hasReported = true
 	newest := w.lastHandledEnd
@@ -109,15 +110,15 @@
 		case t.member.instance == instance, t.unit.phase == phaseStoring:
 		case present[ref]:
 			t.member.instance = instance
-			w.leaseEnd = later(w.leaseEnd, strayLeaseEnd)
+			w.leaseEnd.raise(strayLeaseEnd, strayOrder)
 		case r.IsCut && t.member.presence != taskEnded:
-			w.leaseEnd = later(w.leaseEnd, strayLeaseEnd)
+			w.leaseEnd.raise(strayLeaseEnd, strayOrder)
 			e.awaitWholeReport(t, w)
 		case t.member.isUndecided && t.member.presence != taskEnded:
 			t.member.instance = instance
 			e.blockStart(t.unit, t.member, w)
 		default:
-			e.handleTaskEnd(t.unit, t.member, jobs.Lost, "", false)
+			e.loseTask(t, newLifetime)
 		}
 	}
 }
@@ -136,7 +137,7 @@
 	w.hasReported = false
 	for _, t := range w.tasks {
 		if t.unit.phase != phaseStoring {
-			e.handleTaskEnd(t.unit, t.member, jobs.Lost, "", false)
+			e.loseTask(t, replacedWorker)
 		}
 	}
 	e.updatePlannerWorker(w)
@@ -145,22 +146,20 @@
 // beginInstance forgets what is known of the former instance of a worker, and returns the end of the leases that orders for the
 // former one may have got at the new one.
 func (e *Engine) beginInstance(w *worker, instance string) time.Time {
-	if w.instance != "" || w.hasReported {
-		e.log.Info("worker has a new lifetime", "Worker", w.name, "Before", w.instance, "Now", instance)
-	}
 	if w.instance != "" && len(w.tasks) > 0 {
 		e.planner.RecordCrash(w.name, w.instance, e.clock.Now())
 	}
 	// A lease that was meant for the former instance, by whose clock it ends, lasts for as long as the new one allows.
 	strayLeaseEnd := e.clock.Now().Add(leaseBound(e.bounds.MaxHold))
 	if !w.lastClockTime.IsZero() {
-		w.leaseEnd = later(w.leaseEnd, strayLeaseEnd)
+		w.leaseEnd.raise(strayLeaseEnd, strayOrder)
 	}
+	e.logNewLifetime(w, instance)
 	if w.instance != "" {
 		e.forgetSpeed(w.name)
 	}
 	w.endStarts()
-	w.instance = instance
+	w.instance, w.instanceSince = instance, e.clock.Now()
 	w.lastClock, w.lastClockTime = 0, time.Time{}
 	w.lastHandledEnd, w.lastStoredEnd, w.lastAckedEnd = 0, 0, 0
 	w.unstoredEnds = map[int64]bool{}
@@ -226,12 +225,12 @@
 	case t.unit.phase == phaseStoring:
 	case m.presence == taskPresent && !m.isStopping && t.unit.phase == phaseRunning && polledAt.After(m.firstSeen):
 		m.isWorkerFault = true
-		e.handleTaskEnd(t.unit, m, jobs.Lost, "", false)
+		e.loseTask(t, notListed)
 	case !m.stopConfirmedAt.IsZero() && polledAt.After(m.stopConfirmedAt):
 		e.handleTaskEnd(t.unit, m, jobs.Stopped, "", false)
 	case t.unit.phase == phaseRunning && m.presence == taskUnknown:
 		// A former owner sent this start; the worker now rejects it because its fencing token is outdated.
-		e.handleTaskEnd(t.unit, m, jobs.Lost, "", false)
+		e.loseTask(t, neverListed)
 	}
 }
 
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -34,6 +34,7 @@
 		w := e.getWorker(m.worker)
 		switch {
 		case m.instance != w.instance:
+			e.recordLoss(m, newLifetime)
 			e.failStart(u, m, jobs.Lost, "worker was restarted")
 		case !w.takesWork():
 			e.failStart(u, m, jobs.Stopped, "worker takes no work any more")
@@ -74,12 +75,16 @@
 			Ref: u.ref(m), Spec: u.spec, Until: e.grantLease(w, now), Token: e.term, Checkpoint: u.checkpoint,
 			Worker: m.worker,
 		}
+		o := e.newOrder(startOrder, w, s.Until, now)
 		addr := w.runner.Worker.Addr
 		m.isSent, m.isUndecided = true, true
 		ctx := e.startContextOf(w)
 		e.mu.Unlock()
 		workerClock, err := e.deps.Runners.Start(ctx, addr, s)
 		e.mu.Lock()
+		if err == nil {
+			e.checkOrder(w, o, "", workerClock)
+		}
 		wasUndecided := isUndecided
 		isUndecided = isUndecided || isUndecidedStart(err)
 		m.isUndecided, m.isSent = isUndecided, isUndecided || err == nil
@@ -146,6 +151,7 @@
 		w.wakePoller()
 		return true
 	case errors.Is(err, port.ErrWrongWorker):
+		e.recordLoss(m, replacedWorker)
 		e.failStart(u, m, jobs.Lost, "another worker is at its address")
 		return true
 	case !isUndecided && isRefusedStart(err):
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -92,6 +92,7 @@
 	if m.isStalled && r == jobs.Stopped {
 		// With the result Lost the planner avoids this worker for the next run of the unit.
 		r = jobs.Lost
+		e.recordLoss(m, noProgress)
 	}
 	m.presence, m.result, m.isSecondary = taskEnded, r, isBroken
 	u.hasBegun = u.hasBegun || r != jobs.Stopped || m.endNumber > 0
@@ -140,8 +141,8 @@
 		e.releaseRun(u, res)
 		return
 	}
-	e.log.Info("run ends", "Job", u.job, "Unit", u.name, "Run", u.run, "Result", resultName(res), "Failures", u.failures,
-		"Ran", e.clock.Since(u.since).Round(time.Millisecond).String())
+	e.log.Info("run ends", "Job", u.job, "Unit", u.name, "Run", u.run, "Result", resultName(res), "Evidence", string(u.evidence()),
+		"Failures", u.failures, "Ran", e.clock.Since(u.since).Round(time.Millisecond).String())
 	r, err := jobs.UnitRecord(e.record(u, res))
 	if err != nil {
 		e.log.Error("cannot encode the end of a run", "Unit", u.name, "Cause", err.Error())
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -47,8 +47,10 @@
 	task     int
 	presence presence
 	// firstSeen is when the task was first known to be on the worker.
-	firstSeen   time.Time
-	result      jobs.Result
+	firstSeen time.Time
+	result    jobs.Result
+	// evidence tells why the task was counted as lost; empty if it was not.
+	evidence    lossEvidence
 	isSecondary bool
 	// stopConfirmedAt is when the worker confirmed that the run will not start any more; zero before.
 	stopConfirmedAt time.Time
@@ -68,6 +70,8 @@
 	isRefused bool
 	// isUndecided is set while a start of the task is in transit or was not answered, so that it may still be executed.
 	isUndecided bool
+	// isAdopted is set when a former owner started the task.
+	isAdopted bool
 	// isLate is set for the end of an earlier run that completed after it had been counted as lost.
 	isLate bool
 	// endNumber is the number of the end in the report of the worker; zero when the worker has not reported it.
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -68,12 +68,19 @@
 	orphans       map[port.RunRef]bool
 	lastClock     time.Duration
 	lastClockTime time.Time
-	// leaseEnd is the time by which all leases that this owner granted have certainly expired, and formerLeaseEnd the same for
-	// former owners.
-	leaseEnd       time.Time
-	formerLeaseEnd time.Time
+	// leaseEnd bounds all leases that this owner granted, and formerLeaseEnd those of former owners.
+	leaseEnd       bound
+	formerLeaseEnd bound
 	lastReport     time.Time
 	lastPoll       time.Time
+	// lastGrant is when this owner last granted a lease.
+	lastGrant time.Time
+	// knownInstance is the lifetime that a report, or before the first one an entry, has last shown to this owner.
+	knownInstance string
+	// instanceSince is when this owner first saw the lifetime that reports.
+	instanceSince time.Time
+	// unansweredRenewals is the number of renewals with a lease since the last report that may have been executed without an answer.
+	unansweredRenewals int
 	// lastHandledEnd is the number of the newest processed end. lastStoredEnd is the number of the newest end for which
 	// all records submitted while it was processed are stored.
 	lastHandledEnd int64
@@ -132,7 +139,8 @@
 	if lease <= 0 {
 		return 0
 	}
-	w.leaseEnd = later(w.leaseEnd, now.Add(leaseBound(lease)))
+	w.leaseEnd.raise(now.Add(leaseBound(lease)), ownGrant)
+	w.lastGrant = now
 	return w.clockTime(now) + lease
 }
 
@@ -164,7 +172,7 @@
 	if w == nil {
 		w = &worker{
 			name: name, tasks: map[port.RunRef]task{}, unstoredEnds: map[int64]bool{}, wake: make(chan struct{}, 1),
-			formerLeaseEnd: e.formerLeaseEnd,
+			formerLeaseEnd: bound{at: e.formerLeaseEnd, source: formerOwner},
 		}
 		w.runner.Worker.Name = name
 		e.workers[name] = w
