exec: show two runs at a time beside a late renewal of a former owner

A renewal of the former owner, which ends by the clock of the former lifetime of a worker, is carried out by the next lifetime before the new owner calls it. The worker cuts the deadline to MaxHold from then on, and holds by it what the new owner starts; the new owner expects MaxLease from the last word of the former one (boundFormerLeases), or nothing if that is over.

--- /dev/null
+++ b/internal/coordination/exec/lateorder_test.go
@@ -0,0 +1,126 @@
+package exec
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/standin"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// upTime is how long a worker has been up before it restarts; by its clock, orders end far in the future of the next lifetime.
+	upTime = 30 * time.Second
+	// absence is the time between two lifetimes of a worker.
+	absence = 600 * time.Millisecond
+	// orderDelay is how late a worker carries out an order that was not answered.
+	orderDelay = 3 * time.Second
+	// lateOrderSlack is how much longer than the longest lease a task may wait for its next run.
+	lateOrderSlack = orderDelay + 2*time.Second
+)
+
+// orderLog holds the newest orders of an owner to the first worker. Any of them may be carried out late, also by the next lifetime.
+type orderLog struct {
+	renewal atomic.Pointer[port.LeaseRenewal]
+}
+
+// recordOrders starts the next term, in which workers are listed by their lifetimes, and returns the log of its orders.
+func (r *rig) recordOrders() *orderLog {
+	l := &orderLog{}
+	r.stop()
+	r.hearFormerOwner(false)
+	r.entry = func(w fleet.Worker) port.Runner { return r.runners.List(w.Addr) }
+	first := r.workers[0].Name
+	r.change = func(d *Deps) {
+		x := d.Runners
+		d.Runners.Renew = func(ctx context.Context, to netip.AddrPort, h port.LeaseRenewal) (port.RunReport, error) {
+			if h.Worker == first && h.Until > 0 {
+				l.renewal.Store(&h)
+			}
+			return x.Renew(ctx, to, h)
+		}
+	}
+	r.start(r.engine.term + 1)
+	return l
+}
+
+// earlierID is a job that ends before the tests of late orders begin, so that its worker has been polled.
+const earlierID = "00000000000000ee"
+
+// endsEarly is the plan of runs that last for an hour, but for those of earlierID.
+func endsEarly(x port.RunRef, _ string) standin.RunOutcome {
+	if x.Job == earlierID {
+		return standin.RunOutcome{Work: upTime, Result: jobs.Done}
+	}
+	return standin.RunOutcome{Work: time.Hour, Result: jobs.Done}
+}
+
+// runInLateRig runs f in a rig with one worker that has been up, and at work, for upTime, and with the log of the orders to it.
+func runInLateRig(t *testing.T, f func(r *rig, l *orderLog)) {
+	t.Helper()
+	runInBoundedRig(t, longBounds, 1, endsEarly, func(r *rig) {
+		l := r.recordOrders()
+		r.advance(time.Second)
+		r.submit(earlierID, taskStep(1))
+		r.waitForState(earlierID, jobs.Completed, upTime+time.Second)
+		f(r, l)
+	})
+}
+
+// deliverRenewal lets the first worker carry out a renewal now; a worker that has seen a newer owner does nothing.
+func (r *rig) deliverRenewal(h *port.LeaseRenewal) {
+	r.t.Helper()
+	require.NotNil(r.t, h)
+	h.Wait = 0
+	_, _ = r.runners.View("z").Renew(r.t.Context(), r.workers[0].Addr, *h)
+}
+
+// comeBack ends the first worker and starts its next lifetime, which is listed if an engine runs.
+func (r *rig) comeBack(isListed bool) {
+	w := r.workers[0]
+	r.runners.Remove(w.Addr)
+	r.advance(absence)
+	r.runners.Add(w)
+	if isListed {
+		r.put(r.runners.List(w.Addr))
+	}
+}
+
+// rerunLimit is how long a task of a worker that is cut off or has come back may wait for its next run.
+func (r *rig) rerunLimit() time.Duration { return leaseBound(r.bounds.MaxHold) + lateOrderSlack }
+
+// requireOneRunAtATime cuts the first worker off, on which the given run is, and requires that the next run begins on another worker
+// within the longest lease, and that no two runs are at work at a time.
+func (r *rig) requireOneRunAtATime(run int) {
+	r.t.Helper()
+	r.cutOff()
+	r.list(testWorker(1))
+	r.waitForRun(run+1, r.rerunLimit())
+	require.Empty(r.t, r.runners.Faults())
+}
+
+// TestNoRunBesideLateRenewalOfFormerOwner guards against two runs of one task at a time: a renewal of a former owner, which ends by the
+// clock of the former lifetime of a worker, reaches the next lifetime before the new owner does, and holds what the new owner starts there.
+func TestNoRunBesideLateRenewalOfFormerOwner(t *testing.T) {
+	for name, takeOver := range map[string]time.Duration{"at the take-over": 0, "after it": 8 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runInLateRig(t, func(r *rig, l *orderLog) {
+				r.stop()
+				r.hearFormerOwner(false)
+				r.advance(takeOver)
+				r.comeBack(false)
+				r.deliverRenewal(l.renewal.Load())
+				r.start(r.engine.term + 1)
+				r.submit(testID, taskStep(1))
+				r.waitForRun(1, r.rerunLimit())
+				r.requireOneRunAtATime(1)
+			})
+		})
+	}
+}
