exec: show two runs at a time beside a renewal that is carried out after a worker is back

A renewal for the former lifetime of a worker is carried out 3 s after the same owner has seen the next lifetime. The worker cuts its deadline to MaxHold from then on; beginInstance counts MaxHold from the moment at which the owner saw the next lifetime.

--- a/internal/coordination/exec/lateorder_test.go
+++ b/internal/coordination/exec/lateorder_test.go
@@ -124,3 +124,17 @@
 		})
 	}
 }
+
+// TestNoRunBesideRenewalAfterReturnWasSeen guards against two runs of one task at a time: a renewal, which ends by the clock of the former
+// lifetime of a worker, is carried out seconds after the same owner has seen the next lifetime and started work there.
+func TestNoRunBesideRenewalAfterReturnWasSeen(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		h := l.renewal.Load()
+		r.comeBack(true)
+		r.submit(testID, taskStep(1))
+		r.waitForRun(1, r.rerunLimit())
+		r.advance(orderDelay)
+		r.deliverRenewal(h)
+		r.requireOneRunAtATime(1)
+	})
+}
