exec: show two runs at a time beside a renewal after another worker was at the address

Another worker answers at the address of a worker for 3 s, then the worker is back there under its name, and a renewal for its former lifetime reaches it first. handleReplacement has dropped the clock of the former lifetime, so that beginInstance, called again for the next one, doesn't raise the end of the lease; it still counts from the replacement.

--- a/internal/coordination/exec/lateorder_test.go
+++ b/internal/coordination/exec/lateorder_test.go
@@ -138,3 +138,27 @@
 		r.requireOneRunAtATime(1)
 	})
 }
+
+// formerID is a job whose run is over before that of the test job begins.
+const formerID = "00000000000000bb"
+
+// TestNoRunBesideRenewalAfterReplacement guards against two runs of one task at a time: another worker answers at the address of a worker
+// for a while, and a renewal for the former lifetime of the worker reaches the lifetime in which it is back there.
+func TestNoRunBesideRenewalAfterReplacement(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		r.submit(formerID, taskStep(1))
+		r.advance(2 * time.Second)
+		h := l.renewal.Load()
+		w := r.workers[0]
+		other := w
+		other.Name = "w9"
+		r.runners.Add(other)
+		r.advance(orderDelay)
+		r.append(jobs.CancelRecord(formerID))
+		r.comeBack(true)
+		r.deliverRenewal(h)
+		r.submit(testID, taskStep(1))
+		r.waitForRun(1, r.rerunLimit())
+		r.requireOneRunAtATime(1)
+	})
+}
