exec: show two runs at a time beside a renewal after a worker was listed anew

A worker leaves the list, its last task ends, and the owner deletes what it knows of it (pollWorker). It comes back, is listed again (getWorker makes a new entry without the clock and the end of the lease), and a renewal for its former lifetime reaches it.

--- a/internal/coordination/exec/lateorder_test.go
+++ b/internal/coordination/exec/lateorder_test.go
@@ -162,3 +162,20 @@
 		r.requireOneRunAtATime(1)
 	})
 }
+
+// TestNoRunBesideRenewalAfterReturnToList guards against two runs of one task at a time: a worker leaves the list, which ends what the owner
+// knows of it, and a renewal for its former lifetime reaches the one in which it is listed again.
+func TestNoRunBesideRenewalAfterReturnToList(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		r.submit(formerID, taskStep(1))
+		r.advance(2 * time.Second)
+		r.drop(r.workers[0].Name)
+		r.append(jobs.CancelRecord(formerID))
+		r.advance(time.Second)
+		r.comeBack(true)
+		r.deliverRenewal(l.renewal.Load())
+		r.submit(testID, taskStep(1))
+		r.waitForRun(1, r.rerunLimit())
+		r.requireOneRunAtATime(1)
+	})
+}
