exec: show two runs at a time beside a start that an unseen lifetime carries out

A start gets no answer, its worker ends and is back under its name, the owner is cut off from it before the next lifetime has reported, and the start is carried out there. By the new clock its deadline is far off, so that the worker holds it for MaxHold; the owner expects the lease that it granted by the former clock (grantLease).

--- a/internal/coordination/exec/lateorder_test.go
+++ b/internal/coordination/exec/lateorder_test.go
@@ -28,6 +28,9 @@
 // orderLog holds the newest orders of an owner to the first worker. Any of them may be carried out late, also by the next lifetime.
 type orderLog struct {
 	renewal atomic.Pointer[port.LeaseRenewal]
+	start   atomic.Pointer[port.RunStart]
+	// isSwallowing keeps starts from the worker, which thus leaves them unanswered.
+	isSwallowing atomic.Bool
 }
 
 // recordOrders starts the next term, in which workers are listed by their lifetimes, and returns the log of its orders.
@@ -39,6 +42,17 @@
 	first := r.workers[0].Name
 	r.change = func(d *Deps) {
 		x := d.Runners
+		d.Runners.Start = func(ctx context.Context, to netip.AddrPort, s port.RunStart) (time.Duration, error) {
+			if s.Worker != first {
+				return x.Start(ctx, to, s)
+			}
+			l.start.Store(&s)
+			if l.isSwallowing.Load() {
+				time.Sleep(commandTime)
+				return 0, standin.ErrNoAnswer
+			}
+			return x.Start(ctx, to, s)
+		}
 		d.Runners.Renew = func(ctx context.Context, to netip.AddrPort, h port.LeaseRenewal) (port.RunReport, error) {
 			if h.Worker == first && h.Until > 0 {
 				l.renewal.Store(&h)
@@ -81,6 +95,13 @@
 	_, _ = r.runners.View("z").Renew(r.t.Context(), r.workers[0].Addr, *h)
 }
 
+// deliverStart lets the first worker carry out a start now; a worker that has seen a newer owner does nothing.
+func (r *rig) deliverStart(s *port.RunStart) {
+	r.t.Helper()
+	require.NotNil(r.t, s)
+	_, _ = r.runners.View("z").Start(r.t.Context(), r.workers[0].Addr, *s)
+}
+
 // comeBack ends the first worker and starts its next lifetime, which is listed if an engine runs.
 func (r *rig) comeBack(isListed bool) {
 	w := r.workers[0]
--- /dev/null
+++ b/internal/coordination/exec/latestart_test.go
@@ -0,0 +1,30 @@
+package exec
+
+import (
+	"testing"
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+)
+
+// sendUnanswered submits the test job, and returns its start, which the first worker leaves unanswered.
+func (r *rig) sendUnanswered(l *orderLog) *port.RunStart {
+	l.isSwallowing.Store(true)
+	r.submit(testID, taskStep(1))
+	for l.start.Load().Ref.Job != testID {
+		r.advance(time.Millisecond)
+	}
+	return l.start.Load()
+}
+
+// TestNoRunBesideLateStartOnUnseenLifetime guards against two runs of one task at a time: a start that was not answered is carried out by the
+// next lifetime of its worker, which is cut off before it has reported, and by whose clock the lease ends later than was meant.
+func TestNoRunBesideLateStartOnUnseenLifetime(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		s := r.sendUnanswered(l)
+		r.cutOff()
+		r.comeBack(true)
+		r.deliverStart(s)
+		r.requireOneRunAtATime(1)
+	})
+}
