exec: show two runs at a time beside a start that a seen lifetime carries out late

A start gets no answer, its worker is back under its name and reports without the run. The owner stops the run there (blockStart), and is cut off before the worker has confirmed that. The start is carried out 3 s later and held for MaxHold from then on; the owner counts MaxHold from the report (beginInstance).

--- a/internal/coordination/exec/latestart_test.go
+++ b/internal/coordination/exec/latestart_test.go
@@ -28,3 +28,17 @@
 		r.requireOneRunAtATime(1)
 	})
 }
+
+// TestNoRunBesideLateStartOnSeenLifetime guards against two runs of one task at a time: a start that was not answered is carried out by the
+// next lifetime of its worker, seconds after that has reported without it, and has been cut off before it could confirm a stop.
+func TestNoRunBesideLateStartOnSeenLifetime(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		s := r.sendUnanswered(l)
+		r.comeBack(true)
+		r.waitForPhase(r.unit(testID, 0), phaseStopping)
+		r.cutOff()
+		r.advance(orderDelay)
+		r.deliverStart(s)
+		r.requireOneRunAtATime(1)
+	})
+}
