exec: show two runs at a time beside a start that the next lifetime answers

Meanwhile its worker ends without a word and is back; the next lifetime carries the start out and answers it, and is cut off before it has reported. handleStartReply takes the run for one of the former lifetime and ignores the clock of the answer, which has gone back; the lease counts from the grant by the former clock.

--- a/internal/coordination/exec/lateorder_test.go
+++ b/internal/coordination/exec/lateorder_test.go
@@ -31,6 +31,8 @@
 	start   atomic.Pointer[port.RunStart]
 	// isSwallowing keeps starts from the worker, which thus leaves them unanswered.
 	isSwallowing atomic.Bool
+	// startDelay, in nanoseconds, is how long a connection for a start takes to open.
+	startDelay atomic.Int64
 }
 
 // recordOrders starts the next term, in which workers are listed by their lifetimes, and returns the log of its orders.
@@ -51,6 +53,11 @@
 				time.Sleep(commandTime)
 				return 0, standin.ErrNoAnswer
 			}
+			select {
+			case <-ctx.Done():
+				return 0, port.ErrUnsent
+			case <-time.After(time.Duration(l.startDelay.Load())):
+			}
 			return x.Start(ctx, to, s)
 		}
 		d.Runners.Renew = func(ctx context.Context, to netip.AddrPort, h port.LeaseRenewal) (port.RunReport, error) {
--- a/internal/coordination/exec/latestart_test.go
+++ b/internal/coordination/exec/latestart_test.go
@@ -42,3 +42,20 @@
 		r.requireOneRunAtATime(1)
 	})
 }
+
+// TestNoRunBesideStartAnsweredByNextLifetime guards against two runs of one task at a time: the connection for a start is still being opened
+// when its worker ends, and the next lifetime answers it, and is cut off before it has reported.
+func TestNoRunBesideStartAnsweredByNextLifetime(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		l.startDelay.Store(int64(absence + 100*time.Millisecond))
+		r.submit(testID, taskStep(1))
+		for l.start.Load().Ref.Job != testID {
+			r.advance(time.Millisecond)
+		}
+		r.comeBack(false)
+		r.advance(150 * time.Millisecond)
+		l.startDelay.Store(0)
+		r.waitForRun(1, r.rerunLimit())
+		r.requireOneRunAtATime(1)
+	})
+}
