exec: show two runs at a time after a late start of a lost run

A start is answered, while a second attempt of it (starts are hedged) is on its way. The worker is back under its name, the owner sees that, counts the run as lost (handleRestart) and starts the next one elsewhere; 3 s later the second attempt is carried out on the new lifetime, which has seen no higher token and no stop of that run.

--- a/internal/coordination/exec/latestart_test.go
+++ b/internal/coordination/exec/latestart_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/stretchr/testify/require"
 )
 
 // sendUnanswered submits the test job, and returns its start, which the first worker leaves unanswered.
@@ -59,3 +60,21 @@
 		r.requireOneRunAtATime(1)
 	})
 }
+
+// TestNoLateStartOfLostRun guards against two runs of one task at a time: a second attempt of a start that was answered is carried out by the
+// next lifetime of its worker, after the owner has seen that and has counted the run as lost.
+func TestNoLateStartOfLostRun(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		r.submit(testID, taskStep(1))
+		r.waitForRun(1, time.Second)
+		s := l.start.Load()
+		r.list(testWorker(1))
+		r.comeBack(true)
+		r.runners.SetFull(r.workers[0].Addr, true)
+		r.waitForRun(2, r.rerunLimit())
+		r.advance(orderDelay)
+		r.runners.SetFull(r.workers[0].Addr, false)
+		r.deliverStart(s)
+		require.Empty(r.t, r.runners.Faults())
+	})
+}
