exec: show a second run after a late start of a task that is done

As with a lost run: the task is done and its end acknowledged, the worker is back under its name and has reported, and a second attempt of the start of the run is carried out there.

--- a/internal/coordination/exec/latestart_test.go
+++ b/internal/coordination/exec/latestart_test.go
@@ -78,3 +78,15 @@
 		require.Empty(r.t, r.runners.Faults())
 	})
 }
+
+// TestNoLateStartOfDoneTask guards against a second run of a task that is done: a second attempt of its start is carried out by the next
+// lifetime of its worker, after the owner has seen that.
+func TestNoLateStartOfDoneTask(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		s := l.start.Load()
+		r.comeBack(true)
+		r.advance(orderDelay)
+		r.deliverStart(s)
+		require.Empty(r.t, r.runners.Faults())
+	})
+}
