exec: show two runs at a time by leases that count from the clock of a former lifetime

The reply of the former lifetime of a worker to a start is processed after the first report of the next one: it arrives as the start is given up. updateClock takes its clock, which is far ahead, and ignores those of all later reports, so that every lease at the new lifetime ends MaxHold after its order; the owner expects MaxLease.

--- a/internal/coordination/exec/lateorder_test.go
+++ b/internal/coordination/exec/lateorder_test.go
@@ -33,6 +33,8 @@
 	isSwallowing atomic.Bool
 	// startDelay, in nanoseconds, is how long a connection for a start takes to open.
 	startDelay atomic.Int64
+	// isReplySlow lets the reply to the next start arrive at the moment at which the start is given up.
+	isReplySlow atomic.Bool
 }
 
 // recordOrders starts the next term, in which workers are listed by their lifetimes, and returns the log of its orders.
@@ -58,7 +60,11 @@
 				return 0, port.ErrUnsent
 			case <-time.After(time.Duration(l.startDelay.Load())):
 			}
-			return x.Start(ctx, to, s)
+			at, err := x.Start(ctx, to, s)
+			if l.isReplySlow.Swap(false) {
+				<-ctx.Done()
+			}
+			return at, err
 		}
 		d.Runners.Renew = func(ctx context.Context, to netip.AddrPort, h port.LeaseRenewal) (port.RunReport, error) {
 			if h.Worker == first && h.Until > 0 {
@@ -207,3 +213,21 @@
 		r.requireOneRunAtATime(1)
 	})
 }
+
+// TestNoRunBesideLeaseByFormerClock guards against two runs of one task at a time: the reply of the former lifetime of a worker to a start
+// is processed after the first report of the next one, whose leases are granted by the clock of the former lifetime from then on.
+func TestNoRunBesideLeaseByFormerClock(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		l.isReplySlow.Store(true)
+		r.submit(testID, taskStep(1))
+		for l.isReplySlow.Load() {
+			r.advance(time.Millisecond)
+		}
+		r.comeBack(false)
+		r.advance(time.Second)
+		r.put(r.runners.List(r.workers[0].Addr))
+		r.waitForRun(2, r.rerunLimit())
+		r.advance(orderDelay)
+		r.requireOneRunAtATime(2)
+	})
+}
