standin: simulated workers take the deadline of refused starts, and of renewals once

The simulated workers took none from refused starts, and saw no token of a start that they refused for room; a renewal that waits for an end took its deadline again every 5 ms, so that one that ends by another clock held for longer than MaxHold.

--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -193,12 +193,6 @@
 			if err != nil {
 				return 0, err
 			}
-			r.mu.Lock()
-			isFull := w.isFull
-			r.mu.Unlock()
-			if isFull {
-				return 0, port.ErrNoRoom
-			}
 			return r.execute(w, func() (time.Duration, error) { return r.startTask(w, s) })
 		},
 		Stop: func(ctx context.Context, to netip.AddrPort, ref port.RunRef, token int64, worker string) error {
@@ -284,17 +278,20 @@
 	}
 	now := r.clock.Now()
 	t := taskOf(s.Ref)
+	// The deadline is taken from refused starts as well.
+	r.extendLease(w, s.Until, now)
 	if x := w.tasks[t]; x != nil && x.ref.Run == s.Ref.Run {
 		return now.Sub(w.startedAt), nil
 	}
 	if s.Ref.Run <= w.closedRun[t] {
 		return 0, port.ErrRunEnded
 	}
-	until := w.startedAt.Add(s.Until)
-	if until.Before(now) {
+	if w.startedAt.Add(s.Until).Before(now) {
 		return 0, port.ErrLeaseExpired
 	}
-	w.leaseEnd = laterTime(w.leaseEnd, earlierTime(until, now.Add(r.limits.MaxHold)))
+	if w.isFull {
+		return 0, port.ErrNoRoom
+	}
 	r.checkStart(w, s.Ref)
 	w.tasks[t] = r.newTask(w, s, now)
 	r.checkLabel(w.tasks[t])
@@ -306,6 +303,11 @@
 	return now.Sub(w.startedAt), nil
 }
 
+// extendLease extends the lease of a worker to a time on its clock, at most to its longest.
+func (r *Runners) extendLease(w *runWorker, until time.Duration, now time.Time) {
+	w.leaseEnd = laterTime(w.leaseEnd, earlierTime(w.startedAt.Add(until), now.Add(r.limits.MaxHold)))
+}
+
 // newTask returns a started task; a task of a gang makes progress only once all tasks of the gang have started.
 func (r *Runners) newTask(w *runWorker, s port.RunStart, now time.Time) *runTask {
 	x := &runTask{ref: s.Ref, worker: w, outcome: r.plan(s.Ref, s.Spec), startedAt: now}
@@ -379,11 +381,9 @@
 			return port.RunReport{}, err
 		}
 		now := r.clock.Now()
-		if h.Until > 0 {
-			w.leaseEnd = laterTime(w.leaseEnd, earlierTime(w.startedAt.Add(h.Until), now.Add(r.limits.MaxHold)))
-		}
+		r.extendLease(w, h.Until, now)
 		r.acknowledge(w, h.AckedEnd)
-		h.AckedEnd = 0
+		h.AckedEnd, h.Until = 0, 0
 		out := port.RunReport{Instance: w.instance, Clock: now.Sub(w.startedAt), Ended: slices.Clone(w.ended)}
 		if n := r.limits.EndsPerReport; n > 0 && len(out.Ended) >= n {
 			out.Ended, out.IsCut = out.Ended[:n], true
