exec: show a second run after an acknowledgement for a former lifetime

An acknowledgement of the ends of the former lifetime of a worker is carried out 5 s late by the next one, which numbers its ends from 1 again: it forgets the end of a task that is done, before the owner has read it. The next report doesn't list the task, which is taken to be lost (handleMissingTask), and runs again. poll sends an acknowledgement once, to a worker that has just reported, but it may be late.

--- a/internal/coordination/exec/lateorder_test.go
+++ b/internal/coordination/exec/lateorder_test.go
@@ -28,7 +28,9 @@
 // orderLog holds the newest orders of an owner to the first worker. Any of them may be carried out late, also by the next lifetime.
 type orderLog struct {
 	renewal atomic.Pointer[port.LeaseRenewal]
-	start   atomic.Pointer[port.RunStart]
+	// ack is the newest renewal that acknowledges ends.
+	ack   atomic.Pointer[port.LeaseRenewal]
+	start atomic.Pointer[port.RunStart]
 	// isSwallowing keeps starts from the worker, which thus leaves them unanswered.
 	isSwallowing atomic.Bool
 	// startDelay, in nanoseconds, is how long a connection for a start takes to open.
@@ -70,6 +72,9 @@
 			if h.Worker == first && h.Until > 0 {
 				l.renewal.Store(&h)
 			}
+			if h.Worker == first && h.AckedEnd > 0 {
+				l.ack.Store(&h)
+			}
 			return x.Renew(ctx, to, h)
 		}
 	}
@@ -80,12 +85,19 @@
 // earlierID is a job that ends before the tests of late orders begin, so that its worker has been polled.
 const earlierID = "00000000000000ee"
 
-// endsEarly is the plan of runs that last for an hour, but for those of earlierID.
+// shortID is a job that lasts for two seconds.
+const shortID = "00000000000000dd"
+
+// endsEarly is the plan of runs that last for an hour, but for those of earlierID and shortID.
 func endsEarly(x port.RunRef, _ string) standin.RunOutcome {
-	if x.Job == earlierID {
-		return standin.RunOutcome{Work: upTime, Result: jobs.Done}
+	work := time.Hour
+	switch x.Job {
+	case earlierID:
+		work = upTime
+	case shortID:
+		work = 2 * time.Second
 	}
-	return standin.RunOutcome{Work: time.Hour, Result: jobs.Done}
+	return standin.RunOutcome{Work: work, Result: jobs.Done}
 }
 
 // runInLateRig runs f in a rig with one worker that has been up, and at work, for upTime, and with the log of the orders to it.
@@ -231,3 +243,22 @@
 		r.requireOneRunAtATime(2)
 	})
 }
+
+// TestNoRunAfterLateAcknowledgement guards against a second run of a task that is done: an acknowledgement of the ends of the former lifetime
+// of a worker reaches the next one, which forgets an end of its own that the owner has not read.
+func TestNoRunAfterLateAcknowledgement(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		r.advance(time.Second)
+		h := l.ack.Load()
+		r.comeBack(true)
+		r.submit(shortID, taskStep(1))
+		r.requireRunning(shortID, 1, r.rerunLimit())
+		r.cutOff()
+		r.advance(orderDelay)
+		require.Equal(r.t, 1, r.runners.CountDone(shortID))
+		r.deliverRenewal(h)
+		r.runners.SetCut(func(string, string) bool { return false })
+		r.waitForState(shortID, jobs.Completed, r.rerunLimit())
+		require.Empty(r.t, r.runners.Faults())
+	})
+}
