--- a/internal/coordination/exec/latestart_test.go
+++ b/internal/coordination/exec/latestart_test.go
@@ -83,6 +83,7 @@
 // lifetime of its worker, after the owner has seen that.
 func TestNoLateStartOfDoneTask(t *testing.T) {
 	runInLateRig(t, func(r *rig, l *orderLog) {
+		r.advance(time.Second)
 		s := l.start.Load()
 		r.comeBack(true)
 		r.advance(orderDelay)
