exec: use the report of a new lifetime only under a token that bars earlier orders

Cause: a worker that is back under its name has seen no fencing token and takes orders to its former lifetime, under the same term, for as long as they are on their way: second attempts of starts and renewals, and acknowledgements of ends. The owner concluded from the first report that runs were lost, that stray leases end MaxHold after that report, and which ends it may acknowledge; an order that was executed later undid all three. Where it had forgotten the worker in between, or the clock, it did not allow for such orders at all.

Change: orders carry a token of their own for each lifetime. It is the offset after the newest confirmed renewal of the owner, which is above the term and below all later terms, so that earlier versions are not shut out. The token rises before a poll of a worker that may have a new lifetime, and a report of a new lifetime is used only if it was given under a higher token than all orders to former ones; the worker gets no work meanwhile. Stray leases end MaxHold after that report. A worker that has left the list keeps its place by the highest token of all that have left.

Why it works: a worker does nothing for a token below the highest it has seen, so that after such a report no earlier order is executed.

--- a/internal/coordination/elect/elect.go
+++ b/internal/coordination/elect/elect.go
@@ -134,6 +134,18 @@
 	return e.formerHeardAt
 }
 
+// NewestToken returns a fencing token that is at least the term of this host, rises with each confirmed renewal, and is below all later
+// terms; it is zero if this host is not the owner.
+func (e *Election) NewestToken() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.isOwner() {
+		return 0
+	}
+	// The newest record is by this host, so that the claim of the next owner has this offset or a higher one.
+	return e.nextOffset
+}
+
 // IsOwner reports whether this lifetime of the host owns the jobs, according to the newest record that it has read.
 func (e *Election) IsOwner() bool {
 	e.mu.Lock()
--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -40,6 +40,9 @@
 	Jobs     port.Topic
 	Table    *jobs.Table
 	Follower *feed.Follower
+	// NewestToken returns a token that is at least the term, rises with the renewals of the term, and is below all later terms; zero if the
+	// term is over. A nil function stands for the term.
+	NewestToken func() int64
 	// Config returns the configuration in force, or nil.
 	Config func() *queue.Config
 	// Evacuations returns the evacuations in force, or nil while they are not known. A nil function stands for none.
@@ -83,6 +86,8 @@
 	// evacuations are those that the planner knows.
 	evacuations *queue.Evacuations
 	workers     map[string]*worker
+	// forgottenToken is the highest token of the orders to workers that are in workers no more.
+	forgottenToken int64
 	// foreign holds the listed workers of services that no queue names.
 	foreign map[string]port.Runner
 	units   map[string]*unit
@@ -161,6 +166,9 @@
 		none := &queue.Evacuations{}
 		e.deps.Evacuations = func() *queue.Evacuations { return none }
 	}
+	if e.deps.NewestToken == nil {
+		e.deps.NewestToken = func() int64 { return term }
+	}
 	e.speeds = newSpeeds(e.enabled, e.disabled)
 	e.planner = plan.New("", append([]plan.Option{
 		plan.WithRestartCost(restartCost), plan.WithClaimBound(b.Claim), plan.WithLossBounds(urgentWasteRatio, otherWasteRatio),
--- a/internal/coordination/exec/engine_test.go
+++ b/internal/coordination/exec/engine_test.go
@@ -56,6 +56,8 @@
 	put  func(port.Runner)
 	drop func(string)
 	stop func()
+	// newestToken is the newest token of the engine.
+	newestToken atomic.Int64
 	// gone is the address of a worker whose process has ended, so that no connection to it can be opened.
 	gone atomic.Pointer[netip.AddrPort]
 }
@@ -137,9 +139,19 @@
 	require.NoError(r.t, r.table.Reload(rs, before))
 }
 
-// start runs an engine for a term; stop ends it and waits for its end.
+// renewInterval is the time between two renewals of a term.
+const renewInterval = 400 * time.Millisecond
+
+// start runs an engine for a term, or for the first one above all tokens of the one before; stop ends it and waits for its end.
 func (r *rig) start(term int64) {
+	since := time.Now()
+	term = max(term, r.newestToken.Load()+1)
+	r.newestToken.Store(term)
 	d := Deps{
+		NewestToken: func() int64 {
+			r.newestToken.Store(term + int64(time.Since(since)/renewInterval))
+			return r.newestToken.Load()
+		},
 		Store: r.store.View("a"), Runners: r.view, Jobs: testJobs, Table: r.table, Follower: r.follower,
 		Config:        func() *queue.Config { return testConfig },
 		FollowRunners: r.followRunners,
--- /dev/null
+++ b/internal/coordination/exec/fence.go
@@ -0,0 +1,75 @@
+package exec
+
+import (
+	"time"
+
+	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/pkg/errors"
+)
+
+// fence keeps orders that were sent before the present lifetime of a worker was known from being executed by it. A new lifetime has seen no
+// token and executes such orders, until it has answered a renewal under a higher token than theirs.
+type fence struct {
+	// token is the fencing token of the orders that are sent now.
+	token int64
+	// granted is the highest token of the orders to the present lifetime that granted a lease; zero if there was none.
+	granted int64
+	// earlier is the highest token of the orders to former lifetimes, and of those of former owners.
+	earlier int64
+	// lastStray is the last time at which the present lifetime may have executed an earlier order; zero if it may have executed none.
+	lastStray time.Time
+}
+
+// newFence returns the fence of a worker that has not reported to this owner, or has been forgotten since.
+func (e *Engine) newFence() fence {
+	f := fence{token: max(e.term, e.forgottenToken), earlier: max(e.term-1, e.forgottenToken)}
+	if e.forgottenToken > 0 {
+		f.lastStray = e.clock.Now()
+	}
+	return f
+}
+
+// isBarredBy reports whether a worker that has answered a renewal under a token executes no order to a former lifetime any more.
+func (f *fence) isBarredBy(token int64) bool {
+	return token > max(f.earlier, f.granted)
+}
+
+// beginLifetime moves the fence to the next lifetime of the worker.
+func (f *fence) beginLifetime(now time.Time) {
+	if f.granted > 0 || !f.lastStray.IsZero() {
+		f.lastStray = now
+	}
+	f.earlier, f.granted = max(f.earlier, f.granted), 0
+}
+
+// raiseToken raises the token of the next orders to a worker that may have a new lifetime.
+func (e *Engine) raiseToken(w *worker) {
+	if w.isFailing || w.isOutdated || w.isReborn || !w.hasReported {
+		w.fence.token = max(w.fence.token, e.deps.NewestToken())
+	}
+}
+
+// isFenced reports whether a report can be used that a worker has given under a token. The report of a new lifetime can't while the worker may
+// still execute orders to a former one.
+func (w *worker) isFenced(instance string, token int64) bool {
+	return w.hasReported && instance == w.instance || w.fence.isBarredBy(token)
+}
+
+// expectLifetime notes that a worker has a new lifetime, which has not reported yet or may still execute orders to a former one.
+func (e *Engine) expectLifetime(w *worker) {
+	if !w.isReborn {
+		e.log.Info("worker may execute orders to a former lifetime", "Worker", w.name, "Instance", w.instance, "Token", w.fence.token,
+			"Barred", w.fence.isBarredBy(w.fence.token))
+	}
+	w.isReborn = true
+	w.endStarts()
+	e.updatePlannerWorker(w)
+	w.wakePoller()
+}
+
+// isSuperseded reports whether a worker refused an order because it has seen a newer owner, rather than a newer token of this one.
+func (e *Engine) isSuperseded(w *worker, token int64, err error) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return errors.Is(err, port.ErrFenced) && token == w.fence.token
+}
--- a/internal/coordination/exec/leasebound.go
+++ b/internal/coordination/exec/leasebound.go
@@ -40,7 +40,21 @@
 	return b
 }
 
-// leaseBound returns the bound of all leases of the worker.
+// leaseBound returns the bound of the leases of a worker that end by the clock of its present lifetime.
 func (w *worker) leaseBound() bound {
 	return w.leaseEnd.later(w.formerLeaseEnd)
 }
+
+// leaseBoundOf returns the bound of all leases of a worker.
+func (e *Engine) leaseBoundOf(w *worker) bound {
+	return w.leaseBound().later(bound{at: e.strayLeaseEnd(w), source: strayOrder})
+}
+
+// strayLeaseEnd returns when the leases have certainly expired that a worker may have got by orders to former lifetimes, or zero if it got
+// none. Such a lease ends by another clock, and so lasts as long as the worker allows.
+func (e *Engine) strayLeaseEnd(w *worker) time.Time {
+	if w.fence.lastStray.IsZero() {
+		return time.Time{}
+	}
+	return w.fence.lastStray.Add(leaseBound(e.bounds.MaxHold))
+}
--- a/internal/coordination/exec/lifetime.go
+++ b/internal/coordination/exec/lifetime.go
@@ -28,9 +28,10 @@
 	return w.runner.Instance != "" && now.Sub(w.lastReport) > minAbsence
 }
 
-// isUncertain reports whether a start has to wait for a report or for the entry of the worker: it may have ended, or be of another kind.
+// isUncertain reports whether a start has to wait for a report or for the entry of the worker: it may have ended, be of another kind, or still
+// execute orders to a former lifetime.
 func (w *worker) isUncertain(now time.Time) bool {
-	return w.mayHaveEnded(now) || !w.isDescribed() || w.mayHaveRestarted(now)
+	return w.mayHaveEnded(now) || !w.isDescribed() || w.mayHaveRestarted(now) || w.isReborn
 }
 
 // logNewLifetime logs and counts a lifetime of a worker that follows one known to this owner; an empty one stands for another worker at
@@ -50,7 +51,7 @@
 		e.scope.Counter("worker_lifetimes").Inc(1)
 	}
 	starts, formerStarts := w.countUnansweredStarts()
-	b := w.leaseBound()
+	b := e.leaseBoundOf(w)
 	e.log.Info("worker has a new lifetime", "Worker", w.name, "Before", before, "Now", instance, "IsReported", isReported,
 		"UnansweredStarts", starts, "FormerStarts", formerStarts, "UnansweredRenewals", w.unansweredRenewals,
 		"IsClockKnown", !w.lastClockTime.IsZero(), "Bound", string(b.source), "LeaseEnd", b.at.Sub(e.clock.Now()).Round(time.Millisecond).String())
--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -13,12 +13,14 @@
 func (e *Engine) pollWorker(ctx context.Context, w *worker) {
 	for ctx.Err() == nil {
 		e.mu.Lock()
-		isIdle := w.isAnswering() && !w.isOutdated && len(w.tasks) == 0 && len(w.orphans) == 0 && w.lastAckedEnd == w.lastHandledEnd
+		isIdle := w.isAnswering() && !w.isOutdated && !w.isReborn && len(w.tasks) == 0 && len(w.orphans) == 0 &&
+			w.lastAckedEnd == w.lastHandledEnd
 		if !w.isListed && len(w.tasks) == 0 {
 			w.cancel()
 			w.cancel = nil
 			e.updatePlannerWorker(w)
 			e.forgetSpeed(w.name)
+			e.forgottenToken = max(e.forgottenToken, w.fence.token)
 			delete(e.workers, w.name)
 			e.mu.Unlock()
 			return
@@ -58,30 +60,35 @@
 	return false
 }
 
+// fencePollInterval is the pause between polls of a worker whose new lifetime may still execute orders to a former one.
+const fencePollInterval = 50 * time.Millisecond
+
 // idlePollInterval is how often a worker without tasks is checked for new ones.
 const idlePollInterval = 5 * time.Second
 
 // poll sends one lease renewal to a worker and processes the report in the reply. The renewal extends the lease only
-// while mayHold allows it, the worker's clock is known and the last poll of the worker did not fail.
+// while mayHold allows it, the worker's clock is known, the last poll of the worker did not fail and no new lifetime is known.
 func (e *Engine) poll(ctx context.Context, w *worker) {
 	e.mu.Lock()
 	now := e.clock.Now()
-	h := port.LeaseRenewal{Token: e.term, Wait: pollWait, Worker: w.name}
+	e.raiseToken(w)
+	h := port.LeaseRenewal{Token: w.fence.token, Wait: pollWait, Worker: w.name}
 	// A restarted worker numbers its ends from the start again. An acknowledgement meant for the previous instance could
 	// therefore make the new instance drop ends that this owner has never read. To prevent this, ends are acknowledged
 	// only to a worker that reported within maxAckAge, and the renewal with the acknowledgement is sent only once.
-	if !w.isFailing && now.Sub(w.lastReport) <= maxAckAge && w.ackableEnd() > w.lastAckedEnd {
+	isCurrent := !w.isFailing && !w.isOutdated && !w.isReborn
+	if isCurrent && now.Sub(w.lastReport) <= maxAckAge && w.ackableEnd() > w.lastAckedEnd {
 		h.AckedEnd, h.Once, h.Within = w.ackableEnd(), true, responseTimeout
 	}
-	mayWait := w.isAnswering() && !w.mayHaveEnded(now.Add(pollWait)) && len(w.orphans) == 0 && !w.hasBarredTask() && !w.isOutdated &&
+	mayWait := isCurrent && w.isAnswering() && !w.mayHaveEnded(now.Add(pollWait)) && len(w.orphans) == 0 && !w.hasBarredTask() &&
 		!w.mayHaveRestarted(now)
-	w.isOutdated = false
 	if !mayWait {
 		h.Wait = 0
 	}
-	if !w.lastClockTime.IsZero() && !w.isFailing && e.mayHold() {
+	if isCurrent && !w.lastClockTime.IsZero() && e.mayHold() {
 		h.Until = e.grantLease(w, now)
 	}
+	w.isOutdated = false
 	o := e.newOrder(renewalOrder, w, h.Until, now)
 	w.lastPoll = now
 	addr := w.runner.Worker.Addr
@@ -95,6 +102,12 @@
 	stored := make(chan struct{})
 	e.mu.Lock()
 	e.checkOrder(w, o, r.Instance, r.Clock)
+	if !w.isFenced(r.Instance, h.Token) {
+		e.expectLifetime(w)
+		e.mu.Unlock()
+		_ = e.clock.Sleep(ctx, fencePollInterval)
+		return
+	}
 	w.lastAckedEnd = max(w.lastAckedEnd, h.AckedEnd)
 	e.handleReport(w, now, r, func() { close(stored) })
 	e.mu.Unlock()
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -14,6 +14,10 @@
 	now := e.clock.Now()
 	w.lastReport = now
 	w.isFailing = false
+	w.isReborn = false
+	if !w.hasReported {
+		w.fence.beginLifetime(now)
+	}
 	if r.Instance != w.instance {
 		e.handleRestart(w, r)
 	}
@@ -97,7 +101,7 @@
 // have received starts that were sent to the previous instance.
 func (e *Engine) handleRestart(w *worker, r port.RunReport) {
 	instance := r.Instance
-	strayLeaseEnd := e.beginInstance(w, instance)
+	e.beginInstance(w, instance)
 	present := map[port.RunRef]bool{}
 	for _, x := range r.Running {
 		present[x.Ref] = true
@@ -110,9 +114,9 @@
 		case t.member.instance == instance, t.unit.phase == phaseStoring:
 		case present[ref]:
 			t.member.instance = instance
-			w.leaseEnd.raise(strayLeaseEnd, strayOrder)
+			w.fence.lastStray = w.lastReport
 		case r.IsCut && t.member.presence != taskEnded:
-			w.leaseEnd.raise(strayLeaseEnd, strayOrder)
+			w.fence.lastStray = w.lastReport
 			e.awaitWholeReport(t, w)
 		case t.member.isUndecided && t.member.presence != taskEnded:
 			t.member.instance = instance
@@ -143,17 +147,12 @@
 	e.updatePlannerWorker(w)
 }
 
-// beginInstance forgets what is known of the former instance of a worker, and returns the end of the leases that orders for the
-// former one may have got at the new one.
-func (e *Engine) beginInstance(w *worker, instance string) time.Time {
+// beginInstance forgets what is known of the former instance of a worker.
+func (e *Engine) beginInstance(w *worker, instance string) {
 	if w.instance != "" && len(w.tasks) > 0 {
 		e.planner.RecordCrash(w.name, w.instance, e.clock.Now())
 	}
-	// A lease that was meant for the former instance, by whose clock it ends, lasts for as long as the new one allows.
-	strayLeaseEnd := e.clock.Now().Add(leaseBound(e.bounds.MaxHold))
-	if !w.lastClockTime.IsZero() {
-		w.leaseEnd.raise(strayLeaseEnd, strayOrder)
-	}
+	w.fence.beginLifetime(e.clock.Now())
 	e.logNewLifetime(w, instance)
 	if w.instance != "" {
 		e.forgetSpeed(w.name)
@@ -163,7 +162,6 @@
 	w.lastClock, w.lastClockTime = 0, time.Time{}
 	w.lastHandledEnd, w.lastStoredEnd, w.lastAckedEnd = 0, 0, 0
 	w.unstoredEnds = map[int64]bool{}
-	return strayLeaseEnd
 }
 
 // blockStart stops a run whose start may still arrive at a new instance of its worker; the task counts as ended only
@@ -238,8 +236,11 @@
 func (e *Engine) stopOrphan(w *worker, r port.RunRef, addr netip.AddrPort) {
 	e.log.Info("stopping orphaned task", "Worker", w.name, "Job", r.Job, "Step", r.Step, "Task", r.Task, "Run", r.Run)
 	for {
-		err := e.deps.Runners.Stop(e.ctx, addr, r, e.term, w.name)
-		if err == nil || e.ctx.Err() != nil || errors.Is(err, port.ErrWrongWorker) || errors.Is(err, port.ErrFenced) {
+		e.mu.Lock()
+		token := w.fence.token
+		e.mu.Unlock()
+		err := e.deps.Runners.Stop(e.ctx, addr, r, token, w.name)
+		if err == nil || e.ctx.Err() != nil || errors.Is(err, port.ErrWrongWorker) || e.isSuperseded(w, token, err) {
 			return
 		}
 		e.log.Info("cannot stop orphaned task", "Worker", w.name, "Job", r.Job, "Task", r.Task, "Cause", err.Error())
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		s := port.RunStart{
-			Ref: u.ref(m), Spec: u.spec, Until: e.grantLease(w, now), Token: e.term, Checkpoint: u.checkpoint,
+			Ref: u.ref(m), Spec: u.spec, Until: e.grantLease(w, now), Token: w.fence.token, Checkpoint: u.checkpoint,
 			Worker: m.worker,
 		}
 		o := e.newOrder(startOrder, w, s.Until, now)
@@ -89,6 +89,10 @@
 		if err == nil {
 			e.checkOrder(w, o, "", workerClock)
 		}
+		if errors.Is(err, port.ErrFenced) && s.Token < w.fence.token {
+			// This attempt is not executed; one under the newer token may be.
+			err = port.ErrUnsent
+		}
 		wasUndecided := isUndecided
 		isUndecided = isUndecided || isUndecidedStart(err)
 		m.isUndecided, m.isSent = isUndecided, isUndecided || err == nil
--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -50,7 +50,7 @@
 	for e.ctx.Err() == nil {
 		e.mu.Lock()
 		done := m.presence == taskEnded
-		addr := w.runner.Worker.Addr
+		addr, token := w.runner.Worker.Addr, w.fence.token
 		e.mu.Unlock()
 		if done {
 			return
@@ -62,7 +62,7 @@
 			}
 			continue
 		}
-		err := e.deps.Runners.Stop(e.ctx, addr, r, e.term, m.worker)
+		err := e.deps.Runners.Stop(e.ctx, addr, r, token, m.worker)
 		if err == nil {
 			e.mu.Lock()
 			m.stopConfirmedAt = e.clock.Now()
@@ -70,7 +70,7 @@
 			e.mu.Unlock()
 			return
 		}
-		if errors.Is(err, port.ErrWrongWorker) || errors.Is(err, port.ErrFenced) {
+		if errors.Is(err, port.ErrWrongWorker) || e.isSuperseded(w, token, err) {
 			// The next report of the worker, or the next owner, determines the state of the task.
 			e.mu.Lock()
 			w.wakePoller()
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -57,6 +57,9 @@
 	tasks          map[port.RunRef]task
 	// isOutdated is set when the worker is listed with another lifetime than the last reported one, until it is asked for a report.
 	isOutdated bool
+	// isReborn is set when an answer has shown a new lifetime, until a report of it can be used.
+	isReborn bool
+	fence    fence
 	// isListed is set while the platform lists the worker, and hasReported once it has reported to this owner.
 	isListed    bool
 	hasReported bool
@@ -140,7 +143,7 @@
 		return 0
 	}
 	w.leaseEnd.raise(now.Add(leaseBound(lease)), ownGrant)
-	w.lastGrant = now
+	w.lastGrant, w.fence.granted = now, w.fence.token
 	return w.clockTime(now) + lease
 }
 
@@ -172,7 +175,7 @@
 	if w == nil {
 		w = &worker{
 			name: name, tasks: map[port.RunRef]task{}, unstoredEnds: map[int64]bool{}, wake: make(chan struct{}, 1),
-			formerLeaseEnd: bound{at: e.formerLeaseEnd, source: formerOwner},
+			formerLeaseEnd: bound{at: e.formerLeaseEnd, source: formerOwner}, fence: e.newFence(),
 		}
 		w.runner.Worker.Name = name
 		e.workers[name] = w
@@ -279,7 +282,7 @@
 
 // takesWork reports whether new work may be started on a worker; the caller checks isEvacuated.
 func (w *worker) takesWork() bool {
-	return w.isListed && w.hasReported && w.isDescribed() && !w.runner.IsDraining && !w.isSuspect && len(w.orphans) == 0
+	return w.isListed && w.hasReported && w.isDescribed() && !w.isReborn && !w.runner.IsDraining && !w.isSuspect && len(w.orphans) == 0
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -243,7 +243,7 @@
 	b := h.settings.Bounds
 	x := exec.New(exec.Deps{
 		Store: h.deps.Store, Runners: h.deps.Runners, Jobs: jobsTopic, Table: h.table, Follower: h.jobs,
-		Config: h.intake.Config, Evacuations: h.evacuations.Load, FollowRunners: h.deps.FollowRunners,
+		NewestToken: h.elect.NewestToken, Config: h.intake.Config, Evacuations: h.evacuations.Load, FollowRunners: h.deps.FollowRunners,
 	}, exec.Bounds{
 		MaxHold: b.MaxHold, StopTimeout: b.StopTimeout, Claim: b.Claim, GangTimeout: b.GangTimeout, KeepEnded: b.KeepEnded,
 	},
