exec: count with the leases that orders of former owners got at a new lifetime

Cause: an order of the former owner, by the clock of the former lifetime, reaches the new lifetime and sets its deadline MaxHold after its arrival, for all that runs there. The former owner knew that; the next one counted with MaxLease from the former owner's last word, or from the first report, and took tasks for lost that still ran, also those that the former owner had started at the new lifetime as it should.

TestNoRunBesideLateRenewalOfFormerOwner (two cases) failed before; TestNoRunBesideLateStartOfFormerOwner failed without the check of the list: run 2 started on w1 while run 1 is on w0.

Change: an owner takes it that a worker may have executed such an order up to its first report, or else up to the take-over. The record of a start says whether the lifetime held no such lease any more when the task was placed; where it does, and the worker is listed or reports as that lifetime, MaxLease is enough as before. The first owner of all has no former owner to wait for.

Three tests begin with the first owner of all now, since they are about leases that it grants, and an owner that has just taken over waits for longer: TestLeaseCountsFromLastReport and two cases of TestExpiredLeaseNamesItsEvidence. Their bounds are the same.

--- a/internal/coordination/elect/elect.go
+++ b/internal/coordination/elect/elect.go
@@ -126,8 +126,8 @@
 	return e.longLeaseAt
 }
 
-// FormerHeardAt returns when this host last heard of a former owner before the current term; no renewal of a former owner was
-// sent later and confirmed.
+// FormerHeardAt returns when this host last heard of a former owner before the current term, or zero if there was none; no renewal of a
+// former owner was sent later and confirmed.
 func (e *Election) FormerHeardAt() time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -366,7 +366,7 @@
 		return fmt.Errorf("read claims from %d: %w", from, err)
 	}
 	e.mu.Lock()
-	if isExpired || e.nextOffset < 0 {
+	if isExpired || e.nextOffset < 0 && p.End > 0 {
 		e.lastRecord = e.clock.Now()
 	}
 	if !e.isReachable {
--- a/internal/coordination/exec/evidence_test.go
+++ b/internal/coordination/exec/evidence_test.go
@@ -72,7 +72,7 @@
 	}{
 		"own": {func(r *rig) *record {
 			x := r.recordNext()
-			r.hearFormer(x)
+			r.hearNoFormerOwner()
 			r.start(2)
 			r.advance(time.Second)
 			r.submit(testID, taskStep(1))
@@ -81,6 +81,9 @@
 			return x
 		}, map[string]any{"Instance": "w0-1", "Run": 1.0, "Bound": "OwnGrant", "IsAdopted": false, "IsUnanswered": false}},
 		"of a former owner": {func(r *rig) *record {
+			r.hearNoFormerOwner()
+			r.restart()
+			r.advance(time.Second)
 			r.submit(testID, taskStep(1))
 			r.requireRunning(testID, 1, time.Second)
 			x := r.recordNext()
--- a/internal/coordination/exec/fence.go
+++ b/internal/coordination/exec/fence.go
@@ -23,8 +23,13 @@
 // newFence returns the fence of a worker that has not reported to this owner, or has been forgotten since.
 func (e *Engine) newFence() fence {
 	f := fence{token: max(e.term, e.forgottenToken), earlier: max(e.term-1, e.forgottenToken)}
-	if e.forgottenToken > 0 {
+	switch {
+	case e.forgottenToken > 0:
 		f.lastStray = e.clock.Now()
+	case e.formerHeardAt == nil:
+		f.lastStray = e.takenOverAt
+	case !e.formerHeardAt().IsZero():
+		f.lastStray = later(e.takenOverAt, e.formerHeardAt().Add(maxRenewalAge))
 	}
 	return f
 }
@@ -67,6 +72,21 @@
 	w.wakePoller()
 }
 
+// settleFence uses what a former owner has recorded: it placed a task on the lifetime that reports when no order to a former one could be
+// executed there any more, and no lease by one was left.
+func (w *worker) settleFence(instance string) {
+	for _, t := range w.tasks {
+		if t.member.isSettled && t.member.instance == instance {
+			w.fence.lastStray = time.Time{}
+		}
+	}
+}
+
+// isSettled reports whether the present lifetime of a worker holds no lease by an order to a former one.
+func (e *Engine) isSettled(w *worker, now time.Time) bool {
+	return !w.isReborn && now.After(e.strayLeaseEnd(w))
+}
+
 // isSuperseded reports whether a worker refused an order because it has seen a newer owner, rather than a newer token of this one.
 func (e *Engine) isSuperseded(w *worker, token int64, err error) bool {
 	e.mu.Lock()
--- a/internal/coordination/exec/formerlease_test.go
+++ b/internal/coordination/exec/formerlease_test.go
@@ -52,6 +52,12 @@
 	})}
 }
 
+// hearNoFormerOwner lets the next engines be the first ones.
+func (r *rig) hearNoFormerOwner() {
+	never := func() time.Time { return time.Time{} }
+	r.options = append(r.options, WithFormerHeardAt(never), WithLongLeaseAt(never))
+}
+
 // runUnderFormerOwner runs the test job on the first worker, ends the engine, and lists another worker for the next one.
 func (r *rig) runUnderFormerOwner(grantsLonger bool) {
 	r.advance(time.Second)
--- a/internal/coordination/exec/health.go
+++ b/internal/coordination/exec/health.go
@@ -11,7 +11,7 @@
 			e.log.Info("worker is silent", "Worker", w.name, "Tasks", len(w.tasks), "Asked", now.Sub(w.lastPoll).String())
 			e.updatePlannerWorker(w)
 		}
-		if len(w.tasks) > 0 && now.After(e.leaseBoundOf(w).at) {
+		if len(w.tasks) > 0 && now.After(w.leaseBound().at) {
 			e.expireTasks(w, now)
 		}
 	}
@@ -32,12 +32,15 @@
 	return !w.lastPoll.IsZero() && w.lastPoll.After(w.lastReport) && now.Sub(w.lastPoll) > maxReportAge
 }
 
-// expireTasks counts the tasks of a worker as lost once its leases have certainly expired.
+// expireTasks counts the tasks of a worker as lost whose leases have certainly expired.
 func (e *Engine) expireTasks(w *worker, now time.Time) {
 	for _, t := range w.tasks {
 		if t.member.presence == taskEnded || t.unit.phase == phaseStoring {
 			continue
 		}
+		if !now.After(e.taskLeaseBound(w, t.member).at) {
+			continue
+		}
 		e.logExpiredLease(w, t, now)
 		e.loseTask(t, leaseExpired)
 	}
--- a/internal/coordination/exec/job.go
+++ b/internal/coordination/exec/job.go
@@ -132,7 +132,9 @@
 	}
 	u.phase = phaseRunning
 	for i, m := range x.Members {
-		u.members = append(u.members, &member{worker: m.Worker, instance: m.Instance, task: x.TaskIndex(i), isSent: true, isAdopted: true})
+		u.members = append(u.members, &member{
+			worker: m.Worker, instance: m.Instance, task: x.TaskIndex(i), isSent: true, isAdopted: true, isSettled: m.IsSettled,
+		})
 	}
 	return u
 }
--- a/internal/coordination/exec/latestart_test.go
+++ b/internal/coordination/exec/latestart_test.go
@@ -44,6 +44,24 @@
 	})
 }
 
+// TestNoRunBesideLateStartOfFormerOwner guards against two runs of one task at a time: a start of a former owner is carried out by the next
+// lifetime of its worker, which the new owner knows from the list alone.
+func TestNoRunBesideLateStartOfFormerOwner(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		s := r.sendUnanswered(l)
+		r.stop()
+		r.hearFormerOwner(false)
+		r.comeBack(false)
+		r.deliverStart(s)
+		r.cutOff()
+		r.start(r.engine.term + 1)
+		r.advance(time.Second)
+		r.list(testWorker(1))
+		r.waitForRun(2, r.rerunLimit())
+		require.Empty(t, r.runners.Faults())
+	})
+}
+
 // TestNoRunBesideStartAnsweredByNextLifetime guards against two runs of one task at a time: the connection for a start is still being opened
 // when its worker ends, and the next lifetime answers it, and is cut off before it has reported.
 func TestNoRunBesideStartAnsweredByNextLifetime(t *testing.T) {
--- a/internal/coordination/exec/leasebound.go
+++ b/internal/coordination/exec/leasebound.go
@@ -50,6 +50,20 @@
 	return w.leaseBound().later(bound{at: e.strayLeaseEnd(w), source: strayOrder})
 }
 
+// mayBeListedAs reports whether the entry of the worker is that of the given lifetime, as far as is known.
+func (w *worker) mayBeListedAs(instance string) bool {
+	return w.runner.Instance == "" || w.runner.Instance == instance
+}
+
+// taskLeaseBound returns the bound of the lease of a task.
+func (e *Engine) taskLeaseBound(w *worker, m *member) bound {
+	b := e.leaseBoundOf(w)
+	if !w.hasReported && m.isSettled && w.mayBeListedAs(m.instance) {
+		b = w.leaseBound()
+	}
+	return b
+}
+
 // strayLeaseEnd returns when the leases have certainly expired that a worker may have got by orders to former lifetimes, or zero if it got
 // none. Such a lease ends by another clock, and so lasts as long as the worker allows.
 func (e *Engine) strayLeaseEnd(w *worker) time.Time {
--- a/internal/coordination/exec/loss.go
+++ b/internal/coordination/exec/loss.go
@@ -51,7 +51,7 @@
 
 // logExpiredLease logs on what evidence a task is counted as lost whose worker does not answer.
 func (e *Engine) logExpiredLease(w *worker, t task, now time.Time) {
-	b := e.leaseBoundOf(w)
+	b := e.taskLeaseBound(w, t.member)
 	e.log.Info("lease of task on unresponsive worker expired", "Worker", w.name, "Instance", w.instance, "Listed", w.runner.Instance,
 		"Unit", t.unit.name, "Run", t.unit.run, "Bound", string(b.source), "Expired", ageOf(b.at, now), "LastReport", ageOf(w.lastReport, now),
 		"Lifetime", ageOf(w.instanceSince, now), "LastGrant", ageOf(w.lastGrant, now), "IsUnanswered", t.member.isUndecided,
--- a/internal/coordination/exec/pass.go
+++ b/internal/coordination/exec/pass.go
@@ -144,7 +144,7 @@
 	u.members = nil
 	for i, a := range s.Placement {
 		w := e.getWorker(a.Worker)
-		m := &member{worker: a.Worker, instance: w.instance, task: i}
+		m := &member{worker: a.Worker, instance: w.instance, task: i, isSettled: e.isSettled(w, u.since)}
 		if u.key.Index != jobs.WholeGang {
 			m.task = u.key.Index
 		}
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -16,6 +16,7 @@
 	w.isFailing = false
 	w.isReborn = false
 	if !w.hasReported {
+		w.settleFence(r.Instance)
 		w.fence.beginLifetime(now)
 	}
 	if r.Instance != w.instance {
@@ -114,9 +115,7 @@
 		case t.member.instance == instance, t.unit.phase == phaseStoring:
 		case present[ref]:
 			t.member.instance = instance
-			w.fence.lastStray = w.lastReport
 		case r.IsCut && t.member.presence != taskEnded:
-			w.fence.lastStray = w.lastReport
 			e.awaitWholeReport(t, w)
 		case t.member.isUndecided && t.member.presence != taskEnded:
 			t.member.instance = instance
--- a/internal/coordination/exec/silentworker_test.go
+++ b/internal/coordination/exec/silentworker_test.go
@@ -62,7 +62,7 @@
 // starts on that worker extend the lease.
 func TestLeaseCountsFromLastReport(t *testing.T) {
 	runInBoundedRig(t, longBounds, 1, runsTaking(time.Hour), func(r *rig) {
-		r.hearFormerOwner(false)
+		r.hearNoFormerOwner()
 		isSilent := r.impairWorker("w0", 3*time.Second)
 		r.advance(time.Second)
 		r.submit(testID, taskStep(1))
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -72,6 +72,8 @@
 	isUndecided bool
 	// isAdopted is set when a former owner started the task.
 	isAdopted bool
+	// isSettled is set if, when the run was placed there, the instance of the worker held no lease by an order for a former one.
+	isSettled bool
 	// isLate is set for the end of an earlier run that completed after it had been counted as lost.
 	isLate bool
 	// endNumber is the number of the end in the report of the worker; zero when the worker has not reported it.
@@ -129,7 +131,7 @@
 	}
 	x.IsUnbegun = r != jobs.Running && !u.hasBegun
 	for _, m := range u.members {
-		x.Members = append(x.Members, jobs.Member{Worker: m.worker, Instance: m.instance})
+		x.Members = append(x.Members, jobs.Member{Worker: m.worker, Instance: m.instance, IsSettled: m.isSettled})
 	}
 	return x
 }
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -151,6 +151,7 @@
 // extend them for formerLeaseGrace after their last renewal; all leases of others end MaxLease after it.
 func (e *Engine) boundFormerLeases() {
 	now := e.clock.Now()
+	e.takenOverAt = now
 	e.formerLease = e.bounds.MaxHold
 	e.formerLeaseEnd = now.Add(leaseBound(e.formerLease) + formerLeaseGrace)
 	if e.longLeaseAt == nil || e.formerHeardAt == nil {
--- a/internal/state/jobs/record.go
+++ b/internal/state/jobs/record.go
@@ -172,7 +172,7 @@
 	}
 	if u.Result == Running {
 		for _, x := range u.Members {
-			m.Members = append(m.Members, &wire.BatchMember{Worker: x.Worker, Instance: x.Instance})
+			m.Members = append(m.Members, &wire.BatchMember{Worker: x.Worker, Instance: x.Instance, Settled: x.IsSettled})
 		}
 	}
 	b, err := proto.Marshal(m)
@@ -201,7 +201,7 @@
 		IsUnbegun: m.GetUnbegun(),
 	}
 	for _, x := range m.GetMembers() {
-		u.Members = append(u.Members, Member{Worker: x.GetWorker(), Instance: x.GetInstance()})
+		u.Members = append(u.Members, Member{Worker: x.GetWorker(), Instance: x.GetInstance(), IsSettled: x.GetSettled()})
 	}
 	return u, nil
 }
--- a/internal/state/jobs/unit.go
+++ b/internal/state/jobs/unit.go
@@ -59,6 +59,8 @@
 type Member struct {
 	Worker   string
 	Instance string
+	// IsSettled is set if the instance held no lease by an order for a former instance when the task was placed there.
+	IsSettled bool
 }
 
 // Unit is the newest run of tasks that start together.
