exec: wait for a start that a new lifetime of its worker may have executed

Cause: a start that was sent to the former lifetime of a worker is executed by the next one, which is cut off before it has reported. Its lease lasts MaxHold from then on; the owner counted with MaxLease from the grant. Where the new lifetime answered the start, its clock showed that, and the owner ignored the reading because it went back.

Evidence, failed before: TestNoRunBesideLateStartOnUnseenLifetime and TestNoRunBesideStartAnsweredByNextLifetime: run 2 started on w1 while run 1 was on w0, 6.7 s after the start of run 1 was sent.

Change: while the list or an answer shows a new lifetime that has not reported, a task whose start is undecided is lost only when the longest lease has expired that the new lifetime can have given it; an order is taken to be under way for 4 s at most. An answer to a start with a clock that has gone back leaves the start undecided and has the worker asked under a higher token.

What remains: a new lifetime that neither the list nor an answer has shown. Waiting as long for each unanswered start would keep the tasks of lost workers idle for longer than the 7 s that are promised (TestStartsExtendNoLeaseOfLostWorker).

--- a/internal/coordination/exec/leasebound.go
+++ b/internal/coordination/exec/leasebound.go
@@ -12,6 +12,8 @@
 	formerOwner boundSource = "FormerOwner"
 	// strayOrder: a lease that an order for an earlier lifetime of the worker may have got at a later one.
 	strayOrder boundSource = "Stray"
+	// unansweredStart: the lease of a start that may be executed late, and by a later lifetime.
+	unansweredStart boundSource = "UnansweredStart"
 )
 
 // bound is a time by which leases of a worker have certainly expired.
@@ -40,6 +42,9 @@
 	return b
 }
 
+// maxOrderDelay is the longest time from the sending of an order to its execution by a worker that does not answer.
+const maxOrderDelay = 4 * time.Second
+
 // leaseBound returns the bound of the leases of a worker that end by the clock of its present lifetime.
 func (w *worker) leaseBound() bound {
 	return w.leaseEnd.later(w.formerLeaseEnd)
@@ -55,12 +60,21 @@
 	return w.runner.Instance == "" || w.runner.Instance == instance
 }
 
+// mayBeReborn reports whether the worker seems to have a new lifetime that may still execute orders to a former one.
+func (w *worker) mayBeReborn() bool {
+	return w.isReborn || !w.isDescribed()
+}
+
 // taskLeaseBound returns the bound of the lease of a task.
 func (e *Engine) taskLeaseBound(w *worker, m *member) bound {
 	b := e.leaseBoundOf(w)
 	if !w.hasReported && m.isSettled && w.mayBeListedAs(m.instance) {
 		b = w.leaseBound()
 	}
+	if m.isUndecided && w.mayBeReborn() {
+		// The new lifetime may execute the start, and later orders to the former one, which move its deadline.
+		b.raise(w.lastGrant.Add(maxOrderDelay+leaseBound(e.bounds.MaxHold)), unansweredStart)
+	}
 	return b
 }
 
--- a/internal/coordination/exec/order.go
+++ b/internal/coordination/exec/order.go
@@ -46,13 +46,23 @@
 	return clock > 0 && clock+clockSlack < o.clock
 }
 
-// checkOrder counts and logs an answered order with a lease that a later lifetime of its worker has executed.
-func (e *Engine) checkOrder(w *worker, o order, instance string, clock time.Duration) {
+// checkOrder reports whether a later lifetime of its worker has executed an answered order with a lease, and counts and logs it.
+func (e *Engine) checkOrder(w *worker, o order, instance string, clock time.Duration) bool {
 	if o.until == 0 || !o.isExecutedLater(instance, clock) {
-		return
+		return false
 	}
 	e.scope.Tagged(map[string]string{"Order": string(o.kind)}).Counter("orders_by_later_lifetime").Inc(1)
 	e.log.Warn("order was executed by a later lifetime", "Worker", w.name, "Order", string(o.kind), "Instance", o.instance,
 		"Answered", instance, "Sent", e.clock.Since(o.sentAt).String(), "ClockAge", o.clockAge.String(),
 		"Lease", (o.until - clock).String())
+	return true
+}
+
+// handleLaterAnswer reports whether a start was answered by a later lifetime of its worker, of which nothing else is known until it reports.
+func (e *Engine) handleLaterAnswer(w *worker, o order, clock time.Duration) bool {
+	if !e.checkOrder(w, o, "", clock) {
+		return false
+	}
+	e.expectLifetime(w)
+	return true
 }
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -86,15 +86,12 @@
 			// The reply is of a former lifetime, whose clock says nothing of the present one.
 			workerClock = 0
 		}
-		if err == nil {
-			e.checkOrder(w, o, "", workerClock)
-		}
 		if errors.Is(err, port.ErrFenced) && s.Token < w.fence.token {
 			// This attempt is not executed; one under the newer token may be.
 			err = port.ErrUnsent
 		}
 		wasUndecided := isUndecided
-		isUndecided = isUndecided || isUndecidedStart(err)
+		isUndecided = isUndecided || isUndecidedStart(err) || err == nil && e.handleLaterAnswer(w, o, workerClock)
 		m.isUndecided, m.isSent = isUndecided, isUndecided || err == nil
 		done := e.handleStartReply(u, m, run, w, workerClock, err, deadline, wasUndecided)
 		e.endUnsentStart(u, m, run)
