Decide in one place what address can be called

Cause: settings refused port 0 and unspecified addresses; what others write to the store was not checked at all, and multicast addresses and IPv6 zones (of one machine only) were checked nowhere. Change: fleet.CheckAddr, which the settings use.

--- a/internal/setup/section.go
+++ b/internal/setup/section.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		return netip.AddrPort{}, fmt.Errorf("%q is not an IP address with a port", v)
 	}
-	if a.Port() == 0 || a.Addr().IsUnspecified() {
+	if fleet.CheckAddr(a) != nil {
 		return netip.AddrPort{}, fmt.Errorf("%q is not a specific address and port", v)
 	}
 	return a, nil
