elect: skip the records of other writers in the topic of the owner

What callers saw: with one record that cannot be decoded in the topic no host renewed, claimed or followed the ownership any more, until the record expired: no job started. A record without host, lifetime or callable address deposed a healthy owner. Cause: read returned the error and left the offset before the record; appends are accepted only at the end of the topic. Records that decode were applied whatever they held. A renewal that finds only such records in its place is sent again at once and not taken for confirmed: leases count from confirmed renewals, so the next owner would wait too short. A release is repeated likewise. One log line in 10 s; counter claims_ignored. A lease below zero counts as unbounded. Not covered: a well-formed record under another host's name; nothing in it tells it from that host's.

--- a/internal/coordination/elect/elect.go
+++ b/internal/coordination/elect/elect.go
@@ -12,6 +12,7 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -32,6 +33,8 @@
 	retryInterval = 100 * time.Millisecond
 	// standbyInterval is the pause between reads of a host that delays its claims.
 	standbyInterval = 500 * time.Millisecond
+	// ignoredLogInterval is the minimum time between two log lines about records of another writer.
+	ignoredLogInterval = 10 * time.Second
 )
 
 var topic = port.Topic{Name: "owner"}
@@ -50,6 +53,9 @@
 	self  Owner
 	clock clock.Clock
 	log   *slog.Logger
+	// ignored counts the records that no host wrote, and ignoredLogged is when the last of them was logged.
+	ignored       tally.Counter
+	ignoredLogged time.Time
 
 	// maxLease bounds the leases that this host grants to workers while it is the owner; zero if nothing does.
 	maxLease time.Duration
@@ -61,9 +67,11 @@
 	// isTermUnknown is set while only renewals of the owner were read, as its claim had expired; Term is then too high.
 	isTermUnknown bool
 	nextOffset    int64
-	lastHeard     time.Time
-	isReleased    bool
-	lastRenewal   clock.Instant
+	// newestRecord is the offset of the newest record of a host that was read or stored.
+	newestRecord int64
+	lastHeard    time.Time
+	isReleased   bool
+	lastRenewal  clock.Instant
 	// renewedAt is the offset of the newest renewal that this host sent, and renewalSent when it was first sent.
 	renewedAt   int64
 	renewalSent clock.Instant
@@ -96,9 +104,15 @@
 // WithMaxLease sets the bound of the leases that this host grants to workers while it is the owner.
 func WithMaxLease(d time.Duration) Option { return func(e *Election) { e.maxLease = d } }
 
+// WithScope sets the scope of the metrics.
+func WithScope(s tally.Scope) Option {
+	return func(e *Election) { e.ignored = s.Counter("claims_ignored") }
+}
+
 // New returns an election in which a host takes part under the given name, lifetime and address.
 func New(s port.Store, host, lifetime string, addr netip.AddrPort, c clock.Clock, l *slog.Logger, opts ...Option) *Election {
-	e := &Election{store: s, self: Owner{Host: host, Lifetime: lifetime, Addr: addr}, clock: c, log: l, nextOffset: -1}
+	e := &Election{store: s, self: Owner{Host: host, Lifetime: lifetime, Addr: addr}, clock: c, log: l, nextOffset: -1, newestRecord: -1}
+	WithScope(tally.NoopScope)(e)
 	for _, o := range opts {
 		o(e)
 	}
@@ -166,8 +180,20 @@
 	if !isOwner {
 		return nil
 	}
-	_, err := e.append(ctx, offset, &wire.LeadRecord{Released: true, Renewal: true})
-	return err
+	return e.release(ctx, offset)
+}
+
+// release writes that the term has ended at an offset, or after records of another writer from there on.
+func (e *Election) release(ctx context.Context, offset int64) error {
+	for {
+		isStored, err := e.append(ctx, offset, &wire.LeadRecord{Released: true, Renewal: true})
+		if err != nil || isStored || !e.isOvertaken(offset) {
+			return err
+		}
+		e.mu.Lock()
+		offset = e.nextOffset
+		e.mu.Unlock()
+	}
 }
 
 // Run takes part in the election until ctx ends. It calls own in a goroutine for each term of this host, with a context
@@ -231,7 +257,7 @@
 		return
 	}
 	e.log.Warn("ending ownership term", "Term", term)
-	if _, err := e.append(ctx, offset, &wire.LeadRecord{Released: true, Renewal: true}); err != nil {
+	if err := e.release(ctx, offset); err != nil {
 		e.log.Warn("cannot release the term in the store", "Term", term, "Cause", err.Error())
 		e.mu.Lock()
 		// This host renews no more, so that another host takes over or this one claims again.
@@ -307,6 +333,9 @@
 		e.renewedAt, e.renewalSent = offset, sent
 	}
 	isStored, err := e.append(ctx, offset, &wire.LeadRecord{Renewal: true})
+	if err == nil && !isStored && e.isOvertaken(offset) {
+		return nil
+	}
 	e.mu.Lock()
 	e.isRenewalFailing = err != nil
 	switch {
@@ -323,6 +352,13 @@
 	return e.clock.Sleep(ctx, renewInterval)
 }
 
+// isOvertaken reports whether only records of another writer stand from an offset on, so that the renewal is due there anew.
+func (e *Election) isOvertaken(offset int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.newestRecord < offset && e.nextOffset > offset
+}
+
 // readFirst reads the topic for the first time. The owner is then asked at once for its term, as this host does not know how
 // old the newest renewal is.
 func (e *Election) readFirst(ctx context.Context) error {
@@ -351,7 +387,7 @@
 	if err != nil {
 		return false, fmt.Errorf("append claim at %d: %w", offset, err)
 	}
-	e.apply(offset, m)
+	e.apply(offset, record{LeadRecord: m, addr: e.self.Addr})
 	return true, nil
 }
 
@@ -380,29 +416,39 @@
 	}
 	e.mu.Unlock()
 	for _, x := range p.Entries {
-		var m wire.LeadRecord
-		if err := proto.Unmarshal(x.Value, &m); err != nil {
-			return fmt.Errorf("decode claim at %d: %w", x.Offset, err)
+		m, err := decodeRecord(x.Value)
+		if err != nil {
+			e.ignore(x.Offset, err)
+			continue
 		}
-		e.apply(x.Offset, &m)
+		e.apply(x.Offset, m)
 	}
 	return nil
 }
 
+// ignore skips a record that no host wrote.
+func (e *Election) ignore(offset int64, cause error) {
+	e.ignored.Inc(1)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.nextOffset = max(e.nextOffset, offset+1)
+	if now := e.clock.Now(); e.ignoredLogged.IsZero() || now.Sub(e.ignoredLogged) >= ignoredLogInterval {
+		e.ignoredLogged = now
+		e.log.Warn("ignoring record of another writer", "Topic", topic.Name, "Offset", offset, "Cause", cause.Error())
+	}
+}
+
 // apply processes one record; a claim starts a term, which is the offset of the claim plus one. A renewal by a host that is not known
 // to be the owner belongs to a term whose claim was not read.
-func (e *Election) apply(offset int64, m *wire.LeadRecord) {
-	addr, err := netip.ParseAddrPort(m.GetAddr())
-	if err != nil {
-		e.log.Warn("claim has no valid address", "Offset", offset, "Host", m.GetHost(), "Cause", err.Error())
-	}
+func (e *Election) apply(offset int64, m record) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.nextOffset = max(e.nextOffset, offset+1)
+	e.newestRecord = max(e.newestRecord, offset)
 	former := e.lastRecord
 	e.lastHeard = e.clock.Now()
 	e.lastRecord = e.lastHeard
-	if lease := m.GetLeaseMillis(); lease == 0 || lease > e.maxLease.Milliseconds() {
+	if lease := m.GetLeaseMillis(); lease <= 0 || lease > e.maxLease.Milliseconds() {
 		e.longLeaseAt = e.lastHeard
 	}
 	e.isReleased = m.GetReleased()
@@ -410,7 +456,7 @@
 	if m.GetRenewal() && isSame {
 		return
 	}
-	e.owner = Owner{Host: m.GetHost(), Lifetime: m.GetLifetime(), Addr: addr, Term: offset + 1}
+	e.owner = Owner{Host: m.GetHost(), Lifetime: m.GetLifetime(), Addr: m.addr, Term: offset + 1}
 	e.isTermUnknown = m.GetRenewal()
 	e.formerHeardAt = former
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -156,7 +156,8 @@
 	h.config = feed.NewFollower(deps.Store, deps.ConfigTopic, feed.Handler{Reload: h.reloadConfig, Apply: h.applyConfig}, h.clock, h.log)
 	h.writer = feed.NewWriter(deps.Store, jobsTopic, s.Host.Name+"-"+instance, 1, h.clock, h.log)
 	h.elect = elect.New(deps.Store, s.Host.Name, instance, s.Listen.Peer, h.clock, h.log,
-		elect.WithProcessorShare(s.Limits.Processors), elect.WithProbe(h.probeOwner), elect.WithMaxLease(exec.MaxLease))
+		elect.WithProcessorShare(s.Limits.Processors), elect.WithProbe(h.probeOwner), elect.WithMaxLease(exec.MaxLease),
+		elect.WithScope(h.scope))
 	h.intake = intake.New(h.table, h.jobs, h.writer, h.config.Fresh, intakeLimits(s), h.clock, h.log, h.scope)
 	self := relay.Host{Name: s.Host.Name, Domain: s.Host.Domain, Addr: s.Listen.Peer}
 	h.hosts = relay.NewHosts(deps.Store, self, h.clock, h.log)
