jobs: refuse an end record that ends no job, and a job id that callers cannot send

What callers saw: every host that read two such records ended by itself, and again after each start: the topic keeps them. Cause: an end record was taken over unchecked. One in the state Open became an open job without units and without a check of its steps: a record of its unit wrote to a nil map, and steps with a negative count made a slice of negative length. A job record was checked, but not its id: with a slash in it the keys of its units cannot be parsed, so each run was forgotten and the tasks ran again and again; with a dot in it the reports of its workers cannot be decoded (read in the code). Evidence, before, TestMalformedRecordsDoNotCrashHosts: end that is none: panic: assignment to entry in nil map (table.go:208, applyUnit) end that is none, of an open job: panic: runtime error: makeslice: len out of range id with slashes: {0/0/0/c7 0 0 0 2} started after it was done, and five more The other new cases passed before, they are guards. Change: an end record holds the id of its key and one of the three ends; a job record holds an id by IsID, as requests do. Counter job_records_ignored.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -225,17 +225,23 @@
 		rs[i] = jobs.StoredRecord{Record: jobs.Record{Key: e.Key, Value: e.Value}, Offset: e.Offset}
 	}
 	if err := h.table.Reload(rs, before); err != nil {
-		h.log.Error("cannot apply job record", "Cause", err.Error())
+		h.jobRecordIgnored("Cause", err.Error())
 	}
 	h.log.Info("reloaded jobs from store", "Records", len(es), "Before", before)
 }
 
 func (h *Host) applyJob(e port.Entry) {
 	if err := h.table.Apply(e.Offset, jobs.Record{Key: e.Key, Value: e.Value}); err != nil {
-		h.log.Error("cannot apply job record", "Key", e.Key, "Offset", e.Offset, "Cause", err.Error())
+		h.jobRecordIgnored("Key", e.Key, "Offset", e.Offset, "Cause", err.Error())
 	}
 }
 
+// jobRecordIgnored counts and logs a record in the topic of the jobs that no host wrote.
+func (h *Host) jobRecordIgnored(args ...any) {
+	h.scope.Counter("job_records_ignored").Inc(1)
+	h.log.Error("cannot apply job record", args...)
+}
+
 // runEngine runs the jobs while this host owns them.
 func (h *Host) runEngine(ctx context.Context, o elect.Owner) {
 	h.jobs.SetReadInterval(ownerReadInterval)
--- a/internal/host/malformed_test.go
+++ b/internal/host/malformed_test.go
@@ -25,6 +25,10 @@
 		return encode("j/"+id, &wire.BatchJob{Id: id, Organisation: "Gear", Queue: "urgent", Steps: steps})
 	}
 	whole := &wire.BatchStep{Tasks: 2, Accelerators: 1, Processors: 1}
+	end := func(id string, m *wire.BatchJob) port.Entry { return encode("e/"+id, m) }
+	unit := func(id string) port.Entry {
+		return encode("u/"+id+"/0/0", &wire.BatchUnit{Job: id, Run: 1, Members: []*wire.BatchMember{{Worker: "w0"}}})
+	}
 	return map[string][]port.Entry{
 		"no kind":               {{Key: "x/1", Value: []byte("?")}, {Key: "", Value: []byte("?")}},
 		"bytes for a job":       {{Key: "j/00000000000000b1", Value: []byte{0xff, 0xff}}},
@@ -52,6 +56,22 @@
 			job("00000000000000bd", whole),
 			encode("u/00000000000000bd/0/0", &wire.BatchUnit{Job: "00000000000000ff", Step: -1, Index: -4, Run: -1}),
 		},
+		"end that is none": {
+			end("00000000000000c1", &wire.BatchJob{Id: "00000000000000c1", Queue: "urgent", Steps: []*wire.BatchStep{whole}}),
+			unit("00000000000000c1"),
+		},
+		"end that is none, of an open job": {
+			job("00000000000000c2", whole),
+			end("00000000000000c2", &wire.BatchJob{Id: "00000000000000c2", Queue: "urgent", Steps: []*wire.BatchStep{{Tasks: -5}}}),
+			unit("00000000000000c2"),
+		},
+		"end in an unknown state": {end("00000000000000c3", &wire.BatchJob{Id: "00000000000000c3", State: 99}), unit("00000000000000c3")},
+		"end below all states":    {end("00000000000000c4", &wire.BatchJob{Id: "00000000000000c4", State: -1}), unit("00000000000000c4")},
+		"end of another job":      {end("00000000000000c5", &wire.BatchJob{Id: testJobID, State: wire.BatchState(jobs.Failed)})},
+		"id with dots":            {job("0.0.0.c6", whole)},
+		"id with slashes":         {job("0/0/0/c7", whole)},
+		"id with a control":       {job("\x00\n00000000000c8", whole)},
+		"empty id":                {job("", whole)},
 		"unit on too many workers": {
 			job("00000000000000be", whole),
 			encode("u/00000000000000be/0/1", &wire.BatchUnit{
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -20,6 +20,11 @@
 	Cancelled
 )
 
+// isEnd reports whether a job in this state has ended.
+func (s State) isEnd() bool {
+	return s == Completed || s == Failed || s == Cancelled
+}
+
 // Step is a number of equal tasks.
 type Step struct {
 	Tasks        int
--- a/internal/state/jobs/table.go
+++ b/internal/state/jobs/table.go
@@ -118,8 +118,8 @@
 	if err != nil {
 		return fmt.Errorf("apply %s: %w", r.Key, err)
 	}
-	if why := j.Check(); j.ID != id || why != "" {
-		return fmt.Errorf("apply %s: job id %q, check %q: %w", r.Key, j.ID, why, ErrMalformed)
+	if why := j.Check(); j.ID != id || !IsID(id) || why != "" {
+		return fmt.Errorf("apply %q: job id %q, check %q: %w", r.Key, j.ID, why, ErrMalformed)
 	}
 	j.offset, j.footprint = offset, j.Footprint()
 	j.units = map[UnitKey]*Unit{}
@@ -152,6 +152,9 @@
 	if err != nil {
 		return fmt.Errorf("apply %s: %w", r.Key, err)
 	}
+	if j.ID != id || !j.State.isEnd() {
+		return fmt.Errorf("apply %q: job id %q, state %d: %w", r.Key, j.ID, j.State, ErrMalformed)
+	}
 	j.offset = offset
 	delete(t.orphans, id)
 	t.jobs[id] = j
