jobs: keep one run of each unit whose job is not known

Cause: each record of a unit whose job no record names was appended to a list, also a newer one of the same unit, which only a reload cleared. A writer that repeats such a record made every host grow. Evidence, before: TestUnitsOfUnknownJobTakeOnePlaceEach: "should have 1 item(s), but has 1000". Change: a map by unit, which keeps the newest. Result: go test -race ./internal/state/jobs passes, the random histories among it.

--- a/internal/state/jobs/table.go
+++ b/internal/state/jobs/table.go
@@ -18,7 +18,7 @@
 	mu   sync.Mutex
 	jobs map[string]*Job
 	// orphans holds the units whose records were read before the record of their job, by job id.
-	orphans map[string][]*Unit
+	orphans map[string]map[UnitKey]*Unit
 	// cancels holds the offsets of the cancellation records by job id.
 	cancels map[string]int64
 	// changed holds the ids of jobs that changed since the last TakeChanged.
@@ -29,7 +29,7 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		jobs: map[string]*Job{}, orphans: map[string][]*Unit{}, cancels: map[string]int64{}, changed: map[string]bool{},
+		jobs: map[string]*Job{}, orphans: map[string]map[UnitKey]*Unit{}, cancels: map[string]int64{}, changed: map[string]bool{},
 		wake: make(chan struct{}, 1),
 	}
 }
@@ -47,7 +47,7 @@
 	defer t.mu.Unlock()
 	old, cancels := t.jobs, t.cancels
 	t.jobs = map[string]*Job{}
-	t.orphans = map[string][]*Unit{}
+	t.orphans = map[string]map[UnitKey]*Unit{}
 	t.cancels = map[string]int64{}
 	var err error
 	for _, r := range rs {
@@ -123,9 +123,9 @@
 	}
 	j.offset, j.footprint = offset, j.Footprint()
 	j.units = map[UnitKey]*Unit{}
-	for _, u := range t.orphans[id] {
-		if j.hasUnit(u.Key) {
-			j.units[u.Key] = u
+	for k, u := range t.orphans[id] {
+		if j.hasUnit(k) {
+			j.units[k] = u
 		}
 	}
 	delete(t.orphans, id)
@@ -196,7 +196,7 @@
 	}
 	u.offset = offset
 	if j == nil {
-		t.orphans[k.Job] = append(t.orphans[k.Job], u)
+		t.addOrphan(u)
 		return nil
 	}
 	if j.State != Open {
@@ -212,6 +212,18 @@
 	return nil
 }
 
+// addOrphan keeps the newest run of a unit whose job is not known.
+func (t *Table) addOrphan(u *Unit) {
+	of := t.orphans[u.Key.Job]
+	if of == nil {
+		of = map[UnitKey]*Unit{}
+		t.orphans[u.Key.Job] = of
+	}
+	if old := of[u.Key]; old == nil || old.offset < u.offset {
+		of[u.Key] = u
+	}
+}
+
 // markChanged marks a job as added, cancelled or ended, and wakes the owner.
 func (t *Table) markChanged(id string) {
 	t.changed[id] = true
