--- a/cmd/auburncleatd/site.go
+++ b/cmd/auburncleatd/site.go
@@ -103,7 +103,7 @@
 	return host.Deps{
 		Store:            store,
 		Runners:          platform.NewRunners(newRunnerClient(s)),
-		FollowRunners:    platform.NewRunnerWatcher(store, clock.System(), l),
+		FollowRunners:    platform.NewRunnerWatcher(store, clock.System(), l, platform.WithScope(c)),
 		ConfigTopic:      platform.ConfigTopic,
 		DecodeConfig:     platform.DecodeConfig,
 		DecodeEvacuation: platform.DecodeEvacuation,
