platform: one record that cannot be read hides no other

What callers saw: nothing yet; the store may refuse such records. Where it does not, all hosts stop following the topic: configuration, workers or jobs. Cause: a record without a key in a keyed topic, or one value that is not base64, failed the whole read, which was repeated from the same offset for good. Keys that are not UTF-8 come back as other keys in JSON; a page of such keys alone was asked for without end, and its records were kept each time. Change: such a record is skipped and counted, the offset goes on, and the follower logs it once in 10 s.

--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -18,6 +18,8 @@
 	defaultPollWait = time.Second
 	// retryInterval is the time between a failed read and the next one.
 	retryInterval = 150 * time.Millisecond
+	// skippedLogInterval is the minimum time between two log lines about records that cannot be read.
+	skippedLogInterval = 10 * time.Second
 )
 
 // Handler holds the functions that a follower passes its entries to.
@@ -50,6 +52,9 @@
 	unreached     *readEnd
 	isUnavailable bool
 	changed       chan struct{}
+	// skipped counts the records that could not be read, and skippedLogged is when they were last logged.
+	skipped       int
+	skippedLogged time.Time
 	// isIdle is set between two reads, when the store may have records that were not read.
 	isIdle bool
 	// readRequested ends the interval between two reads.
@@ -231,6 +236,17 @@
 	f.log.Info("dependency regained", "Topic", f.topic.Name, "Next", f.next)
 }
 
+// logSkipped logs that the topic holds records which cannot be read, at intervals while more come.
+func (f *Follower) logSkipped(n int) {
+	f.skipped += n
+	now := f.clock.Now()
+	if n == 0 || !f.skippedLogged.IsZero() && now.Sub(f.skippedLogged) < skippedLogInterval {
+		return
+	}
+	f.skippedLogged = now
+	f.log.Warn("skipping unreadable records", "Topic", f.topic.Name, "Skipped", f.skipped)
+}
+
 // load reads the newest record of each key.
 func (f *Follower) load(ctx context.Context) error {
 	sent := f.clock.Instant()
@@ -245,6 +261,7 @@
 			return fmt.Errorf("read newest of %s: %w", f.topic.Name, err)
 		}
 		es = append(es, p.Entries...)
+		f.logSkipped(p.Skipped)
 		if startOffset < 0 {
 			startOffset = p.End
 		}
@@ -320,9 +337,11 @@
 	for _, e := range p.Entries {
 		f.handler.Apply(e)
 	}
+	f.logSkipped(p.Skipped)
 	if n := len(p.Entries); n > 0 {
 		next = p.Entries[n-1].Offset + 1
 	}
+	next = max(next, p.Next)
 	f.advanceTowards(next, readEnd{offset: p.End, sent: sent})
 	return nil
 }
--- a/internal/coordination/port/store.go
+++ b/internal/coordination/port/store.go
@@ -56,6 +56,10 @@
 	First   int64
 	End     int64
 	Entries []Entry
+	// Skipped counts the records of the range that cannot be read and are not among Entries, and Next is the offset after the range;
+	// zero if Entries tell it.
+	Skipped int
+	Next    int64
 }
 
 // Newest is a page of the newest records of all keys; the next page starts after the key Next, unless Next is empty.
@@ -63,6 +67,8 @@
 	Entries []Entry
 	End     int64
 	Next    string
+	// Skipped counts the records of the page that cannot be read and are not among Entries.
+	Skipped int
 }
 
 // Store is the client of the platform's store.
