relay: call no host at an address that another writer made up

Cause: a record in the list of hosts was taken over with any address that parses, also with port 0, an unspecified one (the host itself) or a multicast one, and in the place of a host's own; requests are passed on to the hosts of the list. A reload dropped a host whose record had been replaced by an odd one; hosts write theirs only once. Change: decodeHost, by fleet.CheckAddr; an odd record leaves the host as it was known. Remains: a host that starts later does not learn of a host whose record was replaced; the owner is known by its claim.

--- a/internal/coordination/relay/hosts.go
+++ b/internal/coordination/relay/hosts.go
@@ -15,6 +15,7 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/feed"
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/protocol/wire"
+	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -87,12 +88,14 @@
 }
 
 func (h *Hosts) reload(es []port.Entry, _ int64) {
-	h.mu.Lock()
-	clear(h.hosts)
-	h.mu.Unlock()
+	isListed := map[string]bool{}
 	for _, e := range es {
+		isListed[e.Key] = true
 		h.apply(e)
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	maps.DeleteFunc(h.hosts, func(name string, _ Host) bool { return !isListed[name] })
 }
 
 func (h *Hosts) apply(e port.Entry) {
@@ -102,17 +105,29 @@
 		delete(h.hosts, e.Key)
 		return
 	}
-	var m wire.HostRecord
-	if err := proto.Unmarshal(e.Value, &m); err != nil {
+	x, err := decodeHost(e)
+	if err != nil {
+		// The host is still there: it writes its record only once.
 		h.log.Warn("host record is invalid", "Name", e.Key, "Cause", err.Error())
 		return
 	}
+	h.hosts[e.Key] = x
+}
+
+// decodeHost returns the host that a record names, or why it names none.
+func decodeHost(e port.Entry) (Host, error) {
+	var m wire.HostRecord
+	if err := proto.Unmarshal(e.Value, &m); err != nil {
+		return Host{}, fmt.Errorf("decode record: %w", err)
+	}
 	a, err := netip.ParseAddrPort(m.GetAddr())
 	if err != nil {
-		h.log.Warn("host record has an invalid address", "Name", e.Key, "Cause", err.Error())
-		return
+		return Host{}, fmt.Errorf("parse address: %w", err)
+	}
+	if err := fleet.CheckAddr(a); err != nil {
+		return Host{}, fmt.Errorf("check address: %w", err)
 	}
-	h.hosts[e.Key] = Host{Name: e.Key, Domain: m.GetDomain(), Addr: a}
+	return Host{Name: e.Key, Domain: m.GetDomain(), Addr: a}, nil
 }
 
 // FindOthers returns the other hosts, those of the local failure domain first, each group sorted by name.
