--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"fmt"
 	"regexp"
 	"time"
 
@@ -254,38 +253,3 @@
 	}
 	return false
 }
-
-const (
-	// maxOccurrences and maxTasks limit the size of a job, so that one request cannot exhaust the memory of the hosts.
-	maxOccurrences = 10_000
-	maxTasks       = 100_000
-)
-
-// Check returns why the job is invalid, or an empty string if it is valid.
-func (j *Job) Check() string {
-	if len(j.Steps) == 0 {
-		return "a job needs a step"
-	}
-	if t := j.Times; t != nil && (t.Count < 1 || t.Count > maxOccurrences || t.Every < 0) {
-		return fmt.Sprintf("a job has 1 to %d occurrences, one after the other", maxOccurrences)
-	}
-	tasks := 0
-	for i, s := range j.Steps {
-		if s.Tasks < 1 {
-			return "a step needs a task"
-		}
-		if s.Accelerators < 0 || s.Processors < 0 || s.Memory < 0 || s.Estimate < 0 || s.PerWorker < 0 || s.MayMiss < 0 {
-			return "what a step asks for cannot be below zero"
-		}
-		tasks += s.Tasks * j.Occurrences()
-		if s.Tasks > maxTasks || tasks > maxTasks {
-			return fmt.Sprintf("a job has at most %d tasks", maxTasks)
-		}
-		for _, a := range s.After {
-			if a < 0 || a >= i {
-				return "a step can only start after earlier steps"
-			}
-		}
-	}
-	return ""
-}
