Limit the log lines about records that no host wrote

Cause: a writer that repeats an odd record among those of the jobs filled the log of every host, a line for each reading. Change: one line in 10 s, the counter has the rest; the owner's topic and the followers use the same clock.Limiter. Result: TestLimiterPassesOneOfMany, and go test -race of clock, elect, feed and the hosts' tests of odd records pass.

--- a/internal/coordination/elect/elect.go
+++ b/internal/coordination/elect/elect.go
@@ -53,9 +53,9 @@
 	self  Owner
 	clock clock.Clock
 	log   *slog.Logger
-	// ignored counts the records that no host wrote, and ignoredLogged is when the last of them was logged.
-	ignored       tally.Counter
-	ignoredLogged time.Time
+	// ignored counts the records that no host wrote, and ignoredLines limits the log lines about them.
+	ignored      tally.Counter
+	ignoredLines *clock.Limiter
 
 	// maxLease bounds the leases that this host grants to workers while it is the owner; zero if nothing does.
 	maxLease time.Duration
@@ -111,7 +111,10 @@
 
 // New returns an election in which a host takes part under the given name, lifetime and address.
 func New(s port.Store, host, lifetime string, addr netip.AddrPort, c clock.Clock, l *slog.Logger, opts ...Option) *Election {
-	e := &Election{store: s, self: Owner{Host: host, Lifetime: lifetime, Addr: addr}, clock: c, log: l, nextOffset: -1, newestRecord: -1}
+	e := &Election{
+		store: s, self: Owner{Host: host, Lifetime: lifetime, Addr: addr}, clock: c, log: l, nextOffset: -1, newestRecord: -1,
+		ignoredLines: clock.NewLimiter(c, ignoredLogInterval),
+	}
 	WithScope(tally.NoopScope)(e)
 	for _, o := range opts {
 		o(e)
@@ -432,8 +435,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.nextOffset = max(e.nextOffset, offset+1)
-	if now := e.clock.Now(); e.ignoredLogged.IsZero() || now.Sub(e.ignoredLogged) >= ignoredLogInterval {
-		e.ignoredLogged = now
+	if e.ignoredLines.Pass() {
 		e.log.Warn("ignoring record of another writer", "Topic", topic.Name, "Offset", offset, "Cause", cause.Error())
 	}
 }
--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -52,9 +52,9 @@
 	unreached     *readEnd
 	isUnavailable bool
 	changed       chan struct{}
-	// skipped counts the records that could not be read, and skippedLogged is when they were last logged.
-	skipped       int
-	skippedLogged time.Time
+	// skipped counts the records that could not be read, and skippedLines limits the log lines about them.
+	skipped      int
+	skippedLines *clock.Limiter
 	// isIdle is set between two reads, when the store may have records that were not read.
 	isIdle bool
 	// readRequested ends the interval between two reads.
@@ -82,7 +82,7 @@
 func NewFollower(s port.Store, t port.Topic, handler Handler, c clock.Clock, l *slog.Logger, opts ...FollowerOption) *Follower {
 	f := &Follower{
 		store: s, topic: t, handler: handler, clock: c, log: l, pollWait: defaultPollWait, completeAt: -1, changed: make(chan struct{}),
-		readRequested: make(chan struct{}, 1),
+		readRequested: make(chan struct{}, 1), skippedLines: clock.NewLimiter(c, skippedLogInterval),
 	}
 	for _, o := range opts {
 		o(f)
@@ -239,12 +239,9 @@
 // logSkipped logs that the topic holds records which cannot be read, at intervals while more come.
 func (f *Follower) logSkipped(n int) {
 	f.skipped += n
-	now := f.clock.Now()
-	if n == 0 || !f.skippedLogged.IsZero() && now.Sub(f.skippedLogged) < skippedLogInterval {
-		return
+	if n > 0 && f.skippedLines.Pass() {
+		f.log.Warn("skipping unreadable records", "Topic", f.topic.Name, "Skipped", f.skipped)
 	}
-	f.skippedLogged = now
-	f.log.Warn("skipping unreadable records", "Topic", f.topic.Name, "Skipped", f.skipped)
 }
 
 // load reads the newest record of each key.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -84,6 +84,8 @@
 	// configuration under which requests are admitted.
 	revokeMargin    = 1500 * time.Millisecond
 	instanceIDBytes = 6
+	// ignoredLogInterval is the minimum time between two log lines about job records that no host wrote.
+	ignoredLogInterval = 10 * time.Second
 	// ownerGCPercent is the GC percentage of the owner, which has more spare memory than processor time. The memory limit
 	// still applies.
 	ownerGCPercent = 200
@@ -91,16 +93,18 @@
 
 // Host is one entry host.
 type Host struct {
-	settings     *setup.Site
-	deps         Deps
-	clock        clock.Clock
-	log          *slog.Logger
-	scope        tally.Scope
-	metrics      http.Handler
-	table        *jobs.Table
-	jobs         *feed.Follower
-	config       *feed.Follower
-	writer       *feed.Writer
+	settings *setup.Site
+	deps     Deps
+	clock    clock.Clock
+	log      *slog.Logger
+	scope    tally.Scope
+	metrics  http.Handler
+	table    *jobs.Table
+	jobs     *feed.Follower
+	config   *feed.Follower
+	writer   *feed.Writer
+	// ignoredLines limits the log lines about job records that no host wrote.
+	ignoredLines *clock.Limiter
 	elect        *elect.Election
 	intake       *intake.Intake
 	hosts        *relay.Hosts
@@ -150,6 +154,7 @@
 	for _, o := range opts {
 		o(h)
 	}
+	h.ignoredLines = clock.NewLimiter(h.clock, ignoredLogInterval)
 	instance := newInstanceID()
 	h.jobs = feed.NewFollower(deps.Store, jobsTopic, feed.Handler{Reload: h.reloadJobs, Apply: h.applyJob}, h.clock, h.log,
 		feed.WithReadInterval(standbyReadInterval))
@@ -239,7 +244,9 @@
 // jobRecordIgnored counts and logs a record in the topic of the jobs that no host wrote.
 func (h *Host) jobRecordIgnored(args ...any) {
 	h.scope.Counter("job_records_ignored").Inc(1)
-	h.log.Error("cannot apply job record", args...)
+	if h.ignoredLines.Pass() {
+		h.log.Error("cannot apply job record", args...)
+	}
 }
 
 // runEngine runs the jobs while this host owns them.
