jobs: refuse a run number that the next run would overflow

What callers saw: with a record of another writer that says run, the job's task ran again after it was done. Cause: the owner counts on from the number of the record, which holds 32 bits: each record of a later run had a number below zero, which all hosts refuse, the owner's own table among them. The other 45 cases passed before; they are guards. Change: a run, or a count of failures, above 2^30 or failures below zero make a record malformed. Result: go test -race of jobs, exec and host passes.

--- a/internal/state/jobs/table.go
+++ b/internal/state/jobs/table.go
@@ -13,6 +13,9 @@
 // ErrMalformed is returned for a record that can be decoded but has invalid content.
 var ErrMalformed = errors.New("record is malformed")
 
+// maxRun limits the number of a run and of failed runs, so that those after it fit into a record.
+const maxRun = 1 << 30
+
 // Table holds the jobs as rebuilt from the records of the store. It is safe for concurrent use.
 type Table struct {
 	mu   sync.Mutex
@@ -191,8 +194,8 @@
 	if err != nil {
 		return fmt.Errorf("apply %s: %w", r.Key, err)
 	}
-	if u.Key != k || u.Run < 0 {
-		return fmt.Errorf("apply %s: value for unit %s, run %d: %w", r.Key, u.Key, u.Run, ErrMalformed)
+	if u.Key != k || u.Run < 0 || u.Run > maxRun || u.Failures < 0 || u.Failures > maxRun {
+		return fmt.Errorf("apply %q: value for unit %q, run %d, %d failures: %w", r.Key, u.Key, u.Run, u.Failures, ErrMalformed)
 	}
 	u.offset = offset
 	if j == nil {
