--- a/internal/coordination/elect/elect.go
+++ b/internal/coordination/elect/elect.go
@@ -159,7 +159,7 @@
 	if !e.isOwner() {
 		return 0
 	}
-	// The newest record is by this host, so that the claim of the next owner has this offset or a higher one.
+	// All records before this offset were read, so that the claim of the next owner has this offset or a higher one.
 	return e.nextOffset
 }
 
