exec: wait for attempts of answered starts too, and for renewals after them

Cause: starts are hedged, so that a second attempt may be under way after the first was answered; the longest lease was awaited for unanswered starts alone. The lease that the next lifetime gave to such an attempt can also be extended by a renewal that was sent after the start.

Change: while a worker seems to have a new lifetime that has not reported, any start that may still have been under way after its last report counts, from the last grant to the worker.

--- a/internal/coordination/exec/latestart_test.go
+++ b/internal/coordination/exec/latestart_test.go
@@ -109,3 +109,36 @@
 		require.Empty(r.t, r.runners.Faults())
 	})
 }
+
+// TestNoRunBesideSecondAttemptOnUnseenLifetime guards against two runs of one task at a time: a second attempt of a start that was answered
+// is carried out by the next lifetime of its worker, which is cut off before it has reported.
+func TestNoRunBesideSecondAttemptOnUnseenLifetime(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		r.submit(testID, taskStep(1))
+		r.waitForRun(1, time.Second)
+		s := l.start.Load()
+		r.cutOff()
+		r.comeBack(true)
+		r.advance(orderDelay - absence)
+		r.deliverStart(s)
+		r.requireOneRunAtATime(1)
+	})
+}
+
+// TestNoRunBesideLateRenewalOnUnseenLifetime guards against the same where a renewal, which was sent after the start, reaches that lifetime
+// last and extends the lease of the run.
+func TestNoRunBesideLateRenewalOnUnseenLifetime(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		r.submit(testID, taskStep(1))
+		r.waitForRun(1, time.Second)
+		s := l.start.Load()
+		r.advance(orderDelay - absence)
+		h := l.renewal.Load()
+		r.cutOff()
+		r.comeBack(true)
+		r.deliverStart(s)
+		r.advance(orderDelay - absence)
+		r.deliverRenewal(h)
+		r.requireOneRunAtATime(1)
+	})
+}
--- a/internal/coordination/exec/leasebound.go
+++ b/internal/coordination/exec/leasebound.go
@@ -71,8 +71,8 @@
 	if !w.hasReported && m.isSettled && w.mayBeListedAs(m.instance) {
 		b = w.leaseBound()
 	}
-	if m.isUndecided && w.mayBeReborn() {
-		// The new lifetime may execute the start, and later orders to the former one, which move its deadline.
+	if w.mayBeReborn() && m.sentAt.Add(maxOrderDelay).After(w.lastReport) {
+		// The new lifetime may execute an attempt of the start, also if another one was answered, and later orders, which move its deadline.
 		b.raise(w.lastGrant.Add(maxOrderDelay+leaseBound(e.bounds.MaxHold)), unansweredStart)
 	}
 	return b
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -77,7 +77,7 @@
 		}
 		o := e.newOrder(startOrder, w, s.Until, now)
 		addr := w.runner.Worker.Addr
-		m.isSent, m.isUndecided = true, true
+		m.isSent, m.isUndecided, m.sentAt = true, true, now
 		ctx := e.startContextOf(w)
 		e.mu.Unlock()
 		workerClock, err := e.deps.Runners.Start(ctx, addr, s)
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -64,8 +64,9 @@
 	isStalled bool
 	// isWorkerFault is set when the loss of the task is evidence against its worker, and not just a loss of contact.
 	isWorkerFault bool
-	// isSent is set once a start of the task may have been sent to the worker.
+	// isSent is set once a start of the task may have been sent to the worker, and sentAt is when this owner sent the last attempt.
 	isSent bool
+	sentAt time.Time
 	// isRefused is set when the worker has not accepted the task.
 	isRefused bool
 	// isUndecided is set while a start of the task is in transit or was not answered, so that it may still be executed.
