exec: wait for starts of a former owner that are under way at the take-over

Cause: the bound for a lifetime that a new owner knows from the list alone counts from the take-over, as if no start of the former owner could be executed later. A start is taken to be under way for 4 s (maxOrderDelay) everywhere else.

Change: an adopted task whose worker is listed with another lifetime and has not reported counts as lost maxOrderDelay later.

What remains: a lifetime that the list does not show, and a former owner that still sends starts after the take-over (up to 4 s after its last renewal).

--- a/internal/coordination/exec/latestart_test.go
+++ b/internal/coordination/exec/latestart_test.go
@@ -142,3 +142,21 @@
 		r.requireOneRunAtATime(1)
 	})
 }
+
+// TestNoRunBesideLateStartAfterTakeOver guards against two runs of one task at a time: a start of a former owner is carried out by the next
+// lifetime of its worker seconds after the take-over, and the new owner never reaches that lifetime.
+func TestNoRunBesideLateStartAfterTakeOver(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		s := r.sendUnanswered(l)
+		r.stop()
+		r.hearFormerOwner(false)
+		r.comeBack(false)
+		r.cutOff()
+		r.start(r.engine.term + 1)
+		r.advance(orderDelay - absence)
+		r.deliverStart(s)
+		r.list(testWorker(1))
+		r.waitForRun(2, r.rerunLimit())
+		require.Empty(t, r.runners.Faults())
+	})
+}
--- a/internal/coordination/exec/leasebound.go
+++ b/internal/coordination/exec/leasebound.go
@@ -71,6 +71,10 @@
 	if !w.hasReported && m.isSettled && w.mayBeListedAs(m.instance) {
 		b = w.leaseBound()
 	}
+	if m.isAdopted && !w.hasReported && !w.mayBeListedAs(m.instance) {
+		// A start of the former owner may still be under way.
+		b.raise(e.takenOverAt.Add(maxOrderDelay+leaseBound(e.bounds.MaxHold)), unansweredStart)
+	}
 	if w.mayBeReborn() && m.sentAt.Add(maxOrderDelay).After(w.lastReport) {
 		// The new lifetime may execute an attempt of the start, also if another one was answered, and later orders, which move its deadline.
 		b.raise(w.lastGrant.Add(maxOrderDelay+leaseBound(e.bounds.MaxHold)), unansweredStart)
