exec: record of runs when their worker is settled, for the next owner

Cause: the record of a run says whether its worker was settled when the run was placed, and stays so.

Evidence: TestWorkRunsAgainSoonAfterSecondLossOfOwner failed before, 5 of 5 times, and passed 3 of 3 on.

Change: when a worker is settled, the runs on it that were placed before are recorded once more. A lifetime that is settled stays so, since it executes no order to a former one any more.

Result: the test passes.

--- a/internal/coordination/exec/fence.go
+++ b/internal/coordination/exec/fence.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/pkg/errors"
 )
 
@@ -87,6 +88,23 @@
 	return !w.isReborn && now.After(e.strayLeaseEnd(w))
 }
 
+// settleRuns records of the runs on a settled worker that they are on a settled lifetime, for the next owner.
+func (e *Engine) settleRuns(w *worker) {
+	for _, t := range w.tasks {
+		m := t.member
+		if m.isSettled || t.unit.phase != phaseRunning || m.presence != taskPresent || m.instance != w.instance {
+			continue
+		}
+		m.isSettled = true
+		r, err := jobs.UnitRecord(e.record(t.unit, jobs.Running))
+		if err != nil {
+			e.log.Error("cannot encode a run", "Unit", t.unit.name, "Cause", err.Error())
+			continue
+		}
+		e.store([]jobs.Record{r}, nil)
+	}
+}
+
 // isSuperseded reports whether a worker refused an order because it has seen a newer owner, rather than a newer token of this one.
 func (e *Engine) isSuperseded(w *worker, token int64, err error) bool {
 	e.mu.Lock()
