exec: wait no longer than needed after a take-over for workers that have been up for long

Cause: a new owner does not know whether a worker that was idle at the take-over has a new lifetime, and counted MaxHold from its first report.

Evidence: TestWorkRunsAgainSoonAfterTakeOverAndLossOfWorker failed before, 6 of 6 times.

Change: the name of a lifetime may tell when it began, by the worker's time of day.

Result: the test passes, and so does TestWorkRunsAgainSoonAfterSecondLossOfOwner.

--- a/internal/coordination/exec/engine_test.go
+++ b/internal/coordination/exec/engine_test.go
@@ -124,6 +124,7 @@
 			}
 			return x.Renew(ctx, to, h)
 		},
+		BornAt: x.BornAt,
 	}
 }
 
--- a/internal/coordination/exec/fence.go
+++ b/internal/coordination/exec/fence.go
@@ -73,19 +73,30 @@
 	w.wakePoller()
 }
 
-// settleFence uses what a former owner has recorded: it placed a task on the lifetime that reports when no order to a former one could be
-// executed there any more, and no lease by one was left.
-func (w *worker) settleFence(instance string) {
+// settleFence notes that the lifetime of a first report holds no lease by an order to a former one, if it has been up for long, or a former owner
+// has recorded so.
+func (e *Engine) settleFence(w *worker, instance string, now time.Time) {
+	isSettled := e.isLongUp(instance, now)
 	for _, t := range w.tasks {
-		if t.member.isSettled && t.member.instance == instance {
-			w.fence.lastStray = time.Time{}
-		}
+		isSettled = isSettled || t.member.isSettled && t.member.instance == instance
+	}
+	if isSettled {
+		w.fence.lastStray = time.Time{}
+	}
+}
+
+// isLongUp reports whether a lifetime is known to have begun so long ago that orders to a former one, and their leases, are over.
+func (e *Engine) isLongUp(instance string, now time.Time) bool {
+	if e.deps.Runners.BornAt == nil {
+		return false
 	}
+	born := e.deps.Runners.BornAt(instance)
+	return !born.IsZero() && now.Sub(born) > strayPeriod+leaseBound(e.bounds.MaxHold)+maxClockOffset
 }
 
 // isSettled reports whether the present lifetime of a worker holds no lease by an order to a former one.
 func (e *Engine) isSettled(w *worker, now time.Time) bool {
-	return !w.isReborn && now.After(e.strayLeaseEnd(w))
+	return w.hasReported && !w.isReborn && now.After(e.strayLeaseEnd(w))
 }
 
 // settleRuns records of the runs on a settled worker that they are on a settled lifetime, for the next owner.
--- a/internal/coordination/exec/health.go
+++ b/internal/coordination/exec/health.go
@@ -11,7 +11,7 @@
 			e.log.Info("worker is silent", "Worker", w.name, "Tasks", len(w.tasks), "Asked", now.Sub(w.lastPoll).String())
 			e.updatePlannerWorker(w)
 		}
-		if w.hasReported && e.isSettled(w, now) {
+		if e.isSettled(w, now) {
 			e.settleRuns(w)
 		}
 		if len(w.tasks) > 0 && now.After(w.leaseBound().at) {
--- a/internal/coordination/exec/leasebound.go
+++ b/internal/coordination/exec/leasebound.go
@@ -42,8 +42,15 @@
 	return b
 }
 
-// maxOrderDelay is the longest time from the sending of an order to its execution by a worker that does not answer.
-const maxOrderDelay = 4 * time.Second
+const (
+	// maxOrderDelay is the longest time from the sending of an order to its execution by a worker that does not answer.
+	maxOrderDelay = 4 * time.Second
+	// strayPeriod is how long after the start of a lifetime an order to a former one may be executed. The last one is sent within MaxLease after
+	// the last report of the former lifetime, as leases count from that.
+	strayPeriod = MaxLease + maxOrderDelay
+	// maxClockOffset is the largest difference between the times of day of two machines.
+	maxClockOffset = 5 * time.Second
+)
 
 // leaseBound returns the bound of the leases of a worker that end by the clock of its present lifetime.
 func (w *worker) leaseBound() bound {
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -16,7 +16,7 @@
 	w.isFailing = false
 	w.isReborn = false
 	if !w.hasReported {
-		w.settleFence(r.Instance)
+		e.settleFence(w, r.Instance, now)
 		w.fence.beginLifetime(now)
 	}
 	if r.Instance != w.instance {
--- a/internal/coordination/port/runner.go
+++ b/internal/coordination/port/runner.go
@@ -106,4 +106,7 @@
 	Stop func(ctx context.Context, to netip.AddrPort, r RunRef, token int64, worker string) error
 	// Renew extends the lease and returns a report.
 	Renew func(ctx context.Context, to netip.AddrPort, h LeaseRenewal) (RunReport, error)
+	// BornAt returns when a lifetime of a worker began, by the worker's time of day, or zero if its name doesn't tell. A nil function stands
+	// for names that never do.
+	BornAt func(instance string) time.Time
 }
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -47,8 +47,9 @@
 	plan   RunPlan
 	mu     sync.Mutex
 	byAddr map[netip.AddrPort]*runWorker
-	// lifetimes counts the lifetimes of all workers, which makes their instance names unique.
+	// lifetimes counts the lifetimes of all workers, which makes their instance names unique, and bornAt holds when each began.
 	lifetimes int
+	bornAt    map[string]time.Time
 	// acknowledged holds the tasks that are done and whose end a host acknowledged.
 	acknowledged map[port.RunRef]bool
 	// failedRuns counts the failed runs of each task whose end was acknowledged or still can be.
@@ -116,7 +117,7 @@
 // NewRunners returns a stand-in without workers; p decides the outcome of each run.
 func NewRunners(c clock.Clock, b RunLimits, p RunPlan) *Runners {
 	return &Runners{
-		clock: c, limits: b, plan: p, byAddr: map[netip.AddrPort]*runWorker{}, acknowledged: map[port.RunRef]bool{}, failedRuns: map[port.RunRef]int{}, gangs: map[port.RunRef]*gangRun{},
+		clock: c, limits: b, plan: p, byAddr: map[netip.AddrPort]*runWorker{}, bornAt: map[string]time.Time{}, acknowledged: map[port.RunRef]bool{}, failedRuns: map[port.RunRef]int{}, gangs: map[port.RunRef]*gangRun{},
 		startedJobs: map[string]bool{}, doneTasks: map[port.RunRef]bool{}, lostTasks: map[port.RunRef]bool{}, allFailedRuns: map[port.RunRef]int{},
 		isCut: func(string, string) bool { return false },
 	}
@@ -135,8 +136,10 @@
 	defer r.mu.Unlock()
 	r.lifetimes++
 	r.crash(w.Addr)
+	instance := fmt.Sprintf("%s-%d", w.Name, r.lifetimes)
+	r.bornAt[instance] = r.clock.Now()
 	r.byAddr[w.Addr] = &runWorker{
-		worker: w, instance: fmt.Sprintf("%s-%d", w.Name, r.lifetimes), startedAt: r.clock.Now(),
+		worker: w, instance: instance, startedAt: r.bornAt[instance],
 		tasks: map[port.RunRef]*runTask{}, closedRun: map[port.RunRef]int{},
 	}
 }
@@ -210,9 +213,17 @@
 			}
 			return r.hold(ctx, host, w, h)
 		},
+		BornAt: r.getBirth,
 	}
 }
 
+// getBirth returns when a lifetime began, or zero if there was none of that name.
+func (r *Runners) getBirth(instance string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bornAt[instance]
+}
+
 // roundTripTime is the network delay of a call to a worker, and the interval at which Hold checks for ends.
 const roundTripTime = 5 * time.Millisecond
 
