--- a/internal/coordination/exec/latestart_test.go
+++ b/internal/coordination/exec/latestart_test.go
@@ -160,3 +160,21 @@
 		require.Empty(t, r.runners.Faults())
 	})
 }
+
+// TestNoRunBesideLateStartAtReturnToAddress guards against two runs of one task at a time: another worker answers at the address of a worker
+// after a start was not answered, and the start is carried out by the lifetime in which the worker is back there.
+func TestNoRunBesideLateStartAtReturnToAddress(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		s := r.sendUnanswered(l)
+		l.isSwallowing.Store(false)
+		r.list(testWorker(1))
+		other := r.workers[0]
+		other.Name = "w9"
+		r.runners.Add(other)
+		r.advance(time.Second)
+		r.runners.Add(r.workers[0])
+		r.deliverStart(s)
+		r.advance(orderDelay)
+		require.Empty(t, r.runners.Faults())
+	})
+}
