exec: bar acknowledgements to former lifetimes like leases, and say what the fence waits for

Found in review, no failing test of its own: an acknowledgement in a renewal without a lease did not count among the orders that the next lifetime must have barred, and a task that had moved to a new lifetime kept the note that the former one was settled. Names that stood for two things (granted, leaseBound, isFenced) are told apart.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -69,7 +69,8 @@
 	// formerLease bounds the leases of former owners, all of which have certainly expired at formerLeaseEnd.
 	formerLease    time.Duration
 	formerLeaseEnd time.Time
-	takenOverAt    time.Time
+	// takenOverAt is when this owner had fenced off the former ones at the store.
+	takenOverAt time.Time
 	// disabled are the mechanisms of the planner that are switched off.
 	disabled []plan.Mechanism
 	// enabled are the optional mechanisms of the planner that are switched on.
--- a/internal/coordination/exec/fence.go
+++ b/internal/coordination/exec/fence.go
@@ -13,15 +13,16 @@
 type fence struct {
 	// token is the fencing token of the orders that are sent now.
 	token int64
-	// granted is the highest token of the orders to the present lifetime that granted a lease; zero if there was none.
-	granted int64
+	// binding is the highest token of the orders to the present lifetime that granted a lease or acknowledged ends; zero if there was none.
+	binding int64
 	// earlier is the highest token of the orders to former lifetimes, and of those of former owners.
 	earlier int64
 	// lastStray is the last time at which the present lifetime may have executed an earlier order; zero if it may have executed none.
 	lastStray time.Time
 }
 
-// newFence returns the fence of a worker that has not reported to this owner, or has been forgotten since.
+// newFence returns the fence of a worker that has not reported to this owner, or has been forgotten since. Until it reports it may execute
+// orders of this owner, if any worker has been forgotten, and of former ones, which send none later than maxRenewalAge after they were heard of.
 func (e *Engine) newFence() fence {
 	f := fence{token: max(e.term, e.forgottenToken), earlier: max(e.term-1, e.forgottenToken)}
 	switch {
@@ -37,15 +38,15 @@
 
 // isBarredBy reports whether a worker that has answered a renewal under a token executes no order to a former lifetime any more.
 func (f *fence) isBarredBy(token int64) bool {
-	return token > max(f.earlier, f.granted)
+	return token > max(f.earlier, f.binding)
 }
 
 // beginLifetime moves the fence to the next lifetime of the worker.
 func (f *fence) beginLifetime(now time.Time) {
-	if f.granted > 0 || !f.lastStray.IsZero() {
+	if f.binding > 0 || !f.lastStray.IsZero() {
 		f.lastStray = now
 	}
-	f.earlier, f.granted = max(f.earlier, f.granted), 0
+	f.earlier, f.binding = max(f.earlier, f.binding), 0
 }
 
 // raiseToken raises the token of the next orders to a worker that may have a new lifetime.
@@ -55,9 +56,9 @@
 	}
 }
 
-// isFenced reports whether a report can be used that a worker has given under a token. The report of a new lifetime can't while the worker may
+// isUsable reports whether a report can be used that a worker has given under a token. The report of a new lifetime can't while the worker may
 // still execute orders to a former one.
-func (w *worker) isFenced(instance string, token int64) bool {
+func (w *worker) isUsable(instance string, token int64) bool {
 	return w.hasReported && instance == w.instance || w.fence.isBarredBy(token)
 }
 
--- a/internal/coordination/exec/health.go
+++ b/internal/coordination/exec/health.go
@@ -14,7 +14,7 @@
 		if e.isSettled(w, now) {
 			e.settleRuns(w)
 		}
-		if len(w.tasks) > 0 && now.After(w.leaseBound().at) {
+		if len(w.tasks) > 0 && now.After(w.ownClockBound().at) {
 			e.expireTasks(w, now)
 		}
 	}
--- a/internal/coordination/exec/leasebound.go
+++ b/internal/coordination/exec/leasebound.go
@@ -52,14 +52,14 @@
 	maxClockOffset = 5 * time.Second
 )
 
-// leaseBound returns the bound of the leases of a worker that end by the clock of its present lifetime.
-func (w *worker) leaseBound() bound {
+// ownClockBound returns the bound of the leases of a worker that end by the clock of its present lifetime.
+func (w *worker) ownClockBound() bound {
 	return w.leaseEnd.later(w.formerLeaseEnd)
 }
 
 // leaseBoundOf returns the bound of all leases of a worker.
 func (e *Engine) leaseBoundOf(w *worker) bound {
-	return w.leaseBound().later(bound{at: e.strayLeaseEnd(w), source: strayOrder})
+	return w.ownClockBound().later(bound{at: e.strayLeaseEnd(w), source: strayOrder})
 }
 
 // mayBeListedAs reports whether the entry of the worker is that of the given lifetime, as far as is known.
@@ -76,7 +76,7 @@
 func (e *Engine) taskLeaseBound(w *worker, m *member) bound {
 	b := e.leaseBoundOf(w)
 	if !w.hasReported && m.isSettled && w.mayBeListedAs(m.instance) {
-		b = w.leaseBound()
+		b = w.ownClockBound()
 	}
 	if m.isAdopted && !w.hasReported && !w.mayBeListedAs(m.instance) {
 		// A start of the former owner may still be under way.
--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -73,12 +73,13 @@
 	now := e.clock.Now()
 	e.raiseToken(w)
 	h := port.LeaseRenewal{Token: w.fence.token, Wait: pollWait, Worker: w.name}
-	// A restarted worker numbers its ends from the start again. An acknowledgement meant for the previous instance could
-	// therefore make the new instance drop ends that this owner has never read. To prevent this, ends are acknowledged
-	// only to a worker that reported within maxAckAge, and the renewal with the acknowledgement is sent only once.
+	// A restarted worker numbers its ends from the start again, and an acknowledgement to the former instance could make it drop ends that
+	// this owner has never read. Its fence bars those that come after its first report that is used; to have few come before, ends are
+	// acknowledged only to a worker that reported within maxAckAge, in a renewal that is sent only once.
 	isCurrent := !w.isFailing && !w.isOutdated && !w.isReborn
 	if isCurrent && now.Sub(w.lastReport) <= maxAckAge && w.ackableEnd() > w.lastAckedEnd {
 		h.AckedEnd, h.Once, h.Within = w.ackableEnd(), true, responseTimeout
+		w.fence.binding = w.fence.token
 	}
 	mayWait := isCurrent && w.isAnswering() && !w.mayHaveEnded(now.Add(pollWait)) && len(w.orphans) == 0 && !w.hasBarredTask() &&
 		!w.mayHaveRestarted(now)
@@ -102,7 +103,7 @@
 	stored := make(chan struct{})
 	e.mu.Lock()
 	e.checkOrder(w, o, r.Instance, r.Clock)
-	if !w.isFenced(r.Instance, h.Token) {
+	if !w.isUsable(r.Instance, h.Token) {
 		e.expectLifetime(w)
 		e.mu.Unlock()
 		_ = e.clock.Sleep(ctx, fencePollInterval)
--- a/internal/coordination/exec/report.go
+++ b/internal/coordination/exec/report.go
@@ -17,6 +17,8 @@
 	w.isReborn = false
 	if !w.hasReported {
 		e.settleFence(w, r.Instance, now)
+	}
+	if !w.hasReported || r.Instance != w.instance {
 		w.fence.beginLifetime(now)
 	}
 	if r.Instance != w.instance {
@@ -114,11 +116,11 @@
 		switch {
 		case t.member.instance == instance, t.unit.phase == phaseStoring:
 		case present[ref]:
-			t.member.instance = instance
+			t.member.instance, t.member.isSettled = instance, false
 		case r.IsCut && t.member.presence != taskEnded:
 			e.awaitWholeReport(t, w)
 		case t.member.isUndecided && t.member.presence != taskEnded:
-			t.member.instance = instance
+			t.member.instance, t.member.isSettled = instance, false
 			e.blockStart(t.unit, t.member, w)
 		default:
 			e.loseTask(t, newLifetime)
@@ -128,7 +130,7 @@
 
 // awaitWholeReport leaves it to later reports whether a task, of which the first report of a new instance tells nothing, has ended there.
 func (e *Engine) awaitWholeReport(t task, w *worker) {
-	t.member.instance = w.instance
+	t.member.instance, t.member.isSettled = w.instance, false
 	if t.unit.phase != phaseRunning {
 		e.blockStart(t.unit, t.member, w)
 	}
@@ -136,6 +138,7 @@
 
 // handleReplacement records that another worker is at the address of a worker, which has thus ended and executes no start any more.
 func (e *Engine) handleReplacement(w *worker) {
+	w.fence.beginLifetime(e.clock.Now())
 	e.beginInstance(w, "")
 	w.hasReported = false
 	for _, t := range w.tasks {
@@ -151,7 +154,6 @@
 	if w.instance != "" && len(w.tasks) > 0 {
 		e.planner.RecordCrash(w.name, w.instance, e.clock.Now())
 	}
-	w.fence.beginLifetime(e.clock.Now())
 	e.logNewLifetime(w, instance)
 	if w.instance != "" {
 		e.forgetSpeed(w.name)
--- a/internal/coordination/exec/worker.go
+++ b/internal/coordination/exec/worker.go
@@ -143,7 +143,7 @@
 		return 0
 	}
 	w.leaseEnd.raise(now.Add(leaseBound(lease)), ownGrant)
-	w.lastGrant, w.fence.granted = now, w.fence.token
+	w.lastGrant, w.fence.binding = now, w.fence.token
 	return w.clockTime(now) + lease
 }
 
