--- a/internal/coordination/exec/latestart_test.go
+++ b/internal/coordination/exec/latestart_test.go
@@ -45,21 +45,30 @@
 }
 
 // TestNoRunBesideLateStartOfFormerOwner guards against two runs of one task at a time: a start of a former owner is carried out by the next
-// lifetime of its worker, which the new owner knows from the list alone.
+// lifetime of its worker, before the take-over or seconds after it, and the new owner knows that lifetime from the list alone.
 func TestNoRunBesideLateStartOfFormerOwner(t *testing.T) {
-	runInLateRig(t, func(r *rig, l *orderLog) {
-		s := r.sendUnanswered(l)
-		r.stop()
-		r.hearFormerOwner(false)
-		r.comeBack(false)
-		r.deliverStart(s)
-		r.cutOff()
-		r.start(r.engine.term + 1)
-		r.advance(time.Second)
-		r.list(testWorker(1))
-		r.waitForRun(2, r.rerunLimit())
-		require.Empty(t, r.runners.Faults())
-	})
+	for name, late := range map[string]time.Duration{"before the take-over": 0, "after it": orderDelay - absence} {
+		t.Run(name, func(t *testing.T) {
+			runInLateRig(t, func(r *rig, l *orderLog) {
+				s := r.sendUnanswered(l)
+				r.stop()
+				r.hearFormerOwner(false)
+				r.comeBack(false)
+				r.cutOff()
+				if late == 0 {
+					r.deliverStart(s)
+				}
+				r.start(r.engine.term + 1)
+				r.advance(max(late, time.Second))
+				if late > 0 {
+					r.deliverStart(s)
+				}
+				r.list(testWorker(1))
+				r.waitForRun(2, r.rerunLimit())
+				require.Empty(t, r.runners.Faults())
+			})
+		})
+	}
 }
 
 // TestNoRunBesideStartAnsweredByNextLifetime guards against two runs of one task at a time: the connection for a start is still being opened
@@ -143,24 +152,6 @@
 	})
 }
 
-// TestNoRunBesideLateStartAfterTakeOver guards against two runs of one task at a time: a start of a former owner is carried out by the next
-// lifetime of its worker seconds after the take-over, and the new owner never reaches that lifetime.
-func TestNoRunBesideLateStartAfterTakeOver(t *testing.T) {
-	runInLateRig(t, func(r *rig, l *orderLog) {
-		s := r.sendUnanswered(l)
-		r.stop()
-		r.hearFormerOwner(false)
-		r.comeBack(false)
-		r.cutOff()
-		r.start(r.engine.term + 1)
-		r.advance(orderDelay - absence)
-		r.deliverStart(s)
-		r.list(testWorker(1))
-		r.waitForRun(2, r.rerunLimit())
-		require.Empty(t, r.runners.Faults())
-	})
-}
-
 // TestNoRunBesideLateStartAtReturnToAddress guards against two runs of one task at a time: another worker answers at the address of a worker
 // after a start was not answered, and the start is carried out by the lifetime in which the worker is back there.
 func TestNoRunBesideLateStartAtReturnToAddress(t *testing.T) {
