--- a/cmd/cleatctl/main_test.go
+++ b/cmd/cleatctl/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -13,6 +14,7 @@
 	"github.com/auburncleat/auburncleat/internal/state/events"
 	"github.com/auburncleat/auburncleat/internal/transport/status"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // runCommand runs the program and returns its exit code, standard output and standard error.
@@ -37,12 +39,16 @@
 	})
 }
 
-// unusedAddr returns an address on which nothing listens.
+// unusedAddr returns an address on which nothing listens, and which no other process can take until the test ends.
 func unusedAddr(t *testing.T) string {
 	t.Helper()
-	s := httptest.NewServer(http.NotFoundHandler())
-	s.Close()
-	return strings.TrimPrefix(s.URL, "http://")
+	f, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(f) })
+	require.NoError(t, unix.Bind(f, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	a, err := unix.Getsockname(f)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", a.(*unix.SockaddrInet4).Port)
 }
 
 func TestExitCodes(t *testing.T) {
