--- a/internal/coordination/exec/poll.go
+++ b/internal/coordination/exec/poll.go
@@ -66,32 +66,10 @@
 // idlePollInterval is how often a worker without tasks is checked for new ones.
 const idlePollInterval = 5 * time.Second
 
-// poll sends one lease renewal to a worker and processes the report in the reply. The renewal extends the lease only
-// while mayHold allows it, the worker's clock is known, the last poll of the worker did not fail and no new lifetime is known.
+// poll sends one lease renewal to a worker and processes the report in the reply.
 func (e *Engine) poll(ctx context.Context, w *worker) {
 	e.mu.Lock()
-	now := e.clock.Now()
-	e.raiseToken(w)
-	h := port.LeaseRenewal{Token: w.fence.token, Wait: pollWait, Worker: w.name}
-	// A restarted worker numbers its ends from the start again, and an acknowledgement to the former instance could make it drop ends that
-	// this owner has never read. Its fence bars those that come after its first report that is used; to have few come before, ends are
-	// acknowledged only to a worker that reported within maxAckAge, in a renewal that is sent only once.
-	isCurrent := !w.isFailing && !w.isOutdated && !w.isReborn
-	if isCurrent && now.Sub(w.lastReport) <= maxAckAge && w.ackableEnd() > w.lastAckedEnd {
-		h.AckedEnd, h.Once, h.Within = w.ackableEnd(), true, responseTimeout
-		w.fence.binding = w.fence.token
-	}
-	mayWait := isCurrent && w.isAnswering() && !w.mayHaveEnded(now.Add(pollWait)) && len(w.orphans) == 0 && !w.hasBarredTask() &&
-		!w.mayHaveRestarted(now)
-	if !mayWait {
-		h.Wait = 0
-	}
-	if isCurrent && !w.lastClockTime.IsZero() && e.mayHold() {
-		h.Until = e.grantLease(w, now)
-	}
-	w.isOutdated = false
-	o := e.newOrder(renewalOrder, w, h.Until, now)
-	w.lastPoll = now
+	h, o := e.newRenewal(w)
 	addr := w.runner.Worker.Addr
 	e.mu.Unlock()
 	r, err := e.deps.Runners.Renew(ctx, addr, h)
@@ -110,8 +88,39 @@
 		return
 	}
 	w.lastAckedEnd = max(w.lastAckedEnd, h.AckedEnd)
-	e.handleReport(w, now, r, func() { close(stored) })
+	e.handleReport(w, o.sentAt, r, func() { close(stored) })
 	e.mu.Unlock()
+	e.awaitStored(ctx, w, stored)
+}
+
+// newRenewal returns the next renewal for a worker. It extends the lease only while mayHold allows it, the worker's clock is known, the last
+// poll of the worker did not fail and no new lifetime is known.
+func (e *Engine) newRenewal(w *worker) (port.LeaseRenewal, order) {
+	now := e.clock.Now()
+	e.raiseToken(w)
+	h := port.LeaseRenewal{Token: w.fence.token, Wait: pollWait, Worker: w.name}
+	// A restarted worker numbers its ends from the start again, and an acknowledgement to the former instance could make it drop ends that
+	// this owner has never read. Its fence bars those that come after its first report that is used; to have few come before, ends are
+	// acknowledged only to a worker that reported within maxAckAge, in a renewal that is sent only once.
+	isCurrent := !w.isFailing && !w.isOutdated && !w.isReborn
+	if isCurrent && now.Sub(w.lastReport) <= maxAckAge && w.ackableEnd() > w.lastAckedEnd {
+		h.AckedEnd, h.Once, h.Within = w.ackableEnd(), true, responseTimeout
+		w.fence.binding = w.fence.token
+	}
+	mayWait := isCurrent && w.isAnswering() && !w.mayHaveEnded(now.Add(pollWait)) && len(w.orphans) == 0 && !w.hasBarredTask() &&
+		!w.mayHaveRestarted(now)
+	if !mayWait {
+		h.Wait = 0
+	}
+	if isCurrent && !w.lastClockTime.IsZero() && e.mayHold() {
+		h.Until = e.grantLease(w, now)
+	}
+	w.isOutdated, w.lastPoll = false, now
+	return h, e.newOrder(renewalOrder, w, h.Until, now)
+}
+
+// awaitStored waits until the ends of a report are stored, for storeTimeout at most.
+func (e *Engine) awaitStored(ctx context.Context, w *worker, stored <-chan struct{}) {
 	select {
 	case <-stored:
 	case <-e.clock.After(storeTimeout):
--- a/internal/coordination/exec/start.go
+++ b/internal/coordination/exec/start.go
@@ -71,25 +71,13 @@
 			}
 			continue
 		}
-		s := port.RunStart{
-			Ref: u.ref(m), Spec: u.spec, Until: e.grantLease(w, now), Token: w.fence.token, Checkpoint: u.checkpoint,
-			Worker: m.worker,
-		}
-		o := e.newOrder(startOrder, w, s.Until, now)
+		s, o := e.newStart(u, m, w, now)
 		addr := w.runner.Worker.Addr
-		m.isSent, m.isUndecided, m.sentAt = true, true, now
 		ctx := e.startContextOf(w)
 		e.mu.Unlock()
 		workerClock, err := e.deps.Runners.Start(ctx, addr, s)
 		e.mu.Lock()
-		if o.instance != w.instance {
-			// The reply is of a former lifetime, whose clock says nothing of the present one.
-			workerClock = 0
-		}
-		if errors.Is(err, port.ErrFenced) && s.Token < w.fence.token {
-			// This attempt is not executed; one under the newer token may be.
-			err = port.ErrUnsent
-		}
+		workerClock, err = w.reviseReply(s, o, workerClock, err)
 		wasUndecided := isUndecided
 		isUndecided = isUndecided || isUndecidedStart(err) || err == nil && e.handleLaterAnswer(w, o, workerClock)
 		m.isUndecided, m.isSent = isUndecided, isUndecided || err == nil
@@ -105,6 +93,29 @@
 	}
 }
 
+// newStart returns the next attempt to start a task.
+func (e *Engine) newStart(u *unit, m *member, w *worker, now time.Time) (port.RunStart, order) {
+	s := port.RunStart{
+		Ref: u.ref(m), Spec: u.spec, Until: e.grantLease(w, now), Token: w.fence.token, Checkpoint: u.checkpoint, Worker: m.worker,
+	}
+	m.isSent, m.isUndecided, m.sentAt = true, true, now
+	return s, e.newOrder(startOrder, w, s.Until, now)
+}
+
+// reviseReply returns what the reply to a start says now, as the worker may have a new lifetime, and its token may have been raised, since the
+// start was sent.
+func (w *worker) reviseReply(s port.RunStart, o order, clock time.Duration, err error) (time.Duration, error) {
+	if o.instance != w.instance {
+		// The clock of a former lifetime says nothing of the present one.
+		clock = 0
+	}
+	if errors.Is(err, port.ErrFenced) && s.Token < w.fence.token {
+		// This attempt is not executed; one under the newer token may be.
+		err = port.ErrUnsent
+	}
+	return clock, err
+}
+
 // endUnsentStart ends a task whose run was stopped while an attempt of its start was under way, if no attempt can be executed any more.
 func (e *Engine) endUnsentStart(u *unit, m *member, run int) {
 	if u.run == run && u.phase == phaseStopping && !m.isSent && m.presence == taskUnknown {
