standin: a restarted worker can execute orders that were not answered in its former lifetime

Change: Restart starts the next instance of a worker; it executes, after a delay that the test draws, the starts and renewals that were not answered at its address, with their token and deadline. Add and SetCommandDelay stay as they are, since tests rely on them (TestStartIsNotRepeatedAtWorkerOfAnotherKind).

Result: TestRestartedWorkerExecutesUnansweredOrders passes; the tests of the package pass.

--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -68,6 +68,8 @@
 	adjust func(worker string, o RunOutcome) RunOutcome
 	// isCut reports whether the link between a host and a worker is cut.
 	isCut func(host, worker string) bool
+	// unanswered holds the orders to each address that have not been answered.
+	unanswered map[netip.AddrPort][]*order
 }
 
 type runWorker struct {
@@ -119,7 +121,7 @@
 	return &Runners{
 		clock: c, limits: b, plan: p, byAddr: map[netip.AddrPort]*runWorker{}, bornAt: map[string]time.Time{}, acknowledged: map[port.RunRef]bool{}, failedRuns: map[port.RunRef]int{}, gangs: map[port.RunRef]*gangRun{},
 		startedJobs: map[string]bool{}, doneTasks: map[port.RunRef]bool{}, lostTasks: map[port.RunRef]bool{}, allFailedRuns: map[port.RunRef]int{},
-		isCut: func(string, string) bool { return false },
+		isCut: func(string, string) bool { return false }, unanswered: map[netip.AddrPort][]*order{},
 	}
 }
 
@@ -192,11 +194,7 @@
 func (r *Runners) View(host string) port.Runners {
 	return port.Runners{
 		Start: func(ctx context.Context, to netip.AddrPort, s port.RunStart) (time.Duration, error) {
-			w, err := r.beginCall(ctx, host, to)
-			if err != nil {
-				return 0, err
-			}
-			return r.execute(w, func() (time.Duration, error) { return r.startTask(w, s) })
+			return r.callStart(ctx, host, to, s)
 		},
 		Stop: func(ctx context.Context, to netip.AddrPort, ref port.RunRef, token int64, worker string) error {
 			w, err := r.beginCall(ctx, host, to)
@@ -207,11 +205,7 @@
 			return err
 		},
 		Renew: func(ctx context.Context, to netip.AddrPort, h port.LeaseRenewal) (port.RunReport, error) {
-			w, err := r.beginCall(ctx, host, to)
-			if err != nil {
-				return port.RunReport{}, err
-			}
-			return r.hold(ctx, host, w, h)
+			return r.callRenew(ctx, host, to, h)
 		},
 		BornAt: r.getBirth,
 	}
@@ -392,8 +386,7 @@
 			return port.RunReport{}, err
 		}
 		now := r.clock.Now()
-		r.extendLease(w, h.Until, now)
-		r.acknowledge(w, h.AckedEnd)
+		r.renewLease(w, h)
 		h.AckedEnd, h.Until = 0, 0
 		out := port.RunReport{Instance: w.instance, Clock: now.Sub(w.startedAt), Ended: slices.Clone(w.ended)}
 		if n := r.limits.EndsPerReport; n > 0 && len(out.Ended) >= n {
