host: play workers that restart, execute late orders and are cut off

The workers of a failure domain are back after 0.6 s, are listed as new lifetimes, execute what was sent to the former ones 0, 1 or 2 s later, and are cut off for good 2 s after their return, with and without the owner killed 0.6 s before. All tasks must run again elsewhere, one run at a time.

--- a/internal/host/roster_test.go
+++ b/internal/host/roster_test.go
@@ -23,6 +23,8 @@
 	listed  map[string]bool
 	drains  map[string]bool
 	removed map[string]bool
+	// hasLifetimes is set if entries name the lifetimes of their workers.
+	hasLifetimes bool
 }
 
 // rosterTopic holds the newest entry of each listed worker, by its name.
@@ -76,7 +78,7 @@
 
 // list writes the entry of a worker.
 func (r *roster) list(w fleet.Worker, isDraining bool) {
-	b, err := json.Marshal(port.Runner{Worker: w, IsDraining: isDraining})
+	b, err := json.Marshal(r.entry(w, isDraining))
 	require.NoError(r.s.t, err)
 	r.mu.Lock()
 	r.listed[w.Name], r.drains[w.Name] = true, isDraining
@@ -84,6 +86,24 @@
 	r.append(w.Name, b)
 }
 
+// entry returns the entry of a worker.
+func (r *roster) entry(w fleet.Worker, isDraining bool) port.Runner {
+	x := port.Runner{Worker: w}
+	if r.hasLifetimes {
+		x = r.s.runners.List(w.Addr)
+	}
+	x.IsDraining = isDraining
+	return x
+}
+
+// listLifetimes makes the entries of all workers, which must be up, name their lifetimes.
+func (r *roster) listLifetimes() {
+	r.hasLifetimes = true
+	for _, w := range r.s.workers {
+		r.list(w, false)
+	}
+}
+
 // unlist removes the entry of a worker.
 func (r *roster) unlist(w fleet.Worker) {
 	r.mu.Lock()
