--- a/internal/host/lateorder_test.go
+++ b/internal/host/lateorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -101,3 +102,35 @@
 	each(ws, x.roster.remove)
 	return ws
 }
+
+// recutThird restarts a third of the workers, whose runs take longer then and which also execute orders to their former lifetimes, ends a host if
+// that is asked for and another is left, cuts the third off from all hosts, and returns the function that ends that.
+func (h *hunt) recutThird(isKilled bool) func() {
+	names := h.pickThird()
+	var ws []fleet.Worker
+	for _, w := range h.workers {
+		if slices.Contains(names, w.Name) && h.roster.isUsable(w.Name) {
+			ws = append(ws, w)
+		}
+	}
+	each(ws, h.roster.remove)
+	h.load.advance(darkTime)
+	h.adjust.set(nil, ws)
+	h.roster.restartLate(ws, func(age time.Duration) (time.Duration, bool) {
+		delay := max(h.drawTime(2*maxOrderDelay)-maxOrderDelay, 0)
+		return delay, age+delay <= maxOrderDelay
+	})
+	h.load.advance(h.drawTime(2 * time.Second))
+	end := nothing
+	if isKilled && len(h.liveHosts()) > 1 {
+		h.end(h.pickVictim())
+		end = h.replace
+	}
+	h.load.advance(h.drawTime(time.Second))
+	restore := h.cutLinks(h.liveHosts(), names)
+	return func() {
+		restore()
+		h.adjust.set(nil, nil)
+		end()
+	}
+}
--- a/internal/host/stallfaults_test.go
+++ b/internal/host/stallfaults_test.go
@@ -146,6 +146,8 @@
 		each(ws, func(w fleet.Worker) { h.runners.SetFull(w.Addr, true) })
 		return func() { each(ws, func(w fleet.Worker) { h.runners.SetFull(w.Addr, false) }) }
 	}},
+	{"failure domain restarts and is cut off", func(h *hunt) func() { return h.recutThird(false) }},
+	{"failure domain restarts, host is killed, domain is cut off", func(h *hunt) func() { return h.recutThird(true) }},
 	{"queue goes", func(h *hunt) func() {
 		h.configure(configNoQueue)
 		return func() { h.configure(configPlain) }
