exec: show a second run beside a late start whose stop was confirmed

What callers see: two runs of one task at a time. A start is not answered, the worker confirms the stop, and the task starts elsewhere. The worker restarts within the 4 s for which the start may still be under way: the new lifetime knows neither the stop nor a token, and executes it.

Not mended: a fix has to keep the next run back until the start can't be under way any more.

--- a/internal/coordination/exec/latestart_test.go
+++ b/internal/coordination/exec/latestart_test.go
@@ -169,3 +169,16 @@
 		require.Empty(t, r.runners.Faults())
 	})
 }
+
+// TestNoRunBesideLateStartAfterConfirmedStop guards against two runs of one task at a time: the worker of a start that was not answered confirms
+// its stop, and the next lifetime, which knows of no stop and has seen no token, carries the start out before it is asked for a report.
+func TestNoRunBesideLateStartAfterConfirmedStop(t *testing.T) {
+	runInLateRig(t, func(r *rig, l *orderLog) {
+		s := r.sendUnanswered(l)
+		r.list(testWorker(1))
+		r.waitForRun(2, r.rerunLimit())
+		r.comeBack(false)
+		r.deliverStart(s)
+		require.Empty(r.t, r.runners.Faults())
+	})
+}
