soak: failure domains that return, execute late orders and are cut off

Each seed of the soak plays a second run besides, "returning": the mixed load with one job in six of 12 s, leases of 10 s (above exec.MaxLease), entries that name the lifetimes as the platform's do, and every 13 s a failure domain whose workers are back after 0.6 s, execute orders to their former lifetimes up to 4 s after these were sent, and are cut off for 10 s, with and without the owner killed in between; the mixed faults go on meanwhile. The plans of all other seeds are as before.

--- a/internal/standin/runnerhttp.go
+++ b/internal/standin/runnerhttp.go
@@ -108,9 +108,7 @@
 }
 
 func newRunnerReply(x port.RunReport) runnerReply {
-	// The platform identifies an instance by its start time; here the number in its name takes that place.
-	born, _ := strconv.ParseInt(x.Instance[strings.LastIndex(x.Instance, "-")+1:], 10, 64)
-	p := runnerReply{ClockMs: x.Clock.Milliseconds(), Born: born}
+	p := runnerReply{ClockMs: x.Clock.Milliseconds(), Born: BornOf(x.Instance)}
 	for _, t := range x.Running {
 		p.Running = append(p.Running, []any{formatTask(t.Ref), t.Ref.Run, t.Checkpoint, t.Percent})
 	}
@@ -120,6 +118,12 @@
 	return p
 }
 
+// BornOf returns the number in the name of an instance, which takes the place of the start time by which the platform identifies it.
+func BornOf(instance string) int64 {
+	n, _ := strconv.ParseInt(instance[strings.LastIndex(instance, "-")+1:], 10, 64)
+	return n
+}
+
 // endReason returns the platform's name for the way in which a run ended.
 func endReason(x port.RunEnd) string {
 	switch x.Result {
--- a/internal/standin/runnerstats.go
+++ b/internal/standin/runnerstats.go
@@ -106,11 +106,14 @@
 	return ""
 }
 
-// List returns the entry by which the platform lists the present lifetime of a worker.
+// List returns the entry by which the platform lists the present lifetime of a worker; it is empty while the worker is away.
 func (r *Runners) List(addr netip.AddrPort) port.Runner {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.byAddr[addr]
+	if w == nil {
+		return port.Runner{}
+	}
 	return port.Runner{Worker: w.worker, Instance: w.instance}
 }
 
--- a/tests/soak_fault_test.go
+++ b/tests/soak_fault_test.go
@@ -70,6 +70,8 @@
 		s.change(f)
 	case "worker lost", "worker away", "worker drains", "rack restarts":
 		s.injectWorkerEnd(f, w)
+	case domainReturns, domainReturnsKilled:
+		s.returnDomain(f, w.worker.Domain, f.kind == domainReturnsKilled)
 	default:
 		s.injectSeries(f, h)
 	}
--- a/tests/soak_plan_test.go
+++ b/tests/soak_plan_test.go
@@ -89,6 +89,8 @@
 	// files of each host.
 	memory    string
 	openFiles int
+	// hasLifetimes is set if the entries of the workers name their lifetimes.
+	hasLifetimes bool
 
 	mu          sync.Mutex
 	outcomeRand *rand.Rand
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -42,11 +42,15 @@
 	length  time.Duration
 	hosts   int
 	workers int
-	// isMixed is set for a mixed load and faults in waves.
-	isMixed bool
+	// isMixed is set for a mixed load and faults in waves, and isReturning for failure domains that return besides.
+	isMixed     bool
+	isReturning bool
 }
 
 func (x soakCase) String() string {
+	if x.isReturning {
+		return fmt.Sprintf("returning seed %d", x.seed)
+	}
 	if x.isMixed {
 		return fmt.Sprintf("mixed seed %d", x.seed)
 	}
@@ -54,6 +58,9 @@
 }
 
 func (x soakCase) plan() *soakPlan {
+	if x.isReturning {
+		return newReturnPlan(x.seed, x.hosts, x.workers, x.length)
+	}
 	if !x.isMixed {
 		return newSoakPlan(x.seed, x.hosts, x.workers, x.length)
 	}
@@ -99,7 +106,12 @@
 func TestSoak(t *testing.T) {
 	cases := slices.Clone(soakFixed)
 	for i := range *soakSeeds {
-		cases = append(cases, soakCase{*soakFirst + uint64(i), *soakLength, *soakHosts, *soakWorkers, true})
+		x := soakCase{seed: *soakFirst + uint64(i), length: *soakLength, hosts: *soakHosts, workers: *soakWorkers, isMixed: true}
+		cases = append(cases, x)
+		if *soakOnly == "" {
+			x.isReturning = true
+			cases = append(cases, x)
+		}
 	}
 	slots := make(chan struct{}, soakParallel)
 	for _, x := range cases {
--- a/tests/soak_worker_test.go
+++ b/tests/soak_worker_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
+	"github.com/auburncleat/auburncleat/internal/standin"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 )
 
@@ -98,11 +99,15 @@
 	if w.isDraining.Load() {
 		state = "draining"
 	}
-	b, err := json.Marshal(map[string]any{
+	m := map[string]any{
 		"service": "svc", "address": w.relay.at.String(), "zone": w.worker.Domain, "version": "1", "slots": 8,
 		"state": state, "cold_remaining_ms": 0, "sequence": sequence, "labels": w.labels,
 		"capacity": map[string]any{"cpu": soakWorkerCPU, "mem_mb": soakWorkerMemory, "gpus": soakWorkerGPUs},
-	})
+	}
+	if s.plan.hasLifetimes {
+		m["born"] = standin.BornOf(s.runners.List(w.worker.Addr).Instance)
+	}
+	b, err := json.Marshal(m)
 	if err != nil {
 		s.violate("entry of %s: %v", w.worker.Name, err)
 	}
