--- a/internal/host/lateorder_test.go
+++ b/internal/host/lateorder_test.go
@@ -38,7 +38,7 @@
 // TestNoTaskRunsTwiceAfterDomainIsRestartedAndCutOff guards against two runs of one task at a time: the workers of a failure domain are back under
 // their names, execute orders to their former lifetimes, and are cut off soon after, with and without a new owner in between.
 func TestNoTaskRunsTwiceAfterDomainIsRestartedAndCutOff(t *testing.T) {
-	for name, f := range map[string]func(x *mixedSite) []fleet.Worker{"renewals": (*mixedSite).workThenRestart, "starts": (*mixedSite).startWhileDark} {
+	for name, f := range map[string]func(x *mixedSite) []fleet.Worker{"renewals": (*mixedSite).workThenRestart, "starts": (*mixedSite).leaveStarts} {
 		for _, isKilled := range []bool{false, true} {
 			for delay := time.Duration(0); delay <= 2*time.Second; delay += time.Second {
 				t.Run(fmt.Sprintf("%s owner killed %v after %s", name, isKilled, delay), func(t *testing.T) {
@@ -52,24 +52,16 @@
 // recutDomain ends the workers of a failure domain, which f returns, starts them again, and cuts them off, and requires that all tasks of the test
 // job run again elsewhere, one run of each at a time.
 func (x *mixedSite) recutDomain(isKilled bool, delay time.Duration, f func(x *mixedSite) []fleet.Worker) {
-	x.runners.SetAdjust(func(_ string, o standin.RunOutcome) standin.RunOutcome {
-		o.Work, o.Result = time.Hour, jobs.Done
-		return o
-	})
-	x.roster.listLifetimes()
+	x.lastForLong()
 	ws := f(x)
 	x.advance(darkTime)
 	x.roster.restartLate(ws, orderAfter(delay))
 	x.advance(1400 * time.Millisecond)
 	if isKilled {
-		o := x.owner()
-		x.kill(o)
-		x.stopHost(o)
+		x.endOwner()
 	}
 	x.advance(600 * time.Millisecond)
-	for _, w := range ws {
-		x.setWorkersCut(true, w.Name)
-	}
+	x.cutOff(ws)
 	x.advance(25 * time.Second)
 	require.Empty(x.t, x.runners.Faults())
 	running := map[int]bool{}
@@ -81,6 +73,29 @@
 	require.Len(x.t, running, 2*len(x.workers)/3)
 }
 
+// lastForLong makes all runs last for an hour, and the entries of the workers name their lifetimes.
+func (x *mixedSite) lastForLong() {
+	x.runners.SetAdjust(func(_ string, o standin.RunOutcome) standin.RunOutcome {
+		o.Work, o.Result = time.Hour, jobs.Done
+		return o
+	})
+	x.roster.listLifetimes()
+}
+
+// endOwner ends the process of the owner without a warning.
+func (x *mixedSite) endOwner() {
+	o := x.owner()
+	x.kill(o)
+	x.stopHost(o)
+}
+
+// cutOff cuts all hosts off from some workers.
+func (x *mixedSite) cutOff(ws []fleet.Worker) {
+	for _, w := range ws {
+		x.setWorkersCut(true, w.Name)
+	}
+}
+
 // workThenRestart ends a third of the workers while the test job keeps two thirds at work.
 func (x *mixedSite) workThenRestart() []fleet.Worker {
 	x.submitKnown(testJobID, "quiet", time.Hour, jobs.Step{Tasks: 2 * len(x.workers) / 3, Accelerators: 8, Processors: 1, Estimate: time.Hour})
@@ -88,11 +103,15 @@
 	return x.endDomain()
 }
 
-// startWhileDark ends a third of the workers, which all are at work, at the moment at which the test job is submitted.
-func (x *mixedSite) startWhileDark() []fleet.Worker {
+// leaveStarts ends a third of the workers, which all are at work, before they have answered the starts of the test job.
+func (x *mixedSite) leaveStarts() []fleet.Worker {
 	x.submitKnown("00000000000000bb", "quiet", time.Hour, jobs.Step{Tasks: len(x.workers), PerWorker: 1, Accelerators: 2, Processors: 1, Estimate: time.Hour})
 	x.advance(30 * time.Second)
+	for _, w := range x.workers[:len(x.workers)/3] {
+		x.runners.SetCommandDelay(w.Addr, maxOrderDelay)
+	}
 	x.submitKnown(testJobID, "quiet", time.Hour, jobs.Step{Tasks: 2 * len(x.workers) / 3, Accelerators: 3, Processors: 1, Estimate: time.Hour})
+	x.advance(time.Second)
 	return x.endDomain()
 }
 
