host: show two runs at a time where the return of a worker is not seen

Workers are back, execute starts that were sent to their former lifetimes, and are cut off before an answer or an entry of theirs has shown their return. The owner counts with the lease that it granted; the start holds for MaxHold.

--- a/internal/host/lateorder_test.go
+++ b/internal/host/lateorder_test.go
@@ -96,6 +96,29 @@
 	}
 }
 
+// TestNoTaskRunsTwiceWhereReturnIsNotSeen guards against two runs of one task at a time: the workers of a failure domain are back under their names
+// and execute starts that were sent to their former lifetimes, but are cut off before an answer or an entry of theirs has shown their return.
+func TestNoTaskRunsTwiceWhereReturnIsNotSeen(t *testing.T) {
+	for _, isKilled := range []bool{false, true} {
+		t.Run(fmt.Sprintf("owner killed %v", isKilled), func(t *testing.T) {
+			runKnownSite(t, largeLimits, func(x *mixedSite) {
+				x.lastForLong()
+				ws := x.leaveStarts()
+				x.advance(darkTime)
+				x.cutOff(ws)
+				for _, w := range ws {
+					x.runners.Restart(w, orderAfter(time.Second))
+				}
+				if isKilled {
+					x.endOwner()
+				}
+				x.advance(25 * time.Second)
+				require.Empty(t, x.runners.Faults())
+			})
+		})
+	}
+}
+
 // workThenRestart ends a third of the workers while the test job keeps two thirds at work.
 func (x *mixedSite) workThenRestart() []fleet.Worker {
 	x.submitKnown(testJobID, "quiet", time.Hour, jobs.Step{Tasks: 2 * len(x.workers) / 3, Accelerators: 8, Processors: 1, Estimate: time.Hour})
