standin: the lifetime of a simulated worker is named by when it started, as by the platform

Its number stood in place of the time, so that each worker of the soak looked as if it had been up for decades, and an owner that had taken over did not reckon with orders to its former lifetime.

--- a/internal/standin/runnerhttp.go
+++ b/internal/standin/runnerhttp.go
@@ -56,7 +56,7 @@
 			Token: c.FencingToken, Until: time.Duration(c.DeadlineMs) * time.Millisecond, AckedEnd: c.LastSeen,
 			Wait: time.Duration(c.WaitMs) * time.Millisecond, Worker: q.Header.Get(targetHeader),
 		})
-		return newRunnerReply(x), err
+		return newRunnerReply(x, r.BornOf(x.Instance)), err
 	}))
 	return m
 }
@@ -107,8 +107,8 @@
 	return fmt.Sprintf("%s.%d.%d.%d", r.Job, r.Occurrence, r.Step, r.Task)
 }
 
-func newRunnerReply(x port.RunReport) runnerReply {
-	p := runnerReply{ClockMs: x.Clock.Milliseconds(), Born: BornOf(x.Instance)}
+func newRunnerReply(x port.RunReport, born int64) runnerReply {
+	p := runnerReply{ClockMs: x.Clock.Milliseconds(), Born: born}
 	for _, t := range x.Running {
 		p.Running = append(p.Running, []any{formatTask(t.Ref), t.Ref.Run, t.Checkpoint, t.Percent})
 	}
@@ -118,10 +118,13 @@
 	return p
 }
 
-// BornOf returns the number in the name of an instance, which takes the place of the start time by which the platform identifies it.
-func BornOf(instance string) int64 {
-	n, _ := strconv.ParseInt(instance[strings.LastIndex(instance, "-")+1:], 10, 64)
-	return n
+// BornOf returns the Unix time in milliseconds at which an instance started, by which the platform identifies it; zero if there was none.
+func (r *Runners) BornOf(instance string) int64 {
+	at := r.getBirth(instance)
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixMilli()
 }
 
 // endReason returns the platform's name for the way in which a run ended.
--- a/tests/soak_worker_test.go
+++ b/tests/soak_worker_test.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
-	"github.com/auburncleat/auburncleat/internal/standin"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 )
 
@@ -105,7 +104,7 @@
 		"capacity": map[string]any{"cpu": soakWorkerCPU, "mem_mb": soakWorkerMemory, "gpus": soakWorkerGPUs},
 	}
 	if s.plan.hasLifetimes {
-		m["born"] = standin.BornOf(s.runners.List(w.worker.Addr).Instance)
+		m["born"] = s.runners.BornOf(s.runners.List(w.worker.Addr).Instance)
 	}
 	b, err := json.Marshal(m)
 	if err != nil {
