--- a/review/_standin2/reborn.go
+++ b/review/_standin2/reborn.go
@@ -13,7 +13,7 @@
 }
 
 const (
-	// One start is carried out lateBy after it came. Its worker is cut off for cutFor from then on, and crashes and starts again within.
+	// One start is held back on the side of its worker, and carried out lateBy after it came. Its worker is cut off for cutFor from then on, and crashes and starts again within.
 	lateBy     = 4 * time.Second
 	crashAfter = time.Second
 	cutFor     = 8 * time.Second
