review: two runs of a task whose confirmed stop a restart has undone

Cause: a stop that a worker has confirmed counts for good, though its next lifetime knows nothing of it and may carry an attempt of the start out that was held back.

--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -180,15 +180,22 @@
 	return nil
 }
 
+// entryCheck is how often a worker that cannot write its entry tries to.
+const entryCheck = 20 * time.Millisecond
+
 func (b *bed) beat(w *worker) {
 	for i := 1; ; i++ {
 		b.fleet.mu.Lock()
-		isCut, e := w.isCut, w.entry(i)
+		isSilent, e := w.isCut || time.Now().Before(w.silentUntil), w.entry(i)
+		look := heartbeat
+		if isSilent {
+			look = entryCheck
+		}
 		b.fleet.mu.Unlock()
-		if !isCut {
+		if !isSilent {
 			b.store.put("keyed.servers", w.id, e)
 		}
-		time.Sleep(heartbeat)
+		time.Sleep(look)
 	}
 }
 
--- a/review/_standin2/worker.go
+++ b/review/_standin2/worker.go
@@ -33,6 +33,8 @@
 	gangs map[string]int
 	// onStart sees each start before the worker does, and reports whether the worker leaves it unanswered; nil if it does not.
 	onStart func(w *worker, m order) bool
+	// onStop sees each stop that a worker confirms; nil if nobody looks.
+	onStop func(w *worker, m order)
 }
 
 // jobRuns is what the workers have seen of a job.
@@ -44,19 +46,21 @@
 
 type worker struct {
 	// isCut is set while nothing reaches the worker and nothing that it sends arrives.
-	isCut    bool
-	fleet    *fleet
-	id       string
-	zone     string
-	addr     string
-	rack     string
-	born     time.Time
-	token    int64
-	lease    time.Time
-	running  map[string]*running
-	closed   map[string]int
-	finished []finished
-	last     int64
+	isCut bool
+	// silentUntil is when the worker writes its first entry after a crash.
+	silentUntil time.Time
+	fleet       *fleet
+	id          string
+	zone        string
+	addr        string
+	rack        string
+	born        time.Time
+	token       int64
+	lease       time.Time
+	running     map[string]*running
+	closed      map[string]int
+	finished    []finished
+	last        int64
 }
 
 type running struct {
@@ -253,6 +257,9 @@
 		w.start(rw, m, now)
 	case "/run-stop":
 		w.closed[m.Task] = max(w.closed[m.Task], m.Run)
+		if w.fleet.onStop != nil {
+			w.fleet.onStop(w, m)
+		}
 		if x := w.running[m.Task]; x != nil && x.run <= m.Run && x.stopAt.IsZero() {
 			x.stopAt = now.Add(stopTime)
 		}
