Replace a review case by two runs of one task behind a cut of 5.5 s

TestNoTaskRunsTwiceWhereReturnIsNotSeen/owner_killed_false is shown with daemons, within the limits of the site file: a worker leaves a start unanswered, is cut off for 5.5 s, starts again behind the cut and carries the start out, while the owner takes its leases for over.

--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -25,7 +25,7 @@
 	"cancel":  runCancel,
 	"pending": runPending,
 	"firm":    runFirm,
-	"wide":    runWide,
+	"unseen":  runUnseen,
 	"reclaim": runReclaim,
 }
 
--- a/review/stand3/pending.go
+++ b/review/stand3/pending.go
@@ -36,12 +36,7 @@
 	if !post(half, "/gono990/", 1, 2, 26000) || !waitFor(5*time.Second, func() bool { return len(l.find("start", half)) == 1 }) {
 		return exitNotRun
 	}
-	var last *worker
-	for _, w := range s.workers {
-		if w.id == l.find("start", half)[0].worker {
-			last = w
-		}
-	}
+	last := s.findWorker(l.find("start", half)[0].worker)
 	time.Sleep(3 * time.Second)
 	cut := time.Now()
 	if trouble {
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -214,6 +214,16 @@
 	}
 }
 
+// findWorker returns the worker with an id.
+func (s *site) findWorker(id string) *worker {
+	for _, w := range s.workers {
+		if w.id == id {
+			return w
+		}
+	}
+	return nil
+}
+
 // answer is what a caller got; its status is zero if it got no answer.
 type answer struct {
 	status int
--- a/review/stand3/worker.go
+++ b/review/stand3/worker.go
@@ -89,13 +89,17 @@
 	closed map[string]int
 	ended  []ended
 	number int64
-	// isCut is set while nothing from the hosts reaches the worker, and no answer of the worker reaches them.
-	isCut bool
-	// isGone is set once the worker has left.
-	isGone   bool
-	state    string
-	sequence int64
-	reported time.Time
+	// isCut is set while nothing from the hosts reaches the worker, and no answer of the worker reaches them. Its entry isn't written
+	// while isDark is set too.
+	isCut, isDark bool
+	// onLate takes the next start of lateJob, which is left unanswered; nil if none is.
+	onLate  func(o order)
+	lateJob string
+	// answeredAt is when the worker last answered a look.
+	answeredAt time.Time
+	state      string
+	sequence   int64
+	reported   time.Time
 }
 
 type task struct {
@@ -141,11 +145,8 @@
 		"sequence": w.sequence, "born": w.born.UnixMilli(), "labels": []string{"a", w.rack},
 		"capacity": map[string]int{"cpu": 128000, "mem_mb": 524288, "gpus": w.gpus},
 	})
-	isGone := w.isGone
 	w.mu.Unlock()
-	if !isGone {
-		w.store.put("keyed.servers", w.id, b)
-	}
+	w.store.put("keyed.servers", w.id, b)
 }
 
 func (w *worker) clock(now time.Time) int64 { return now.Sub(w.born).Milliseconds() }
@@ -181,6 +182,10 @@
 	status, m := http.StatusNotFound, map[string]any{}
 	switch r.URL.Path {
 	case "/run-start":
+		if w.takeLate(o) {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		status, m = w.start(o)
 	case "/run-stop":
 		status, m = w.stop(o)
@@ -189,6 +194,44 @@
 	}
 	w.pass(r)
 	reply(x, status, m)
+	if r.URL.Path == "/hold" {
+		w.mu.Lock()
+		w.answeredAt = time.Now()
+		w.mu.Unlock()
+	}
+}
+
+// takeLate reports whether a start is left unanswered; onLate then has it.
+func (w *worker) takeLate(o order) bool {
+	w.mu.Lock()
+	f := w.onLate
+	isLate := f != nil && strings.HasPrefix(o.Task, w.lateJob+".")
+	if isLate {
+		w.onLate = nil
+	}
+	w.mu.Unlock()
+	if isLate {
+		f(o)
+	}
+	return isLate
+}
+
+// restart ends the process of the worker and starts it again under its id; the new lifetime knows nothing of before.
+func (w *worker) restart(absence time.Duration) {
+	w.mu.Lock()
+	now := time.Now()
+	w.advance(now)
+	for name, t := range w.tasks {
+		w.log.runAt(now, "end", w.id, name, t.run, "crash")
+	}
+	w.tasks, w.closed, w.ended, w.number = map[string]*task{}, map[string]int{}, nil, 0
+	w.token, w.lease = 0, time.Time{}
+	w.mu.Unlock()
+	time.Sleep(absence)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.born, w.sequence = time.Now(), 0
+	w.log.write("worker %s starts again under its id", w.id)
 }
 
 // admit checks the token; the caller holds the lock.
@@ -367,7 +410,7 @@
 func (w *worker) tick(now time.Time) {
 	w.mu.Lock()
 	w.advance(now)
-	isDue := now.Sub(w.reported) >= heartbeatTime
+	isDue := !w.isDark && now.Sub(w.reported) >= heartbeatTime
 	if isDue {
 		w.reported = now
 	}
