--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -37,8 +37,10 @@
 // host is a host of the deployment, which runs as a process.
 type host struct {
 	name, settings, front, ready string
-	process                      *exec.Cmd
-	exited                       chan error
+	// store is the way of the host to the store.
+	store   *link
+	process *exec.Cmd
+	exited  chan error
 }
 
 // site is a small deployment on loopback addresses.
@@ -108,9 +110,8 @@
 			}
 		}()
 	}
-	storeAddr := serve(s.store)
 	for i := range hosts {
-		h, err := s.newHost(i, storeAddr)
+		h, err := s.newHost(i)
 		if err != nil {
 			return nil, err
 		}
@@ -125,11 +126,11 @@
 var placeholder = regexp.MustCompile(`{{([a-z_.0-9]+)}}`)
 
 // newHost writes the settings of a host by the template of the deploy file.
-func (s *site) newHost(i int, storeAddr string) (*host, error) {
-	h := &host{name: fmt.Sprintf("edge-north-quay-%d", i+1), front: freeAddr(), ready: freeAddr()}
+func (s *site) newHost(i int) (*host, error) {
+	h := &host{name: fmt.Sprintf("edge-north-quay-%d", i+1), front: freeAddr(), ready: freeAddr(), store: &link{store: s.store}}
 	status, peer := freeAddr(), freeAddr()
 	values := map[string]string{
-		"node_name": h.name, "zone": "north-quay", "listen_addrs.front": h.front, "listen_addrs.ready": h.ready, "platform.address": storeAddr,
+		"node_name": h.name, "zone": "north-quay", "listen_addrs.front": h.front, "listen_addrs.ready": h.ready, "platform.address": serve(h.store),
 	}
 	t, err := os.ReadFile("deploy/auburncleatd.ini")
 	if err != nil {
@@ -168,6 +169,12 @@
 	return nil
 }
 
+// isOwner reports whether a host has ever owned the jobs, as it logs.
+func (s *site) isOwner(h *host) bool {
+	b, err := os.ReadFile(filepath.Join(s.dir, h.name+".log"))
+	return err == nil && strings.Contains(string(b), "ownership gained")
+}
+
 func (s *site) signal(h *host, x syscall.Signal) {
 	s.log.write("host %s gets %s", h.name, x)
 	_ = h.process.Process.Signal(x)
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,10 +34,13 @@
 	mu       sync.Mutex
 	topics   map[string]*topicLog
 	appended chan struct{}
-	// isSilent is set while the store answers nothing and does nothing.
-	isSilent bool
-	// onAppend is called for each stored record, with the lock held.
-	onAppend func(topic, key string, value []byte)
+}
+
+// link is the way of one host to the store.
+type link struct {
+	store *store
+	// isCut is set while nothing passes, in either direction.
+	isCut atomic.Bool
 }
 
 type topicLog struct {
@@ -63,7 +67,7 @@
 }
 
 func newStore() *store {
-	return &store{topics: map[string]*topicLog{}, appended: make(chan struct{}), onAppend: func(string, string, []byte) {}}
+	return &store{topics: map[string]*topicLog{}, appended: make(chan struct{})}
 }
 
 func (s *store) topic(name string) *topicLog {
@@ -75,18 +79,9 @@
 	return t
 }
 
-func (s *store) setSilent(isSilent bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.isSilent = isSilent
-}
-
-// hangWhileSilent does not answer a call that came while the store was silent, also not later.
-func (s *store) hangWhileSilent(r *http.Request) {
-	s.mu.Lock()
-	isSilent := s.isSilent
-	s.mu.Unlock()
-	if isSilent {
+// pass does not answer a call that came, or whose answer is due, while the link is cut, also not later.
+func (l *link) pass(r *http.Request) {
+	if l.isCut.Load() {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
@@ -111,7 +106,6 @@
 	offset := int64(len(t.records))
 	t.records = append(t.records, b)
 	if !strings.HasPrefix(topic, keyedPrefix) {
-		s.onAppend(topic, "", b)
 		return
 	}
 	n := 1 + int(b[0])
@@ -121,28 +115,29 @@
 	} else {
 		t.newest[key] = keyedRecord{value, offset}
 	}
-	s.onAppend(topic, key, value)
 }
 
-func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP serves the calls of one host.
+func (l *link) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	s.hangWhileSilent(r)
+	l.pass(r)
+	s := l.store
 	switch r.Method + " " + r.URL.Path {
 	case "POST /log-append":
 		status, m := s.serveAppend(r, body)
-		s.hangWhileSilent(r)
+		l.pass(r)
 		reply(w, status, m)
 	case "GET /log-read":
 		b := s.serveRead(r)
-		s.hangWhileSilent(r)
+		l.pass(r)
 		_, _ = w.Write(b)
 	case "GET /log-newest":
 		m := s.serveNewest(r)
-		s.hangWhileSilent(r)
+		l.pass(r)
 		reply(w, http.StatusOK, m)
 	default:
 		w.WriteHeader(http.StatusNotFound)
