--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"runtime"
 	"time"
 )
@@ -31,10 +30,10 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand3 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
 		os.Exit(exitNotRun)
 	}
-	l, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	l, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
