intake, exec: log records without an outcome and starts that nobody has confirmed

New lines: 'record has no outcome yet', 'late record stored' with offset and age, 'cancel of an unknown job'; 'Unconfirmed' in the summary of the owner, and 'HasBegun' where a run ends. New metrics: records_left, records_stored_late, units_unconfirmed.

--- a/internal/coordination/exec/stop.go
+++ b/internal/coordination/exec/stop.go
@@ -142,7 +142,7 @@
 		return
 	}
 	e.log.Info("run ends", "Job", u.job, "Unit", u.name, "Run", u.run, "Result", resultName(res), "Evidence", string(u.evidence()),
-		"Failures", u.failures, "Ran", e.clock.Since(u.since).Round(time.Millisecond).String())
+		"Failures", u.failures, "HasBegun", u.hasBegun, "Ran", e.clock.Since(u.since).Round(time.Millisecond).String())
 	r, err := jobs.UnitRecord(e.record(u, res))
 	if err != nil {
 		e.log.Error("cannot encode the end of a run", "Unit", u.name, "Cause", err.Error())
--- a/internal/coordination/exec/summary.go
+++ b/internal/coordination/exec/summary.go
@@ -24,9 +24,13 @@
 	e.lastSummary = now
 	e.logIdleJobs(now)
 	phases := map[phase]int{}
+	unconfirmed := 0
 	var oldest *unit
 	for _, u := range e.units {
 		phases[u.phase]++
+		if u.isUnconfirmed() {
+			unconfirmed++
+		}
 		if u.phase == phaseQueued && (oldest == nil || u.since.Before(oldest.since)) {
 			oldest = u
 		}
@@ -39,7 +43,8 @@
 	args := []any{
 		"Term", e.term, "Queued", phases[phaseQueued], "Deferred", len(e.deferred),
 		"Running", phases[phaseRunning], "Starting", phases[phaseStoring] + phases[phaseStarting],
-		"Stopping", phases[phaseStopping], "Ending", phases[phaseEnding], "AcceleratorsUsed", used.Accelerators, "Accelerators", total.Accelerators,
+		"Stopping", phases[phaseStopping], "Ending", phases[phaseEnding], "Unconfirmed", unconfirmed,
+		"AcceleratorsUsed", used.Accelerators, "Accelerators", total.Accelerators,
 		"ProcessorsUsed", percent(used.Processors, total.Processors), "MemoryUsed", percent(int(used.Memory), int(total.Memory)),
 		"Held", e.planner.CountReservedWorkers(), "PassTook", e.lastPassTime.Round(time.Millisecond).String(),
 		"Ready", workers[plan.WorkerReady], "Leaving", workers[plan.WorkerLeaving],
@@ -58,6 +63,7 @@
 	e.log.Info("queue status", args...)
 	e.scope.Gauge("units_queued").Update(float64(phases[phaseQueued]))
 	e.scope.Gauge("units_running").Update(float64(phases[phaseRunning]))
+	e.scope.Gauge("units_unconfirmed").Update(float64(unconfirmed))
 	e.scope.Gauge("accelerators_used").Update(float64(used.Accelerators))
 	e.reportEvacuations()
 }
--- a/internal/coordination/exec/unit.go
+++ b/internal/coordination/exec/unit.go
@@ -147,6 +147,11 @@
 	return true
 }
 
+// isUnconfirmed reports whether a start of the unit is stored and no worker has shown that it has begun.
+func (u *unit) isUnconfirmed() bool {
+	return !u.hasBegun && u.phase != phaseQueued
+}
+
 // hasLateEnd reports whether an earlier run has completed, so that the unit is done whatever becomes of the newest.
 func (u *unit) hasLateEnd() bool {
 	return slices.ContainsFunc(u.members, func(m *member) bool { return m.isLate })
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -161,8 +161,13 @@
 		return ErrBusy{Why: fmt.Sprintf("store refused an append %s ago", s.Round(time.Millisecond)), RetryAfter: retryAfter}
 	}
 	done := make(chan error, 1)
+	var isLeft atomic.Bool
+	since := i.clock.Now()
 	item := &feed.EntryGroup{Entries: []port.Entry{{Key: r.Key, Value: r.Value}}}
 	item.Done = func(first int64, err error) {
+		if isLeft.Load() {
+			i.logLate(r, first, since, err)
+		}
 		if err == nil {
 			err = i.table.Apply(first, r)
 		}
@@ -183,13 +188,33 @@
 			if i.writer.Withdraw(item) {
 				return ErrBusy{Why: "store did not take the record", RetryAfter: retryAfter}
 			}
+			i.leaveRecord(r, &isLeft, "store did not answer in time")
 			return fmt.Errorf("store did not answer in time: %w", ErrOutcomeUnknown)
 		case <-ctx.Done():
+			i.leaveRecord(r, &isLeft, "caller disconnected")
 			return fmt.Errorf("caller disconnected: %w", ErrOutcomeUnknown)
 		}
 	}
 }
 
+// leaveRecord notes that a record may be stored after its caller was answered.
+func (i *Intake) leaveRecord(r jobs.Record, isLeft *atomic.Bool, why string) {
+	isLeft.Store(true)
+	i.scope.Counter("records_left").Inc(1)
+	i.log.Info("record has no outcome yet", "Key", r.Key, "Cause", why)
+}
+
+// logLate logs the outcome of a record that came after its caller was answered.
+func (i *Intake) logLate(r jobs.Record, offset int64, since time.Time, err error) {
+	age := i.clock.Since(since).Round(time.Millisecond).String()
+	if err != nil {
+		i.log.Info("late record has no outcome", "Key", r.Key, "Age", age, "Cause", err.Error())
+		return
+	}
+	i.scope.Counter("records_stored_late").Inc(1)
+	i.log.Info("late record stored", "Key", r.Key, "Offset", offset, "Age", age)
+}
+
 // replyTime returns the time until the reply has to be sent to a caller with a timeout.
 func replyTime(timeout time.Duration) time.Duration {
 	return max(timeout-replyMargin, replyMargin)
@@ -300,6 +325,7 @@
 		p, isKnown = i.findProgress(id)
 	}
 	if !isKnown {
+		i.log.Info("cancel of an unknown job", "Job", id)
 		return fmt.Errorf("job %s: %w", id, ErrNoJob)
 	}
 	if !p.isOpen() {
