intake: store the cancel of a job that is not known

What callers saw: a job was submitted at a host that the store did not reach, and answered 504.

Cause: a cancel was answered as gone once the store had shown that the job was not stored. What the store shows at one moment does not tell whether a record will follow: the record lay in the writer of the first host, which stored it when the cut was over, and nothing of the cancel was left that it could have met.

Evidence, by the log lines of the commit before: 'record has no outcome yet' at the host that was cut off (15:33:11.54), 'cancel of an unknown job' at the other (15:33:12.19), 'late record stored', offset 5, after 6.185 s (15:33:16.98), 'unit starts' (15:33:29.69). Ruled out: another host that was asked to take the submission (no 'request passed on'), a host that had read too little (the record was stored 4.8 s after the answer), a cancel that was stored and lost (none was stored).

Change: the cancel is stored, once the store has shown that there is no such job, as before. The fold cancels a job whose record follows. The answer is 410 if the table has been read up to the cancel without the job, and 200 otherwise. The owner drops cancels without a job when it has known them for as long as the end of a job is kept. At most 10,000 are kept; beyond that a cancel of a job that is not known is refused (503), while those of jobs that are known are not.

Weighed: a deadline in the record that the fold applies (clocks of hosts differ and jump); waiting until no record can follow (no answer within any bound); the writer gives its record up (needs the store, and a repeat of the submission can follow all the same). The cost is one append of some 30 bytes, batched with others, for each cancel of a job that is not known.

Why it works: store order decides. A record before the cancel is found by reading up to it; one after it meets it in the fold of every host, also after a reload, since the newest record of each key stays. It survives the loss of the host that answered.

--- a/internal/coordination/exec/engine.go
+++ b/internal/coordination/exec/engine.go
@@ -114,6 +114,8 @@
 	runCounts runCounts
 	// lastPurge is when records of ended jobs were last checked for expiry.
 	lastPurge time.Time
+	// strayCancels are the cancellations of jobs that are not known, by job id.
+	strayCancels map[string]strayCancel
 	// speeds estimates the speeds of the workers, and lastSpeeds is when the planner last got them; nil if it takes workers for alike.
 	speeds     *speed.Tracker
 	lastSpeeds time.Time
@@ -159,7 +161,8 @@
 	e := &Engine{
 		deps: deps, bounds: b, term: term, clock: clock.System(), log: slog.Default(), scope: tally.NoopScope,
 		workers: map[string]*worker{}, foreign: map[string]port.Runner{}, units: map[string]*unit{}, deferred: map[string]*unit{},
-		endingJobs: map[string]bool{}, nextDue: map[string]time.Time{}, retired: map[string]queue.Queue{}, wake: make(chan struct{}, 1),
+		endingJobs: map[string]bool{}, nextDue: map[string]time.Time{}, retired: map[string]queue.Queue{}, strayCancels: map[string]strayCancel{},
+		wake: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(e)
@@ -288,7 +291,7 @@
 			nextCheck = now.Add(checkInterval)
 			e.runChecks(now)
 			e.updateSpeeds(now)
-			e.purgeEndedJobs(now)
+			e.purge(now)
 		}
 		if !e.ready && (now.After(takeoverDeadline) || e.hasWorkerReports(now)) && len(e.workers) > 0 && e.deps.Evacuations() != nil {
 			e.ready = true
--- a/internal/coordination/feed/follower.go
+++ b/internal/coordination/feed/follower.go
@@ -163,10 +163,24 @@
 	if err != nil {
 		return fmt.Errorf("find the end of %s: %w", f.topic.Name, err)
 	}
-	if p.End > next {
+	return f.readTo(x, p.End)
+}
+
+// ReadTo reads on without waiting for the interval between two reads, until all records before an offset have been applied.
+func (f *Follower) ReadTo(ctx context.Context, offset int64, timeout time.Duration) error {
+	x, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return f.readTo(x, offset)
+}
+
+func (f *Follower) readTo(ctx context.Context, offset int64) error {
+	f.mu.Lock()
+	isBehind := f.next < offset
+	f.mu.Unlock()
+	if isBehind {
 		f.requestRead()
 	}
-	return f.WaitForOffset(x, p.End)
+	return f.WaitForOffset(ctx, offset)
 }
 
 // sleepUntilNextRead waits for the interval between two reads or until a read is requested.
--- a/internal/coordination/intake/cancel_test.go
+++ b/internal/coordination/intake/cancel_test.go
@@ -1,10 +1,12 @@
 package intake
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/auburncleat/auburncleat/internal/standin"
+	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/stretchr/testify/require"
 )
 
@@ -72,3 +74,36 @@
 		require.LessOrEqual(t, time.Since(begin), timeout-replyMargin)
 	})
 }
+
+// TestCancelsOfUnknownJobsAreBounded guards against callers who cancel jobs that do not exist until no host has memory left, and against a
+// bound that turns cancels of accepted jobs away.
+func TestCancelsOfUnknownJobsAreBounded(t *testing.T) {
+	inHosts(t, func(t *testing.T, _ *standin.Store, a, b entry) {
+		for i := range maxKeptCancels {
+			require.NoError(t, b.table.Apply(int64(-1-i), jobs.CancelRecord(fmt.Sprintf("%016x", i))))
+		}
+		var busy ErrBusy
+		require.ErrorAs(t, b.intake.Cancel(t.Context(), testID, testTimeout), &busy)
+		require.True(t, busy.IsFull)
+		require.Positive(t, busy.RetryAfter)
+		require.NoError(t, a.submit(t.Context()))
+		require.NoError(t, b.intake.Cancel(t.Context(), testID, testTimeout))
+		require.NoError(t, b.table.Apply(100, jobs.CancelTombstone(fmt.Sprintf("%016x", 1))))
+		require.NoError(t, b.table.Apply(101, jobs.CancelTombstone(fmt.Sprintf("%016x", 2))))
+		require.ErrorIs(t, b.intake.Cancel(t.Context(), "00000000000000bb", testTimeout), ErrNoJob)
+	})
+}
+
+// TestCancelOfJobStoredBeforeItIsAnsweredAsDone guards against a cancel that is answered as gone though its job was stored before it.
+func TestCancelOfJobStoredBeforeItIsAnsweredAsDone(t *testing.T) {
+	inHosts(t, func(t *testing.T, s *standin.Store, a, b entry) {
+		s.SetLossy("a", true, 25*time.Millisecond)
+		go func() { _ = a.submit(t.Context()) }()
+		time.Sleep(20 * time.Millisecond)
+		s.SetDelay(10 * time.Millisecond)
+		require.NoError(t, b.intake.Cancel(t.Context(), testID, testTimeout))
+		s.SetLossy("a", false, 0)
+		time.Sleep(testTimeout)
+		require.False(t, a.has())
+	})
+}
--- a/internal/coordination/intake/intake.go
+++ b/internal/coordination/intake/intake.go
@@ -9,7 +9,6 @@
 
 	"github.com/auburncleat/auburncleat/internal/clock"
 	"github.com/auburncleat/auburncleat/internal/coordination/feed"
-	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/state/fleet"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
 	"github.com/auburncleat/auburncleat/internal/state/queue"
@@ -31,9 +30,6 @@
 	maxTableAge = 2500 * time.Millisecond
 	// refreshTimeout is how long a request waits for the job table to be refreshed.
 	refreshTimeout = 120 * time.Millisecond
-	// confirmTimeout is how long a cancel waits at most for the store to show that its job does not exist; another host is asked
-	// after that.
-	confirmTimeout = 900 * time.Millisecond
 )
 
 // Limits are the conditions under which requests are admitted.
@@ -142,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	if err := i.store(ctx, r, timeout); err != nil {
+	if _, err := i.store(ctx, r, timeout); err != nil {
 		return fmt.Errorf("accept job %s: %w", j.ID, err)
 	}
 	i.scope.Counter("jobs_accepted").Inc(1)
@@ -152,69 +148,6 @@
 	return nil
 }
 
-// store appends one record and waits for the reply of the store. It returns ErrBusy only if the record was never sent.
-func (i *Intake) store(ctx context.Context, r jobs.Record, timeout time.Duration) error {
-	if s := i.writer.Stalled(); s > storeTimeout {
-		return ErrBusy{Why: fmt.Sprintf("store has not answered for %s", s.Round(time.Millisecond)), RetryAfter: retryDelay(s)}
-	}
-	if s := i.writer.Refused(); s > 0 {
-		return ErrBusy{Why: fmt.Sprintf("store refused an append %s ago", s.Round(time.Millisecond)), RetryAfter: retryAfter}
-	}
-	done := make(chan error, 1)
-	var isLeft atomic.Bool
-	since := i.clock.Now()
-	item := &feed.EntryGroup{Entries: []port.Entry{{Key: r.Key, Value: r.Value}}}
-	item.Done = func(first int64, err error) {
-		if isLeft.Load() {
-			i.logLate(r, first, since, err)
-		}
-		if err == nil {
-			err = i.table.Apply(first, r)
-		}
-		done <- err
-	}
-	i.writer.Submit(item)
-	storeDeadline := i.clock.After(storeTimeout)
-	deadline := i.clock.After(replyTime(timeout))
-	for {
-		select {
-		case err := <-done:
-			return wrapUnknown(err)
-		case <-storeDeadline:
-			if i.writer.Withdraw(item) {
-				return ErrBusy{Why: "store did not take the record", RetryAfter: retryAfter}
-			}
-		case <-deadline:
-			if i.writer.Withdraw(item) {
-				return ErrBusy{Why: "store did not take the record", RetryAfter: retryAfter}
-			}
-			i.leaveRecord(r, &isLeft, "store did not answer in time")
-			return fmt.Errorf("store did not answer in time: %w", ErrOutcomeUnknown)
-		case <-ctx.Done():
-			i.leaveRecord(r, &isLeft, "caller disconnected")
-			return fmt.Errorf("caller disconnected: %w", ErrOutcomeUnknown)
-		}
-	}
-}
-
-// leaveRecord notes that a record may be stored after its caller was answered.
-func (i *Intake) leaveRecord(r jobs.Record, isLeft *atomic.Bool, why string) {
-	isLeft.Store(true)
-	i.scope.Counter("records_left").Inc(1)
-	i.log.Info("record has no outcome yet", "Key", r.Key, "Cause", why)
-}
-
-// logLate logs the outcome of a record that came after its caller was answered.
-func (i *Intake) logLate(r jobs.Record, offset int64, since time.Time, err error) {
-	age := i.clock.Since(since).Round(time.Millisecond).String()
-	if err != nil {
-		i.log.Info("late record has no outcome", "Key", r.Key, "Age", age, "Cause", err.Error())
-		return
-	}
-	i.scope.Counter("records_stored_late").Inc(1)
-	i.log.Info("late record stored", "Key", r.Key, "Offset", offset, "Age", age)
-}
-
 // replyTime returns the time until the reply has to be sent to a caller with a timeout.
 func replyTime(timeout time.Duration) time.Duration {
 	return max(timeout-replyMargin, replyMargin)
@@ -228,13 +161,6 @@
 	return retryAfter
 }
 
-func wrapUnknown(err error) error {
-	if err == nil {
-		return nil
-	}
-	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
-}
-
 // Progress is the state of a job as reported to callers.
 type Progress int
 
@@ -313,32 +239,6 @@
 	return fmt.Errorf("job %s: %w", id, ErrNoJob)
 }
 
-// Cancel stores the cancellation of a job; it does nothing for a job that has ended or been cancelled.
-func (i *Intake) Cancel(ctx context.Context, id string, timeout time.Duration) error {
-	p, isKnown := i.findProgress(id)
-	if !isKnown {
-		// Another host may have just accepted the job. A caller does not repeat a cancel that is answered as gone.
-		if err := i.follower.Confirm(ctx, min(confirmTimeout, replyTime(timeout))); err != nil {
-			i.log.Info("job table not confirmed for a cancel", "Job", id, "Cause", err.Error())
-			return ErrBusy{Why: "job is not known and the store has not confirmed that", RetryAfter: retryAfter}
-		}
-		p, isKnown = i.findProgress(id)
-	}
-	if !isKnown {
-		i.log.Info("cancel of an unknown job", "Job", id)
-		return fmt.Errorf("job %s: %w", id, ErrNoJob)
-	}
-	if !p.isOpen() {
-		return nil
-	}
-	if err := i.store(ctx, jobs.CancelRecord(id), timeout); err != nil {
-		return fmt.Errorf("cancel job %s: %w", id, err)
-	}
-	i.scope.Counter("jobs_cancelled").Inc(1)
-	i.log.Info("cancel accepted", "Job", id)
-	return nil
-}
-
 // CountPending returns the number of accepted jobs of a queue that have not started.
 func (i *Intake) CountPending(q *queue.Queue) (int, error) {
 	if err := i.checkTableAge(); err != nil {
--- a/internal/state/jobs/table.go
+++ b/internal/state/jobs/table.go
@@ -22,7 +22,7 @@
 	jobs map[string]*Job
 	// orphans holds the units whose records were read before the record of their job, by job id.
 	orphans map[string]map[UnitKey]*Unit
-	// cancels holds the offsets of the cancellation records by job id.
+	// cancels holds the offsets of the cancellation records by job id. A job whose record comes after that of its cancellation is cancelled.
 	cancels map[string]int64
 	// changed holds the ids of jobs that changed since the last TakeChanged.
 	changed map[string]bool
@@ -286,6 +286,26 @@
 	f(t.jobs[id])
 }
 
+// CountCancels returns the number of cancellations that are kept.
+func (t *Table) CountCancels() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.cancels)
+}
+
+// FindStrayCancels returns the offsets of the cancellations of jobs that are not known, by job id.
+func (t *Table) FindStrayCancels() map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]int64{}
+	for id, offset := range t.cancels {
+		if t.jobs[id] == nil {
+			out[id] = offset
+		}
+	}
+	return out
+}
+
 // CountPending returns the number of open jobs of a queue that have not started.
 func (t *Table) CountPending(queue string) int {
 	t.mu.Lock()
