feed, intake: store no record that has outlived what it has to meet

What callers saw: a job that had run to its end runs again. Its submission had gone to a host that the store did not reach, was answered 504 and repeated at another host; the first host was cut off for longer than ends of jobs are kept, and then stored its record. The same would run a job whose cancel was answered as gone, once that cancel has been dropped.

Cause: the writer repeats an append without an answer for as long as it takes, so that a record can come at any time after its caller was answered, while the end of a job and the cancel of an unknown one are kept for a stated time.

Change: the writer of a host gives a batch up when a record of it is half as old as ends are kept, and raises its epoch first, so that the store rejects late attempts; the age includes suspensions of the machine. A withdrawn record is not sent again once the store has shown that an attempt did nothing, and a caller that leaves withdraws its record. The owner's writer is not bounded, as its term fences it.

Why it works: a record comes within half of the time for which the end of its job, or the cancel, is kept after the later of the two. What remains: an attempt that was sent before and that the network or the store holds back for longer than the other half.

Tests that failed before: TestLateRecordDoesNotRunEndedJobAgain (2 starts, expected 1); with the mechanism taken out, TestWriterStoresNothingThatItHasGivenUp (the old entry is stored) and TestWithdrawnEntriesAreNotSentAgain (no outcome).

--- a/internal/coordination/feed/writer.go
+++ b/internal/coordination/feed/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,18 +23,27 @@
 // ErrClosed reports that the writer accepts no more entries.
 var ErrClosed = errors.New("writer is closed")
 
+// ErrOutcomeUnknown reports that the writer has given up entries without an answer, which may have been appended before and will not be any more.
+var ErrOutcomeUnknown = errors.New("entries have no outcome")
+
+// ErrWithdrawn reports that withdrawn entries were not appended.
+var ErrWithdrawn = errors.New("entries were withdrawn")
+
 // errRequeued reports that the writer has ended while a batch was back in the queue.
 var errRequeued = errors.New("batch was not appended and is queued again")
 
 // EntryGroup is a group of entries that is appended atomically.
 type EntryGroup struct {
 	Entries []port.Entry
-	// Done is called with the offset of the first entry, or with the error that ended the writer. If ctx ended while an
-	// append had no answer, the entries may have been appended.
+	// Done is called with the offset of the first entry, or with an error: ErrWithdrawn, ErrOutcomeUnknown, or the one that ended the
+	// writer. If ctx ended while an append had no answer, the entries may have been appended.
 	Done func(first int64, err error)
 
 	// isSent is set while the entries may be, or may have been, appended.
 	isSent bool
+	// isWithdrawn is set once the entries need not be appended.
+	isWithdrawn bool
+	submitted   clock.Instant
 }
 
 func (g *EntryGroup) size() int {
@@ -46,7 +56,7 @@
 }
 
 // Writer appends groups of entries in order and in batches. A batch without an answer is repeated under the same sequence number,
-// so that the store can recognise the repeat.
+// so that the store can recognise the repeat, until it is too old.
 type Writer struct {
 	store    port.Store
 	topic    port.Topic
@@ -55,6 +65,8 @@
 	clock    clock.Clock
 	log      *slog.Logger
 	sequence int64
+	// maxAge is the age from which on entries are not repeated; zero means that they are repeated for ever.
+	maxAge time.Duration
 
 	mu          sync.Mutex
 	queue       []*EntryGroup
@@ -65,15 +77,28 @@
 	wake      chan struct{}
 }
 
-// NewWriter returns a writer for one producer and epoch, which appends nothing until Run is called.
-func NewWriter(s port.Store, t port.Topic, producer string, epoch int64, c clock.Clock, l *slog.Logger) *Writer {
-	return &Writer{
+// WriterOption sets one part of a new Writer.
+type WriterOption func(*Writer)
+
+// WithMaxAge makes the writer give up entries without an answer that are older, and raise its epoch so that the store does not append them later.
+func WithMaxAge(d time.Duration) WriterOption {
+	return func(w *Writer) { w.maxAge = d }
+}
+
+// NewWriter returns a writer for one producer, from an epoch on, which appends nothing until Run is called.
+func NewWriter(s port.Store, t port.Topic, producer string, epoch int64, c clock.Clock, l *slog.Logger, opts ...WriterOption) *Writer {
+	w := &Writer{
 		store: s, topic: t, producer: producer, epoch: epoch, clock: c, log: l, sequence: 1, wake: make(chan struct{}, 1),
 	}
+	for _, o := range opts {
+		o(w)
+	}
+	return w
 }
 
-// Submit queues a group. Its Done is called once unless the group is withdrawn.
+// Submit queues a group. Its Done is called once unless Withdraw has removed the group.
 func (w *Writer) Submit(g *EntryGroup) {
+	g.submitted = w.clock.Instant()
 	w.mu.Lock()
 	err := w.err
 	if err == nil {
@@ -91,10 +116,12 @@
 	}
 }
 
-// Withdraw removes a group from the queue and reports whether it did; a group that may have been appended is not removed.
+// Withdraw removes a group from the queue and reports whether it did. A group that may have been appended is not removed; it is not
+// sent again if the store shows that it was not.
 func (w *Writer) Withdraw(g *EntryGroup) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	g.isWithdrawn = true
 	if g.isSent {
 		return false
 	}
@@ -200,15 +227,25 @@
 	return b
 }
 
-// requeue returns groups that were certainly not appended to the head of the queue, where they can be withdrawn.
+// requeue returns groups that were certainly not appended to the head of the queue, where they can be withdrawn, and ends those that are
+// withdrawn already.
 func (w *Writer) requeue(b []*EntryGroup) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
+	var kept, withdrawn []*EntryGroup
 	for _, g := range b {
 		g.isSent = false
+		if g.isWithdrawn {
+			withdrawn = append(withdrawn, g)
+			continue
+		}
+		kept = append(kept, g)
 	}
 	w.appendSince, w.refusedAt = time.Time{}, w.clock.Now()
-	w.queue = append(b, w.queue...)
+	w.queue = append(kept, w.queue...)
+	w.mu.Unlock()
+	for _, g := range withdrawn {
+		g.Done(0, ErrWithdrawn)
+	}
 }
 
 // appendBatch repeats the append of a batch until its outcome is known. A batch that was refused or not sent goes back
@@ -255,7 +292,37 @@
 		if err := w.clock.Sleep(ctx, appendRetryInterval); err != nil {
 			return fmt.Errorf("append to %s: %w", w.topic.Name, err)
 		}
+		if isOutcomeUnknown && w.isTooOld(b) {
+			return w.giveUp(ctx, b)
+		}
+	}
+}
+
+// isTooOld reports whether a group of a batch is too old to be sent again.
+func (w *Writer) isTooOld(b []*EntryGroup) bool {
+	return w.maxAge > 0 && slices.ContainsFunc(b, func(g *EntryGroup) bool { return w.clock.Age(g.submitted) > w.maxAge })
+}
+
+// giveUp raises the epoch, so that the store appends nothing of a batch any more, and ends the groups of the batch without an outcome.
+func (w *Writer) giveUp(ctx context.Context, b []*EntryGroup) error {
+	next := w.epoch + 1
+	for {
+		_, err := w.store.Append(ctx, port.Append{Topic: w.topic, Producer: w.producer, Epoch: next})
+		if err == nil {
+			break
+		}
+		if errors.Is(err, port.ErrStaleEpoch) || w.clock.Sleep(ctx, appendRetryInterval) != nil {
+			return fmt.Errorf("raise epoch at %s: %w", w.topic.Name, err)
+		}
+	}
+	w.log.Info("entries without an outcome given up", "Producer", w.producer, "Epoch", next, "Groups", len(b),
+		"Age", w.clock.Age(b[0].submitted).Round(time.Millisecond).String())
+	w.epoch, w.sequence = next, 1
+	w.markAnswered()
+	for _, g := range b {
+		g.Done(0, ErrOutcomeUnknown)
 	}
+	return nil
 }
 
 func (w *Writer) markAnswered() {
--- a/internal/coordination/feed/writer_test.go
+++ b/internal/coordination/feed/writer_test.go
@@ -80,3 +80,100 @@
 		})
 	}
 }
+
+// runWriter runs f in a synctest bubble with a writer of the host "a".
+func runWriter(t *testing.T, f func(t *testing.T, s *standin.Store, w *Writer), opts ...WriterOption) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewStore(clock.System(), 2*time.Millisecond)
+		w := NewWriter(s.View("a"), port.Topic{Name: "t", IsKeyed: true}, "a", 1, clock.System(), slog.New(slog.DiscardHandler), opts...)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		f(t, s, w)
+		cancel()
+		require.NoError(t, <-done)
+	})
+}
+
+// entryOf returns a group of one entry whose outcome is sent to a channel.
+func entryOf(key string) (*EntryGroup, chan error) {
+	c := make(chan error, 2)
+	return &EntryGroup{Entries: []port.Entry{{Key: key, Value: []byte("1")}}, Done: func(_ int64, err error) { c <- err }}, c
+}
+
+// waitForOutcome returns the outcome of a group.
+func waitForOutcome(t *testing.T, c chan error) error {
+	t.Helper()
+	select {
+	case err := <-c:
+		return err
+	case <-time.After(time.Minute):
+		require.Fail(t, "group has no outcome")
+		return nil
+	}
+}
+
+// TestWriterStoresNothingThatItHasGivenUp guards against a record that is stored long after all that it could meet has been dropped: its append
+// was not answered, or comes late, and the writer repeats it for as long as the host is cut off.
+func TestWriterStoresNothingThatItHasGivenUp(t *testing.T) {
+	const maxAge = 5 * time.Second
+	cases := map[string]func(s *standin.Store, is bool){
+		"no answer":      func(s *standin.Store, is bool) { s.SetUnresponsive("a", is) },
+		"appended late":  func(s *standin.Store, is bool) { s.SetLossy("a", is, 20*time.Second) },
+		"refused lastly": func(s *standin.Store, is bool) { s.SetUnresponsive("a", is) },
+	}
+	for name, set := range cases {
+		t.Run(name, func(t *testing.T) {
+			runWriter(t, func(t *testing.T, s *standin.Store, w *Writer) {
+				topic := port.Topic{Name: "t", IsKeyed: true}
+				set(s, true)
+				old, outcome := entryOf("old")
+				w.Submit(old)
+				time.Sleep(maxAge - time.Second)
+				young, later := entryOf("young")
+				w.Submit(young)
+				s.SetRejected("a", name == "refused lastly")
+				time.Sleep(3 * time.Second)
+				s.SetRejected("a", false)
+				set(s, false)
+				require.ErrorIs(t, waitForOutcome(t, outcome), ErrOutcomeUnknown)
+				require.NoError(t, waitForOutcome(t, later))
+				time.Sleep(30 * time.Second)
+				require.Equal(t, []string{"young"}, s.Keys(topic))
+				require.Empty(t, outcome)
+			}, WithMaxAge(maxAge))
+		})
+	}
+}
+
+// TestWriterRepeatsYoungEntries guards against a record that is given up while its caller may still wait for it.
+func TestWriterRepeatsYoungEntries(t *testing.T) {
+	runWriter(t, func(t *testing.T, s *standin.Store, w *Writer) {
+		s.SetUnresponsive("a", true)
+		g, outcome := entryOf("k")
+		w.Submit(g)
+		time.Sleep(4 * time.Second)
+		s.SetUnresponsive("a", false)
+		require.NoError(t, waitForOutcome(t, outcome))
+		require.Equal(t, []string{"k"}, s.Keys(port.Topic{Name: "t", IsKeyed: true}))
+	}, WithMaxAge(5*time.Second))
+}
+
+// TestWithdrawnEntriesAreNotSentAgain guards against a record that is stored after its caller was told that it was not: it was withdrawn while
+// an attempt was under way that the store then refused.
+func TestWithdrawnEntriesAreNotSentAgain(t *testing.T) {
+	runWriter(t, func(t *testing.T, s *standin.Store, w *Writer) {
+		s.SetDelay(300 * time.Millisecond)
+		s.SetRejected("a", true)
+		g, outcome := entryOf("k")
+		w.Submit(g)
+		time.Sleep(100 * time.Millisecond)
+		require.False(t, w.Withdraw(g))
+		require.ErrorIs(t, waitForOutcome(t, outcome), ErrWithdrawn)
+		s.SetRejected("a", false)
+		time.Sleep(2 * time.Second)
+		require.Empty(t, s.Keys(port.Topic{Name: "t", IsKeyed: true}))
+		require.Empty(t, outcome)
+	})
+}
--- a/internal/coordination/intake/store.go
+++ b/internal/coordination/intake/store.go
@@ -9,6 +9,7 @@
 	"github.com/auburncleat/auburncleat/internal/coordination/feed"
 	"github.com/auburncleat/auburncleat/internal/coordination/port"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/pkg/errors"
 )
 
 // result is the outcome of an append of one record.
@@ -45,6 +46,9 @@
 	for {
 		select {
 		case x := <-done:
+			if errors.Is(x.err, feed.ErrWithdrawn) {
+				return 0, ErrBusy{Why: "store did not take the record", RetryAfter: retryAfter}
+			}
 			return x.offset, wrapUnknown(x.err)
 		case <-storeDeadline:
 			if i.writer.Withdraw(item) {
@@ -57,6 +61,9 @@
 			i.leaveRecord(r, &isLeft, "store did not answer in time")
 			return 0, fmt.Errorf("store did not answer in time: %w", ErrOutcomeUnknown)
 		case <-ctx.Done():
+			if i.writer.Withdraw(item) {
+				return 0, fmt.Errorf("caller disconnected: %w", ctx.Err())
+			}
 			i.leaveRecord(r, &isLeft, "caller disconnected")
 			return 0, fmt.Errorf("caller disconnected: %w", ErrOutcomeUnknown)
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -82,8 +82,11 @@
 	ownerReadInterval = 5 * time.Millisecond
 	// revokeMargin is the part of Bounds.Revoke that is reserved for requests in flight; the rest limits the age of the
 	// configuration under which requests are admitted.
-	revokeMargin    = 1500 * time.Millisecond
-	instanceIDBytes = 6
+	revokeMargin = 1500 * time.Millisecond
+	// Records of callers are stored within KeepEnded divided by lateRecordDivisor, or not at all, so that the end of a job and the cancel
+	// of one that is not known outlast them.
+	lateRecordDivisor = 2
+	instanceIDBytes   = 6
 	// ignoredLogInterval is the minimum time between two log lines about job records that no host wrote.
 	ignoredLogInterval = 10 * time.Second
 	// ownerGCPercent is the GC percentage of the owner, which has more spare memory than processor time. The memory limit
@@ -159,7 +162,8 @@
 	h.jobs = feed.NewFollower(deps.Store, jobsTopic, feed.Handler{Reload: h.reloadJobs, Apply: h.applyJob}, h.clock, h.log,
 		feed.WithReadInterval(standbyReadInterval))
 	h.config = feed.NewFollower(deps.Store, deps.ConfigTopic, feed.Handler{Reload: h.reloadConfig, Apply: h.applyConfig}, h.clock, h.log)
-	h.writer = feed.NewWriter(deps.Store, jobsTopic, s.Host.Name+"-"+instance, 1, h.clock, h.log)
+	h.writer = feed.NewWriter(deps.Store, jobsTopic, s.Host.Name+"-"+instance, 1, h.clock, h.log,
+		feed.WithMaxAge(s.Bounds.KeepEnded/lateRecordDivisor))
 	h.elect = elect.New(deps.Store, s.Host.Name, instance, s.Listen.Peer, h.clock, h.log,
 		elect.WithProcessorShare(s.Limits.Processors), elect.WithProbe(h.probeOwner), elect.WithMaxLease(exec.MaxLease),
 		elect.WithScope(h.scope))
--- a/internal/host/latejob_test.go
+++ b/internal/host/latejob_test.go
@@ -87,3 +87,22 @@
 		require.Empty(s.t, s.store.Keys(jobsTopic))
 	})
 }
+
+// TestLateRecordDoesNotRunEndedJobAgain guards against a job that runs twice: the writer of a host that the store did not serve for long
+// stores the job again when the end of the job has been dropped.
+func TestLateRecordDoesNotRunEndedJobAgain(t *testing.T) {
+	runInSite(t, runsTaking(time.Second), threeHosts, func(s *site) {
+		s.advance(2 * time.Second)
+		late := s.otherHost(s.owner())
+		s.store.SetUnresponsive(late, true)
+		require.ErrorIs(s.t, s.submit(late, testJobID, "quiet", taskStep(1)), intake.ErrOutcomeUnknown)
+		require.NoError(s.t, s.submit(s.anyOther(late), testJobID, "quiet", taskStep(1)))
+		s.advance(90 * time.Second)
+		require.Empty(s.t, s.store.Keys(jobsTopic))
+		require.Equal(s.t, 1, s.runners.Starts())
+		s.store.SetUnresponsive(late, false)
+		s.advance(20 * time.Second)
+		require.Equal(s.t, 1, s.runners.Starts())
+		require.NoError(s.t, s.submit(late, "00000000000000bb", "quiet", taskStep(1)), "the host goes on")
+	})
+}
