tests: clients of the soak leave and cancel a job without an outcome

Nothing of a job may run whose cancel was answered as gone, and no cancel of an accepted job may be answered so.

--- a/tests/crowd_test.go
+++ b/tests/crowd_test.go
@@ -124,7 +124,7 @@
 		}
 		body := []byte(`{"spec":"x","steps":[` + steps + `]}`)
 		clients.Go(func() {
-			s.call(h, soakRequest{http.MethodPost, "quiet", fmt.Sprintf("%016x", 1<<48+i), s.key("harbour"), body})
+			s.call(h, soakRequest{http.MethodPost, "quiet", fmt.Sprintf("%016x", 1<<48+i), s.key("harbour"), body, 0})
 		})
 	}
 	clients.Wait()
--- a/tests/site_test.go
+++ b/tests/site_test.go
@@ -19,7 +19,7 @@
 func (s *soakSite) submitJob(j *soakJob) int {
 	body, err := json.Marshal(map[string]any{"spec": j.spec(), "steps": j.steps})
 	require.NoError(s.t, err)
-	return s.call(s.hosts[0], soakRequest{http.MethodPost, j.queue, j.id, s.key(j.org), body}).status
+	return s.call(s.hosts[0], soakRequest{http.MethodPost, j.queue, j.id, s.key(j.org), body, 0}).status
 }
 
 // TestSiteReloadsItsSettings checks that settings are reloaded on SIGHUP and when the file changes, and that invalid
--- a/tests/soak_config_test.go
+++ b/tests/soak_config_test.go
@@ -125,7 +125,7 @@
 	s.sleep(soakRevokeTimeout)
 	id := fmt.Sprintf("%016x", 1<<40+int64(f.startAt))
 	for i, h := range s.hosts {
-		q := soakRequest{http.MethodPost, "quiet", fmt.Sprintf("%s%x", id[:15], i%16), old, []byte(`{"spec":"x","steps":[{"count":1,"cpu":1}]}`)}
+		q := soakRequest{http.MethodPost, "quiet", fmt.Sprintf("%s%x", id[:15], i%16), old, []byte(`{"spec":"x","steps":[{"count":1,"cpu":1}]}`), 0}
 		if s.call(h, q).status == http.StatusOK {
 			s.violate("%s accepted a key that was revoked %s before", h.name, soakRevokeTimeout)
 		}
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -164,6 +164,8 @@
 	isUnknown   bool
 	refused     int
 	isCancelled bool
+	// isGone is set if the cancellation was answered as gone.
+	isGone bool
 }
 
 // runClient submits a job until it is accepted or the tries are used up, resubmits or cancels it as planned, and watches
@@ -175,9 +177,13 @@
 		s.violate("encode job: %v", err)
 		return
 	}
+	if j.isLeft {
+		s.runLeavingClient(x, body)
+		return
+	}
 	for i := 0; i < soakMaxTries && x.acceptedAt.IsZero(); i++ {
 		h := s.hosts[j.hosts[i]]
-		a := s.call(h, soakRequest{http.MethodPost, j.queue, j.id, s.key(j.org), body})
+		a := s.call(h, soakRequest{method: http.MethodPost, queue: j.queue, id: j.id, key: s.key(j.org), body: body})
 		switch a.status {
 		case http.StatusOK:
 			x.acceptedAt = time.Now()
@@ -195,7 +201,7 @@
 	}
 	if j.resubmitAfter > 0 {
 		s.sleep(j.resubmitAfter)
-		s.call(s.hosts[j.hosts[0]], soakRequest{http.MethodPost, j.queue, j.id, s.key(j.org), body})
+		s.call(s.hosts[j.hosts[0]], soakRequest{method: http.MethodPost, queue: j.queue, id: j.id, key: s.key(j.org), body: body})
 	}
 	if j.cancelAfter > 0 {
 		s.sleep(j.cancelAfter)
@@ -208,10 +214,16 @@
 func (s *soakSite) cancel(x *soakResult) {
 	s.stalls.end(x.job)
 	until := time.Now().Add(soakRetryTime)
-	for i := 0; time.Now().Before(until); i++ {
+	i := 0
+	if x.job.isLeft {
+		// The job was submitted at the first host.
+		i = 1
+	}
+	for ; time.Now().Before(until); i++ {
 		x.isCancelled = true
 		a := s.call(s.hosts[x.job.hosts[i%len(x.job.hosts)]], soakRequest{method: http.MethodDelete, queue: x.job.queue, id: x.job.id, key: s.key(x.job.org)})
 		if a.status == http.StatusOK || a.status == http.StatusGone {
+			x.isGone = a.status == http.StatusGone
 			return
 		}
 		s.sleep(soakPollInterval)
@@ -268,6 +280,8 @@
 	id     string
 	key    string
 	body   []byte
+	// timeout is how long the client waits; zero stands for soakCallTimeout.
+	timeout time.Duration
 }
 
 // soakResponse is the response to a request; its status is zero if no complete response arrived.
@@ -281,7 +295,11 @@
 
 // call sends a request. A request that a host received before SIGTERM must get a complete response.
 func (s *soakSite) call(h *soakHost, c soakRequest) soakResponse {
-	ctx, cancel := context.WithTimeout(s.t.Context(), soakCallTimeout)
+	timeout := soakCallTimeout
+	if c.timeout > 0 {
+		timeout = c.timeout
+	}
+	ctx, cancel := context.WithTimeout(s.t.Context(), timeout)
 	defer cancel()
 	url := fmt.Sprintf("http://%s:%d/%s/%s", h.ip, callerPort, c.queue, c.id)
 	r, err := http.NewRequestWithContext(ctx, c.method, url, bytes.NewReader(c.body))
@@ -291,7 +309,7 @@
 	}
 	r.Host = soakHostname
 	r.Header.Set("X-Api-Key", c.key)
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(soakCallTimeout.Milliseconds()))
+	r.Header.Set("X-Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
 	sentAt := time.Now()
 	p, err := soakClient.Do(r)
 	if err != nil {
@@ -372,6 +390,7 @@
 	var checks sync.WaitGroup
 	slots := make(chan struct{}, soakChecks)
 	for _, x := range rs {
+		s.checkGone(x)
 		if x.acceptedAt.IsZero() {
 			if !x.isUnknown && s.runners.HasStarted(x.job.id) {
 				s.violate("job %s ran, though all %d requests were refused", x.job.id, x.refused)
