relay: a cancel that another host answers as gone is done

A cancel whose own host gets no answer from the store in time is passed on; the other host stores it and answers that there is no such job. The caller was told that the outcome is not known (504) and had to cancel again.

Cause: an unknown outcome here was replaced by nothing but a success elsewhere, which a cancel answered as gone now is.

Test that failed before: TestGoneElsewhereSettlesCancel/Cancel; its other case holds that a submission stays unknown.

--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -81,12 +81,16 @@
 		if !isRetryableElsewhere(x.err) {
 			return x.reply, x.err
 		}
-		return mergeResults(x, r.forward(ctx, q, deadline, x.err))
+		remote := r.forward(ctx, q, deadline, x.err)
+		if isSettled(q.Verb, remote.err) {
+			return remote.reply, remote.err
+		}
+		return mergeResults(x, remote)
 	case <-r.clock.After(hedgeDelay):
 	}
 	remote := r.forward(ctx, q, deadline, errStoreSlow)
-	if remote.err == nil {
-		return remote.reply, nil
+	if isSettled(q.Verb, remote.err) {
+		return remote.reply, remote.err
 	}
 	return mergeResults(<-local, remote)
 }
@@ -105,6 +109,12 @@
 	return r.serve(ctx, q)
 }
 
+// isSettled reports whether a request is done with the answer of one host, whatever became of it at others. A cancel answered with ErrNoJob is
+// stored, and holds for a job whose record comes later.
+func isSettled(v intake.Verb, err error) bool {
+	return err == nil || v == intake.Cancel && errors.Is(err, intake.ErrNoJob)
+}
+
 // isRetryableElsewhere reports whether another host may serve a request that failed with err.
 func isRetryableElsewhere(err error) bool {
 	var b intake.ErrBusy
@@ -146,7 +156,7 @@
 			}
 			continue
 		}
-		if err != nil && errors.Is(last.err, intake.ErrOutcomeUnknown) {
+		if !isSettled(q.Verb, err) && errors.Is(last.err, intake.ErrOutcomeUnknown) {
 			// The refusal does not rule out that the previous host has executed the request.
 			return last
 		}
