--- a/tests/soak_leave_test.go
+++ b/tests/soak_leave_test.go
@@ -25,7 +25,7 @@
 	for at := time.Duration(0); at < p.length; at += time.Duration(r.Int64N(int64(2 * soakLeaveGap))) {
 		j := &soakJob{
 			submitAt: at, id: fmt.Sprintf("%016x", soakFirstLeaver+len(p.jobs)), org: p.orgs[r.IntN(len(p.orgs))], queue: "urgent",
-			steps: []soakStep{{Count: 1, CPU: 1, GPUs: 1, Estimated: 1000}}, isLeft: true, work: time.Second,
+			steps: []soakStep{{Count: 1, CPU: 1, GPUs: 1, Estimated: 1000}}, isAbandoned: true, work: time.Second,
 			cancelAfter: time.Millisecond + time.Duration(r.Int64N(int64(soakRegretTime))), hosts: r.Perm(p.hosts),
 		}
 		p.jobs = append(p.jobs, j)
--- a/tests/soak_plan_test.go
+++ b/tests/soak_plan_test.go
@@ -25,8 +25,8 @@
 	isPoison bool
 	// cancelAfter is the time from acceptance to the cancellation by the client; zero means never.
 	cancelAfter time.Duration
-	// isLeft is set if the client leaves soon after the submission and cancels at another host, whatever the outcome.
-	isLeft bool
+	// isAbandoned is set if the client leaves soon after the submission and cancels at another host, whatever the outcome.
+	isAbandoned bool
 	// resubmitAfter is the time from acceptance to a repeated submission; zero means never.
 	resubmitAfter time.Duration
 	hosts         []int
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -172,7 +172,7 @@
 		s.violate("encode job: %v", err)
 		return
 	}
-	if j.isLeft {
+	if j.isAbandoned {
 		s.runLeavingClient(x, body)
 		return
 	}
@@ -210,7 +210,7 @@
 	s.stalls.end(x.job)
 	until := time.Now().Add(soakRetryTime)
 	i := 0
-	if x.job.isLeft {
+	if x.job.isAbandoned {
 		// The job was submitted at the first host.
 		i = 1
 	}
