--- a/internal/coordination/intake/cancel_test.go
+++ b/internal/coordination/intake/cancel_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburncleat/auburncleat/internal/standin"
 	"github.com/auburncleat/auburncleat/internal/state/jobs"
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 )
 
@@ -107,3 +108,31 @@
 		require.False(t, a.has())
 	})
 }
+
+// TestCancelAtHostOfLateRecordHolds guards against a cancel that is lost at the host whose writer still repeats the record of the job: it comes
+// when the store answers again, before the next attempt of the writer or after it.
+func TestCancelAtHostOfLateRecordHolds(t *testing.T) {
+	const shortTimeout = 900 * time.Millisecond
+	for gap := time.Duration(0); gap < 700*time.Millisecond; gap += 50 * time.Millisecond {
+		t.Run(gap.String(), func(t *testing.T) {
+			inHosts(t, func(t *testing.T, s *standin.Store, a, b entry) {
+				s.SetUnresponsive("a", true)
+				err := a.intake.Submit(t.Context(), testCaller, &jobs.Job{ID: testID, Steps: []jobs.Step{{Tasks: 1}}}, shortTimeout)
+				require.ErrorIs(t, err, ErrOutcomeUnknown)
+				time.Sleep(500 * time.Millisecond)
+				s.SetUnresponsive("a", false)
+				time.Sleep(gap)
+				var busy ErrBusy
+				for err = a.intake.Cancel(t.Context(), testID, testTimeout); errors.As(err, &busy); err = a.intake.Cancel(t.Context(), testID, testTimeout) {
+					time.Sleep(20 * time.Millisecond)
+				}
+				if err != nil {
+					require.ErrorIs(t, err, ErrNoJob)
+				}
+				time.Sleep(2 * time.Second)
+				require.False(t, a.has())
+				require.False(t, b.has())
+			})
+		})
+	}
+}
