jobs: keep whether a job has started instead of searching its units

Since starts that no worker has confirmed no longer count, the search for a unit that has begun would go through all units of a large job: for each number of pending jobs that is asked for, and each time that the owner stores the begin of a job. That a job has started never changes back.

The time that a cancel has already waited for the store is no longer given to it a second time.

--- a/internal/coordination/intake/cancel.go
+++ b/internal/coordination/intake/cancel.go
@@ -36,7 +36,7 @@
 	if !p.isOpen() {
 		return nil
 	}
-	if _, err := i.store(ctx, jobs.CancelRecord(id), timeout); err != nil {
+	if _, err := i.store(ctx, jobs.CancelRecord(id), timeout-i.clock.Age(since)); err != nil {
 		return fmt.Errorf("cancel job %s: %w", id, err)
 	}
 	i.logCancel(id)
--- a/internal/state/jobs/job.go
+++ b/internal/state/jobs/job.go
@@ -111,6 +111,8 @@
 	// offset is that of the job record, or of the end record once the job has ended.
 	offset int64
 	units  map[UnitKey]*Unit
+	// hasStarted is set once a record of a unit has told that a task started.
+	hasStarted bool
 	// footprint is that of the job when it was read.
 	footprint fleet.Bytes
 }
@@ -142,12 +144,13 @@
 
 // HasStarted reports whether a task of the job is known to have started.
 func (j *Job) HasStarted() bool {
-	for _, u := range j.units {
-		if !u.IsUnbegun {
-			return true
-		}
-	}
-	return false
+	return j.hasStarted
+}
+
+// setUnit replaces the newest run of a unit.
+func (j *Job) setUnit(u *Unit) {
+	j.units[u.Key] = u
+	j.hasStarted = j.hasStarted || !u.IsUnbegun
 }
 
 // GetUnit returns the newest run of a unit, or nil if the unit never ran.
--- a/internal/state/jobs/table.go
+++ b/internal/state/jobs/table.go
@@ -82,7 +82,7 @@
 	}
 	for k, u := range old.units {
 		if x := j.units[k]; u.offset >= from && (x == nil || x.offset < u.offset) {
-			j.units[k] = u
+			j.setUnit(u)
 		}
 	}
 }
@@ -128,7 +128,7 @@
 	j.units = map[UnitKey]*Unit{}
 	for k, u := range t.orphans[id] {
 		if j.hasUnit(k) {
-			j.units[k] = u
+			j.setUnit(u)
 		}
 	}
 	delete(t.orphans, id)
@@ -211,7 +211,7 @@
 	if old := j.units[k]; old != nil && old.offset >= offset {
 		return nil
 	}
-	j.units[k] = u
+	j.setUnit(u)
 	return nil
 }
 
