tests: leave the plans of returning seeds as they were

The clients that leave were added to the plans of returning seeds as well, which build on the mixed ones and are overloaded at times already. Mixed seeds keep these clients.

--- a/tests/soak_load_test.go
+++ b/tests/soak_load_test.go
@@ -32,7 +32,6 @@
 	}
 	p.drawMixedJobs(r)
 	p.drawWaves(r)
-	p.addLeavingClients()
 	return p
 }
 
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -59,6 +59,7 @@
 		return newSoakPlan(x.seed, x.hosts, x.workers, x.length)
 	}
 	p := newMixedPlan(x.seed, x.hosts, x.workers, x.length)
+	p.addLeavingClients()
 	for i := range p.faults {
 		if *soakOnly != "" {
 			p.faults[i].kind = *soakOnly
